--- /dev/null
+++ b/include/caperpath/base/id.hpp
@@ -0,0 +1,48 @@
+#ifndef CAPERPATH_BASE_ID_HPP
+#define CAPERPATH_BASE_ID_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace caperpath
+{
+
+/// A name that cannot be mixed up with a name of another kind. Immutable value.
+template <class Tag>
+struct basic_id
+{
+    std::string value;
+
+    friend auto operator<=>(basic_id const&, basic_id const&) = default;
+};
+
+using customer_id = basic_id<struct customer_tag>;
+using budget_id = basic_id<struct budget_tag>;
+using model_id = basic_id<struct model_tag>;
+using service_id = basic_id<struct service_tag>;
+using backend_server_id = basic_id<struct backend_server_tag>;
+using failure_domain_id = basic_id<struct failure_domain_tag>;
+using request_id = basic_id<struct request_tag>;
+
+/// One life of one VM: a replaced VM at the same address gets a new value, so
+/// that nothing written for the old one is taken for the new one.
+using incarnation_id = basic_id<struct incarnation_tag>;
+
+/// Prepaid tokens; always a whole number, never negative in a valid state.
+using token_count = std::int64_t;
+
+} // namespace caperpath
+
+template <class Tag>
+struct std::hash<caperpath::basic_id<Tag>>
+{
+    std::size_t operator()(caperpath::basic_id<Tag> const& id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
+
+#endif
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,159 @@
+#include "http/server.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
+
+namespace caperpath::http
+{
+
+namespace
+{
+
+// cpp-httplib listens with a backlog of 5. With 360 callers connecting at once
+// the rest are dropped by the kernel and come back after a second: a caller
+// sees a first token that is late by exactly 1,000 ms.
+constexpr int listen_backlog = 1'024;
+
+// Runs each connection on a thread; threads are made when none is idle, up to
+// a bound, and kept. A fixed pool of 1,200 would cost its stacks at the start.
+class growing_pool : public httplib::TaskQueue
+{
+public:
+    explicit growing_pool(std::size_t max_threads) : max_threads{max_threads}
+    {
+    }
+
+    void enqueue(std::function<void()> task) override
+    {
+        std::lock_guard const lock{this->mutex};
+        this->tasks.push_back(std::move(task));
+        if (this->idle < this->tasks.size() &&
+            this->threads.size() < this->max_threads)
+        {
+            this->threads.emplace_back([this] { this->work(); });
+        }
+        this->wake.notify_one();
+    }
+
+    void shutdown() override
+    {
+        {
+            std::lock_guard const lock{this->mutex};
+            this->stopping = true;
+        }
+        this->wake.notify_all();
+        for (auto& thread : this->threads)
+        {
+            thread.join();
+        }
+    }
+
+private:
+    void work()
+    {
+        std::unique_lock lock{this->mutex};
+        while (true)
+        {
+            ++this->idle;
+            this->wake.wait(lock, [this]
+                            { return !this->tasks.empty() || this->stopping; });
+            --this->idle;
+            if (this->tasks.empty())
+            {
+                return;
+            }
+            auto task = std::move(this->tasks.front());
+            this->tasks.pop_front();
+            lock.unlock();
+            task();
+            lock.lock();
+        }
+    }
+
+    std::size_t max_threads;
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<std::function<void()>> tasks;
+    std::vector<std::thread> threads;
+    std::size_t idle{0};
+    bool stopping{false};
+};
+
+std::chrono::milliseconds to_chrono(duration span)
+{
+    return std::chrono::milliseconds{span.ms};
+}
+
+} // namespace
+
+server::server(server_options options)
+{
+    auto const max_threads = options.max_threads;
+    this->new_task_queue = [max_threads]
+    {
+        return new growing_pool(max_threads);
+    };
+    this->set_payload_max_length(options.max_body_bytes);
+    this->set_read_timeout(to_chrono(options.read_timeout));
+    this->set_write_timeout(to_chrono(options.write_timeout));
+    this->set_keep_alive_timeout(options.keep_alive.ms / 1'000);
+    this->set_keep_alive_max_count(1'000'000);
+    this->set_tcp_nodelay(true);
+}
+
+server::~server()
+{
+    this->finish();
+}
+
+int server::start(std::string const& address)
+{
+    auto const where = parse_endpoint(address);
+    int port = where.port;
+    if (port == 0)
+    {
+        port = this->bind_to_any_port(where.host);
+    }
+    else if (!this->bind_to_port(where.host, port))
+    {
+        port = -1;
+    }
+    if (port < 0)
+    {
+        return -1;
+    }
+    ::listen(this->svr_sock_, listen_backlog);
+    this->acceptor = std::thread{[this]
+                                 {
+                                     this->listen_after_bind();
+                                 }};
+    // `stop` before the accept loop runs would be lost and `finish` would hang.
+    while (!this->is_running())
+    {
+        std::this_thread::yield();
+    }
+    return port;
+}
+
+void server::finish()
+{
+    if (!this->acceptor.joinable())
+    {
+        return;
+    }
+    this->stop();
+    this->acceptor.join();
+}
+
+endpoint parse_endpoint(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
+}
+
+} // namespace caperpath::http
