Add the pure request and routing core and upstream exchanges

Cause: the router needs decisions that can be tested without sockets: what a valid request is, what it may cost, whether an engine's chunk belongs to this answer, how long a silence is too long, when a retry is allowed.

Change: chat request checks that name the field at fault, pricing that saturates, an incremental event splitter, acceptance of engine chunks by request, attempt and offset, a retry budget, a gap tracker, routing policies and limits as free functions over values; and, in the shell, an exchange that runs one upstream request on a thread of its own so that the waiting side can give up on a silent connection, and a pool that keeps only cleanly ended connections.

Conclusion: the parts that the router's filters call.

--- /dev/null
+++ b/include/caperpath/routing/limits.hpp
@@ -0,0 +1,59 @@
+#ifndef CAPERPATH_ROUTING_LIMITS_HPP
+#define CAPERPATH_ROUTING_LIMITS_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+
+#include <cstdint>
+
+namespace caperpath::routing
+{
+
+/// One customer's limits at one router. Immutable value.
+struct limits
+{
+    std::int64_t max_concurrent{};
+    std::int64_t tokens_per_second{};
+
+    friend bool operator==(limits const&, limits const&) = default;
+};
+
+/// One customer's use at one router: open requests, and a token bucket of one
+/// second's depth. Immutable value.
+struct limit_state
+{
+    std::int64_t open{0};
+    std::int64_t bucket_milli{-1}; ///< thousandths of a token, -1: full
+    instant refilled_at;
+
+    friend bool operator==(limit_state const&, limit_state const&) = default;
+};
+
+enum class limit_verdict
+{
+    admitted,
+    too_many_open,
+    too_fast
+};
+
+struct limit_decision
+{
+    limit_state state;
+    limit_verdict verdict{limit_verdict::admitted};
+    duration retry_after{};
+};
+
+/// Thread safe, pure. Admits a request of `tokens` worst-case tokens. A request
+/// larger than the bucket passes when the bucket is full, and leaves a debt, so
+/// that no size is refused for good.
+limit_decision admit(limit_state const& state, limits const& bounds,
+                     token_count tokens, instant now);
+
+/// Thread safe, pure. Ends a request; `unused` tokens go back to the bucket.
+/// @pre a matching `admit` said admitted
+limit_state released(limit_state const& state, limits const& bounds,
+                     token_count unused);
+
+} // namespace caperpath::routing
+
+#endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,12 +1,9 @@
 #include "http/server.hpp"
+#include "http/worker_pool.hpp"
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
-#include <mutex>
 #include <sys/socket.h>
 #include <utility>
-#include <vector>
 
 namespace caperpath::http
 {
@@ -19,69 +16,25 @@
 // sees a first token that is late by exactly 1,000 ms.
 constexpr int listen_backlog = 1'024;
 
-// Runs each connection on a thread; threads are made when none is idle, up to
-// a bound, and kept. A fixed pool of 1,200 would cost its stacks at the start.
-class growing_pool : public httplib::TaskQueue
+class connection_queue : public httplib::TaskQueue
 {
 public:
-    explicit growing_pool(std::size_t max_threads) : max_threads{max_threads}
+    explicit connection_queue(std::size_t max_threads) : workers{max_threads}
     {
     }
 
     void enqueue(std::function<void()> task) override
     {
-        std::lock_guard const lock{this->mutex};
-        this->tasks.push_back(std::move(task));
-        if (this->idle < this->tasks.size() &&
-            this->threads.size() < this->max_threads)
-        {
-            this->threads.emplace_back([this] { this->work(); });
-        }
-        this->wake.notify_one();
+        this->workers.enqueue(std::move(task));
     }
 
     void shutdown() override
     {
-        {
-            std::lock_guard const lock{this->mutex};
-            this->stopping = true;
-        }
-        this->wake.notify_all();
-        for (auto& thread : this->threads)
-        {
-            thread.join();
-        }
+        this->workers.shutdown();
     }
 
 private:
-    void work()
-    {
-        std::unique_lock lock{this->mutex};
-        while (true)
-        {
-            ++this->idle;
-            this->wake.wait(lock, [this]
-                            { return !this->tasks.empty() || this->stopping; });
-            --this->idle;
-            if (this->tasks.empty())
-            {
-                return;
-            }
-            auto task = std::move(this->tasks.front());
-            this->tasks.pop_front();
-            lock.unlock();
-            task();
-            lock.lock();
-        }
-    }
-
-    std::size_t max_threads;
-    std::mutex mutex;
-    std::condition_variable wake;
-    std::deque<std::function<void()>> tasks;
-    std::vector<std::thread> threads;
-    std::size_t idle{0};
-    bool stopping{false};
+    worker_pool workers;
 };
 
 std::chrono::milliseconds to_chrono(duration span)
@@ -96,7 +49,7 @@
     auto const max_threads = options.max_threads;
     this->new_task_queue = [max_threads]
     {
-        return new growing_pool(max_threads);
+        return new connection_queue(max_threads);
     };
     this->set_payload_max_length(options.max_body_bytes);
     this->set_read_timeout(to_chrono(options.read_timeout));
--- /dev/null
+++ b/src/request/answer.cpp
@@ -0,0 +1,152 @@
+#include <caperpath/request/answer.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace caperpath::request
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::int64_t whole(json const& object, char const* name, std::int64_t fallback)
+{
+    auto const member = object.find(name);
+    bool const usable = member != object.end() && member->is_number_integer();
+    return usable ? member->get<std::int64_t>() : fallback;
+}
+
+std::string text(json const& object, char const* name)
+{
+    auto const member = object.find(name);
+    bool const usable = member != object.end() && member->is_string();
+    return usable ? member->get<std::string>() : std::string{};
+}
+
+json const& child(json const& object, char const* name)
+{
+    static json const none = json::object();
+    auto const member = object.find(name);
+    bool const usable = member != object.end() && member->is_object();
+    return usable ? *member : none;
+}
+
+engine_event decode_choice(engine_event event, json const& choice)
+{
+    event.finish_reason = text(choice, "finish_reason");
+    event.text = text(child(choice, "delta"), "content");
+    event.what = event.finish_reason.empty() ? engine_event::kind::token
+                                             : engine_event::kind::finish;
+    return event;
+}
+
+accepted broken(answer_state state)
+{
+    return {std::move(state), acceptance::broken};
+}
+
+accepted accept_token(answer_state state, engine_event const& event)
+{
+    // An engine that repeats, skips or mixes chunks would give the caller a
+    // doubled, holed or foreign answer; the offset shows it.
+    if (event.offset != state.next_offset || !state.finish_reason.empty())
+    {
+        return broken(std::move(state));
+    }
+    // The reservation covers `max_tokens`: a longer answer would be spent
+    // beyond what was set aside, so it ends here as if it had been that long.
+    if (state.next_offset >= state.max_tokens)
+    {
+        state.finish_reason = "length";
+        state.done = true;
+        return {std::move(state), acceptance::cut};
+    }
+    ++state.next_offset;
+    return {std::move(state), acceptance::pass};
+}
+
+} // namespace
+
+engine_event decode_engine_event(std::string_view data)
+{
+    engine_event event;
+    if (data == "[DONE]")
+    {
+        event.what = engine_event::kind::done;
+        return event;
+    }
+    auto const body = json::parse(data, nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+    {
+        return event;
+    }
+    auto const& exchange = child(body, "caperpath");
+    event.request = text(exchange, "request");
+    event.attempt = static_cast<int>(whole(exchange, "attempt", 0));
+    event.offset = whole(exchange, "offset", -1);
+    auto const& counted = child(body, "usage");
+    if (!counted.empty())
+    {
+        event.what = engine_event::kind::counted;
+        event.used = {whole(counted, "prompt_tokens", 0),
+                      whole(counted, "completion_tokens", 0)};
+        return event;
+    }
+    auto const choices = body.find("choices");
+    if (choices == body.end() || !choices->is_array() || choices->empty() ||
+        !choices->front().is_object())
+    {
+        return event;
+    }
+    return decode_choice(std::move(event), choices->front());
+}
+
+accepted accept(answer_state const& state, engine_event const& event)
+{
+    if (state.done || event.what == engine_event::kind::garbled)
+    {
+        return broken(state);
+    }
+    if (event.what == engine_event::kind::done)
+    {
+        // A stream that says it is done without having said why it ended has
+        // lost its tail; the caller would take a holed answer for a whole one.
+        if (state.finish_reason.empty())
+        {
+            return broken(state);
+        }
+        auto ended = state;
+        ended.done = true;
+        return {std::move(ended), acceptance::pass};
+    }
+    if (event.request != state.request.value || event.attempt != state.attempt)
+    {
+        return broken(state);
+    }
+    auto next = state;
+    if (event.what == engine_event::kind::token)
+    {
+        return accept_token(std::move(next), event);
+    }
+    if (event.what == engine_event::kind::finish)
+    {
+        next.finish_reason = event.finish_reason;
+        return {std::move(next), acceptance::pass};
+    }
+    next.used = event.used;
+    return {std::move(next), acceptance::ignore};
+}
+
+answer_state next_attempt(answer_state const& state)
+{
+    auto next = state;
+    ++next.attempt;
+    next.finish_reason.clear();
+    next.used.reset();
+    return next;
+}
+
+} // namespace caperpath::request
--- /dev/null
+++ b/src/request/chat_request.cpp
@@ -0,0 +1,252 @@
+#include <caperpath/request/chat_request.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace caperpath::request
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+
+// A message costs a few tokens for its role and separators beyond its text.
+constexpr std::int64_t bytes_per_message_overhead = 16;
+
+// Deeper nesting than any client sends; the parser recurses once a level, so a
+// body of 4 MB of '[' would otherwise overflow the stack of its thread and take
+// every open stream of the process with it.
+constexpr int max_json_depth = 64;
+
+bool too_deep(std::string_view body)
+{
+    int depth = 0;
+    bool in_text = false;
+    bool escaped = false;
+    for (char const c : body)
+    {
+        if (in_text)
+        {
+            in_text = escaped || c != '"';
+            escaped = !escaped && c == '\\';
+            continue;
+        }
+        in_text = c == '"';
+        depth += (c == '[' || c == '{') ? 1 : 0;
+        depth -= (c == ']' || c == '}') ? 1 : 0;
+        if (depth > max_json_depth)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Text of a message: a string, or an array of {"type":"text","text":...}.
+std::optional<std::int64_t> content_bytes(json const& content)
+{
+    if (content.is_string())
+    {
+        return static_cast<std::int64_t>(
+            content.get_ref<std::string const&>().size());
+    }
+    if (!content.is_array())
+    {
+        return std::nullopt;
+    }
+    std::int64_t bytes = 0;
+    for (auto const& part : content)
+    {
+        bool const is_text = part.is_object() && part.contains("text") &&
+                             part["text"].is_string();
+        if (!is_text)
+        {
+            return std::nullopt;
+        }
+        bytes += static_cast<std::int64_t>(
+            part["text"].get_ref<std::string const&>().size());
+    }
+    return bytes;
+}
+
+std::variant<std::int64_t, refusal> prompt_bytes(json const& body)
+{
+    auto const messages = body.find("messages");
+    if (messages == body.end() || !messages->is_array() || messages->empty())
+    {
+        return invalid_request("messages",
+                               "expected a list with at least one message");
+    }
+    std::int64_t total = 0;
+    for (std::size_t i = 0; i < messages->size(); ++i)
+    {
+        auto const& message = (*messages)[i];
+        auto const place = "messages[" + std::to_string(i) + "]";
+        if (!message.is_object() || !message.contains("role") ||
+            !message["role"].is_string())
+        {
+            return invalid_request(place + ".role", "expected text");
+        }
+        auto const bytes = message.contains("content")
+                               ? content_bytes(message["content"])
+                               : std::nullopt;
+        if (!bytes)
+        {
+            return invalid_request(place + ".content",
+                                   "expected text or a list of text parts");
+        }
+        total += *bytes + bytes_per_message_overhead;
+    }
+    return total;
+}
+
+std::variant<std::int64_t, refusal> max_tokens(json const& body,
+                                               config::model const& model)
+{
+    for (auto const* name : {"max_completion_tokens", "max_tokens"})
+    {
+        auto const member = body.find(name);
+        if (member == body.end() || member->is_null())
+        {
+            continue;
+        }
+        bool const fits = member->is_number_integer() && *member >= 1 &&
+                          *member <= model.max_completion_tokens;
+        if (!fits)
+        {
+            return invalid_request(
+                name, "expected a whole number of tokens from 1 to " +
+                          std::to_string(model.max_completion_tokens));
+        }
+        return member->get<std::int64_t>();
+    }
+    return model.max_completion_tokens;
+}
+
+std::variant<bool, refusal> flag(json const& object, char const* name)
+{
+    auto const member = object.find(name);
+    if (member == object.end() || member->is_null())
+    {
+        return false;
+    }
+    if (!member->is_boolean())
+    {
+        return invalid_request(name, "expected true or false");
+    }
+    return member->get<bool>();
+}
+
+std::variant<bool, refusal> include_usage(json const& body)
+{
+    auto const options = body.find("stream_options");
+    if (options == body.end() || options->is_null())
+    {
+        return false;
+    }
+    if (!options->is_object())
+    {
+        return invalid_request("stream_options", "expected an object");
+    }
+    return flag(*options, "include_usage");
+}
+
+// The engine is always asked to stream, also for a whole answer: a silent
+// connection is noticed by the gap between tokens, which a whole answer hides.
+std::string upstream_body(json body, std::int64_t max_tokens)
+{
+    body["stream"] = true;
+    body["stream_options"] = {{"include_usage", true}};
+    body.erase("max_completion_tokens");
+    body["max_tokens"] = max_tokens;
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::variant<json, refusal> parse_body(std::string_view text)
+{
+    if (too_deep(text))
+    {
+        return invalid_request("body", "nested deeper than 64 levels");
+    }
+    auto body = json::parse(text, nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+    {
+        return invalid_request("body", "expected a JSON object");
+    }
+    return body;
+}
+
+} // namespace
+
+refusal invalid_request(std::string param, std::string message)
+{
+    return {http_bad_request,        outcome::not_run, {},
+            "invalid_request_error", "invalid_value",  std::move(param),
+            std::move(message)};
+}
+
+std::variant<chat_request, refusal>
+parse_chat_request(std::string_view text, config::document const& document)
+{
+    auto const parsed = parse_body(text);
+    if (auto const* fault = std::get_if<refusal>(&parsed))
+    {
+        return *fault;
+    }
+    auto const& body = std::get<json>(parsed);
+    auto const name = body.find("model");
+    if (name == body.end() || !name->is_string())
+    {
+        return invalid_request("model", "expected the name of a model");
+    }
+    model_id const id{name->get<std::string>()};
+    auto const model = document.models.find(id);
+    if (model == document.models.end())
+    {
+        refusal fault = invalid_request("model", "no model has this name");
+        fault.status = http_not_found;
+        fault.code = "model_not_found";
+        return fault;
+    }
+    auto const bytes = prompt_bytes(body);
+    auto const limit = max_tokens(body, model->second);
+    auto const stream = flag(body, "stream");
+    auto const usage = include_usage(body);
+    auto const count = body.contains("n") ? body["n"] : json(1);
+    for (auto const* fault :
+         {std::get_if<refusal>(&bytes), std::get_if<refusal>(&limit),
+          std::get_if<refusal>(&stream), std::get_if<refusal>(&usage)})
+    {
+        if (fault != nullptr)
+        {
+            return *fault;
+        }
+    }
+    if (count != 1 && !count.is_null())
+    {
+        return invalid_request("n", "only one choice is served");
+    }
+    // One token takes at most about four bytes of ordinary text; a prompt is
+    // refused only when even the most favourable count is over the limit.
+    constexpr std::int64_t most_bytes_per_token = 4;
+    auto const prompt = std::get<std::int64_t>(bytes);
+    if (prompt > model->second.max_prompt_tokens * most_bytes_per_token)
+    {
+        return invalid_request("messages", "the prompt is too long");
+    }
+    return chat_request{id,
+                        prompt,
+                        std::get<std::int64_t>(limit),
+                        std::get<bool>(stream),
+                        std::get<bool>(usage),
+                        upstream_body(body, std::get<std::int64_t>(limit))};
+}
+
+} // namespace caperpath::request
