--- /dev/null
+++ b/include/caperpath/request/claim.hpp
@@ -0,0 +1,85 @@
+#ifndef CAPERPATH_REQUEST_CLAIM_HPP
+#define CAPERPATH_REQUEST_CLAIM_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace caperpath::request
+{
+
+/// A finished answer as it is kept for a caller that asks again.
+struct kept_answer
+{
+    int status{};
+    std::string content_type;
+    std::string body;
+
+    friend bool operator==(kept_answer const&, kept_answer const&) = default;
+};
+
+/// Asks to be the one who runs a request that carries an idempotency key.
+struct claim_request
+{
+    request_id request;    ///< derived from customer and key
+    std::string body_hash; ///< of method, path and body
+    bool idempotent{false};
+    duration wait{}; ///< how long to wait for one in progress elsewhere
+
+    friend bool operator==(claim_request const&,
+                           claim_request const&) = default;
+};
+
+enum class claim_verdict
+{
+    run,         ///< the claim is ours, and durable unless idempotent
+    replay,      ///< it ran; `answer` is what it gave
+    in_progress, ///< somebody else runs it: 409 with Retry-After
+    mismatch,    ///< same key, other body: 422
+    unknown,     ///< its runner died and nobody knows: final if not idempotent
+    undecidable  ///< the store cannot say now: 503, not run
+};
+
+struct claim_reply
+{
+    claim_verdict verdict{claim_verdict::undecidable};
+    std::uint64_t epoch{}; ///< fencing number of our claim
+    kept_answer answer;
+    duration retry_after{};
+
+    friend bool operator==(claim_reply const&, claim_reply const&) = default;
+};
+
+enum class claim_result
+{
+    completed, ///< `answer` is kept for whoever asks again
+    not_run,   ///< proved; the next one may run it
+    unknown    ///< it may have run
+};
+
+struct claim_finish
+{
+    request_id request;
+    std::uint64_t epoch{};
+    claim_result result{claim_result::unknown};
+    bool idempotent{false};
+    kept_answer answer;
+
+    friend bool operator==(claim_finish const&, claim_finish const&) = default;
+};
+
+/// What the request filters know of claims. Thread safe. Each `run` verdict is
+/// finished once. `finish` blocks (bounded) until the answer of a call that is
+/// not idempotent can be found again, and says whether it can.
+struct claim_port
+{
+    std::function<claim_reply(claim_request const&)> begin;
+    std::function<bool(claim_finish const&)> finish;
+};
+
+} // namespace caperpath::request
+
+#endif
