Let a listen address name port 0

Scripts start stand-ins on free ports, so a `listen` of "127.0.0.1:0" must pass the check, while an address to connect to must still have a port. json_reader::listen_address and is_listen_address allow port 0; address and is_address are as strict as before.

Shown by config.json_reader.

--- a/include/caperpath/config/json_reader.hpp
+++ b/include/caperpath/config/json_reader.hpp
@@ -49,6 +49,9 @@
     /// "IP:port" with a numeric IPv4 address; a fault otherwise.
     std::string address(std::string_view key);
 
+    /// As `address`, but port 0 is allowed and means any free port.
+    std::string listen_address(std::string_view key);
+
     /// Calls `read` for each member of the object `key`; nothing if missing.
     void each_member(
         std::string_view key,
@@ -87,6 +90,9 @@
 /// True for "a.b.c.d:port" with numbers in range. Thread safe.
 bool is_address(std::string const& text);
 
+/// As `is_address`, or with port 0. Thread safe.
+bool is_listen_address(std::string const& text);
+
 } // namespace caperpath::config
 
 #endif
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -33,6 +33,26 @@
     return previous.back();
 }
 
+bool is_address_with_port(std::string const& text, int least_port)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return false;
+    }
+    in_addr parsed{};
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
+    {
+        return false;
+    }
+    int port = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [stop, fault] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    return fault == std::errc{} && stop == end && port >= least_port &&
+           port <= max_port;
+}
+
 } // namespace
 
 json_reader::json_reader(nlohmann::json const& value, std::string path,
@@ -140,6 +160,17 @@
     return text;
 }
 
+std::string json_reader::listen_address(std::string_view key)
+{
+    auto text = this->text(key);
+    if (!text.empty() && !is_listen_address(text))
+    {
+        this->reject(key, "expected a numeric IPv4 address and port, IP:port "
+                          "(port 0: any free one)");
+    }
+    return text;
+}
+
 void json_reader::each_member(
     std::string_view key,
     std::function<void(std::string const&, nlohmann::json const&,
@@ -220,21 +251,12 @@
 
 bool is_address(std::string const& text)
 {
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return false;
-    }
-    in_addr parsed{};
-    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
-    {
-        return false;
-    }
-    int port = 0;
-    auto const* const end = text.data() + text.size();
-    auto const [stop, fault] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    return fault == std::errc{} && stop == end && port > 0 && port <= max_port;
+    return is_address_with_port(text, 1);
+}
+
+bool is_listen_address(std::string const& text)
+{
+    return is_address_with_port(text, 0);
 }
 
 } // namespace caperpath::config
--- a/tests/config/json_reader_test.cpp
+++ b/tests/config/json_reader_test.cpp
@@ -46,6 +46,8 @@
         CPPUNIT_ASSERT(!is_address("127.0.0.1:0"));
         CPPUNIT_ASSERT(!is_address("127.0.0.1:99999"));
         CPPUNIT_ASSERT(!is_address("127.0.0.1"));
+        CPPUNIT_ASSERT(is_listen_address("127.0.0.1:0"));
+        CPPUNIT_ASSERT(!is_listen_address("127.0.0.1:-1"));
     }
 };
 
