--- /dev/null
+++ b/include/caperpath/observe/trace.hpp
@@ -0,0 +1,144 @@
+#ifndef CAPERPATH_OBSERVE_TRACE_HPP
+#define CAPERPATH_OBSERVE_TRACE_HPP
+
+#include <caperpath/base/clock.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperpath::observe
+{
+
+/// 128 bits, shown as 32 lower-case hexadecimal digits. All zero is invalid.
+struct trace_id
+{
+    std::uint64_t high{};
+    std::uint64_t low{};
+
+    friend auto operator<=>(trace_id const&, trace_id const&) = default;
+};
+
+/// 64 bits, shown as 16 lower-case hexadecimal digits. Zero: no span.
+struct span_id
+{
+    std::uint64_t value{};
+
+    friend auto operator<=>(span_id const&, span_id const&) = default;
+};
+
+/// Thread safe. The hexadecimal form.
+std::string to_string(trace_id id);
+std::string to_string(span_id id);
+
+/// Thread safe. Nothing unless `text` is exactly the hexadecimal form; an all
+/// zero id is read as such.
+std::optional<trace_id> parse_trace_id(std::string_view text);
+std::optional<span_id> parse_span_id(std::string_view text);
+
+/// What goes from hop to hop: the trace, and the span that the next hop's span
+/// is a child of. Immutable value.
+struct trace_context
+{
+    trace_id trace;
+    span_id span;
+    bool sampled{true};
+
+    friend auto operator<=>(trace_context const&,
+                            trace_context const&) = default;
+};
+
+/// Thread safe. The W3C header value, version 00.
+/// @pre neither id is all zero.
+std::string format_traceparent(trace_context const& context);
+
+/// Thread safe. Nothing when `header` is malformed by W3C Trace Context; of a
+/// version above 00 the part that 00 defines is read. Never throws.
+std::optional<trace_context> parse_traceparent(std::string_view header);
+
+/// Random ids from a seed, so that a test sees the same ids every run. Thread
+/// safe.
+class id_generator
+{
+public:
+    explicit id_generator(std::uint64_t seed);
+
+    /// Never all zero.
+    trace_id next_trace_id();
+    span_id next_span_id();
+
+private:
+    std::uint64_t next();
+
+    std::mutex mutex;
+    std::mt19937_64 engine;
+};
+
+struct span_attribute
+{
+    std::string key;
+    std::string value;
+
+    friend auto operator<=>(span_attribute const&,
+                            span_attribute const&) = default;
+};
+
+/// Attribute keys that the tools know.
+inline constexpr char request_attribute[] = "request.id";
+inline constexpr char peer_attribute[] = "peer.address";
+inline constexpr char vm_attribute[] = "vm";
+
+/// One timed step of a request. Immutable value; make one with `span_builder`.
+struct span
+{
+    trace_id trace;
+    span_id id;
+    span_id parent; ///< zero: the trace began here
+    std::string name;
+    instant start;              ///< wall clock
+    std::int64_t duration_us{}; ///< microseconds, by a monotonic clock
+    std::vector<span_attribute> attributes;
+
+    /// Wall time at which it ended, rounded down.
+    instant end() const;
+
+    /// The value of attribute `key`, or empty.
+    std::string_view attribute(std::string_view key) const;
+
+    friend auto operator<=>(span const&, span const&) = default;
+};
+
+/// Opens a span when it is made and gives the finished value. Not thread safe.
+class span_builder
+{
+public:
+    /// A child of `parent`. @pre `wall` is a wall clock.
+    span_builder(std::string name, trace_context const& parent,
+                 id_generator& ids, clock const& wall);
+
+    /// The context to send to the next hop and to open child spans with.
+    trace_context context() const;
+
+    span_builder& with_attribute(std::string key, std::string value);
+
+    /// The span, ended now. Call once.
+    span finish();
+
+private:
+    span value;
+    bool sampled;
+    std::int64_t start_us;
+};
+
+/// The caller's trace when `header` is well formed, else a new trace without a
+/// parent. Thread safe.
+trace_context continue_trace(std::string_view header, id_generator& ids);
+
+} // namespace caperpath::observe
+
+#endif
