Add the request filters, the relay of chat answers and the HTTP front

Cause: callers need one path from the key they show to the bill that is written.

Ruled out: one pass through cpp-httplib's content provider alone. It fixes the status before an engine has answered, so a request that no engine takes would end as a 200 with a broken stream; the relay therefore waits for the first token before the status is decided.

Change: a chain of filters that are left in reverse order exactly once, also when the caller's connection breaks; a relay that resumes an answer at its next token on another connection; plain service calls that go out again only when the attempt before provably did not run; OpenAI-style JSON and events.

--- /dev/null
+++ b/src/filters/authenticate.cpp
@@ -0,0 +1,69 @@
+#include "filters/steps.hpp"
+
+#include <caperpath/config/keys.hpp>
+
+#include <string_view>
+
+namespace caperpath::filters
+{
+
+namespace
+{
+
+constexpr int http_unauthorized = 401;
+constexpr int http_unavailable = 503;
+constexpr std::string_view scheme = "Bearer ";
+
+std::optional<request::refusal> enter(context& request)
+{
+    request.document = request.shared.configuration();
+    if (request.document == nullptr)
+    {
+        // A keyed request may be the repeat of one that ran elsewhere.
+        auto const kind = request.in.idempotency_key.empty()
+                              ? request::outcome::not_run
+                              : request::outcome::unknown;
+        return request::refusal{http_unavailable,
+                                kind,
+                                {1'000},
+                                "server_error",
+                                "not_ready",
+                                "",
+                                "no configuration has been read yet"};
+    }
+    request.deadline =
+        request.received + request.document->routing.request_timeout;
+    std::string_view given = request.in.authorization;
+    std::optional<customer_id> found;
+    if (given.starts_with(scheme))
+    {
+        given.remove_prefix(scheme.size());
+        found = config::find_customer(*request.document, given);
+    }
+    if (!found)
+    {
+        return request::refusal{http_unauthorized,
+                                request::outcome::not_run,
+                                {},
+                                "authentication_error",
+                                "invalid_api_key",
+                                "Authorization",
+                                "expected \"Bearer KEY\" with a valid key"};
+    }
+    request.customer = *found;
+    request.customer_settings = &request.document->customers.at(*found);
+    return std::nullopt;
+}
+
+void leave(context&)
+{
+}
+
+} // namespace
+
+filter authenticate_filter()
+{
+    return {"authenticate", enter, leave};
+}
+
+} // namespace caperpath::filters
--- /dev/null
+++ b/src/filters/dispatch.cpp
@@ -0,0 +1,67 @@
+#include "filters/steps.hpp"
+
+#include "router/chat_relay.hpp"
+#include "router/service_call.hpp"
+
+#include <utility>
+
+namespace caperpath::filters
+{
+
+namespace
+{
+
+std::optional<request::refusal> call_plain_service(context& request)
+{
+    auto outcome = router::call_service(request);
+    if (auto* const refused = std::get_if<request::refusal>(&outcome))
+    {
+        return std::move(*refused);
+    }
+    request.answer = std::move(std::get<request::kept_answer>(outcome));
+    request.state = progress::completed;
+    return std::nullopt;
+}
+
+std::optional<request::refusal> enter(context& request)
+{
+    if (request.replayed)
+    {
+        request.state = progress::completed;
+        return std::nullopt;
+    }
+    if (std::holds_alternative<service_request>(request.work))
+    {
+        return call_plain_service(request);
+    }
+    request.relay = std::make_unique<router::chat_relay>(request);
+    return std::nullopt;
+}
+
+void leave(context& request)
+{
+    if (request.relay == nullptr)
+    {
+        return;
+    }
+    request.relay->abandon();
+    request.used = request.relay->used();
+}
+
+} // namespace
+
+filter dispatch_filter()
+{
+    return {"dispatch", enter, leave};
+}
+
+std::vector<filter> const& request_filters()
+{
+    static std::vector<filter> const filters{
+        account_filter(),  authenticate_filter(), understand_filter(),
+        identify_filter(), limit_filter(),        reserve_filter(),
+        dispatch_filter()};
+    return filters;
+}
+
+} // namespace caperpath::filters
--- /dev/null
+++ b/src/filters/identify.cpp
@@ -0,0 +1,169 @@
+#include "filters/steps.hpp"
+
+#include <caperpath/config/keys.hpp>
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+
+namespace caperpath::filters
+{
+
+namespace
+{
+
+constexpr int http_conflict = 409;
+constexpr int http_unprocessable = 422;
+constexpr int http_bad_gateway = 502;
+constexpr int http_unavailable = 503;
+constexpr std::size_t longest_key = 256;
+constexpr std::size_t id_length = 32;
+
+std::string sha256_hex(std::string const& text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
+               nullptr);
+    return config::to_hex({reinterpret_cast<char const*>(digest.data()), size});
+}
+
+// Two customers may use the same key; each part's length keeps ("a","bc") and
+// ("ab","c") apart.
+request_id keyed_id(customer_id const& customer, std::string const& key)
+{
+    auto const text =
+        std::to_string(customer.value.size()) + ":" + customer.value + key;
+    return {"k-" + sha256_hex(text).substr(0, id_length)};
+}
+
+bool usable_key(std::string const& key)
+{
+    auto const printable = [](unsigned char c)
+    {
+        return c > 0x20 && c < 0x7f;
+    };
+    return key.size() <= longest_key &&
+           std::all_of(key.begin(), key.end(), printable);
+}
+
+request::refusal claim_refusal(request::claim_reply const& reply)
+{
+    using request::claim_verdict;
+    using request::outcome;
+    switch (reply.verdict)
+    {
+    case claim_verdict::in_progress:
+        return {http_conflict,
+                outcome::unknown,
+                reply.retry_after,
+                "invalid_request_error",
+                "request_in_progress",
+                "Idempotency-Key",
+                "a request with this key is running; ask again for its answer"};
+    case claim_verdict::mismatch:
+        return {http_unprocessable,
+                outcome::not_run,
+                {},
+                "invalid_request_error",
+                "idempotency_key_reused",
+                "Idempotency-Key",
+                "this key was used with another request"};
+    case claim_verdict::unknown:
+        return {http_bad_gateway,
+                outcome::unknown,
+                reply.retry_after,
+                "server_error",
+                "outcome_unknown",
+                "",
+                "this request may have run; it will not be run again"};
+    default:
+        break;
+    }
+    // This may be the repeat of a request that ran: "not-run" would be a guess.
+    return {http_unavailable,
+            outcome::unknown,
+            reply.retry_after,
+            "server_error",
+            "claim_undecidable",
+            "",
+            "the store cannot say whether this request ran before"};
+}
+
+std::optional<request::refusal> take_claim(context& request)
+{
+    auto const& in = request.in;
+    auto const reply = request.shared.claims.begin(
+        {request.id, sha256_hex(in.method + " " + in.path + "\n" + in.body),
+         request.idempotent(), request.shared.claim_wait});
+    if (reply.verdict == request::claim_verdict::replay)
+    {
+        request.answer = reply.answer;
+        request.replayed = true;
+        return std::nullopt;
+    }
+    if (reply.verdict != request::claim_verdict::run)
+    {
+        return claim_refusal(reply);
+    }
+    request.claim_epoch = reply.epoch;
+    return std::nullopt;
+}
+
+std::optional<request::refusal> enter(context& request)
+{
+    auto const& key = request.in.idempotency_key;
+    if (key.empty())
+    {
+        request.id = {observe::to_string(request.shared.ids->next_trace_id())};
+        return std::nullopt;
+    }
+    if (!usable_key(key))
+    {
+        return request::invalid_request(
+            "Idempotency-Key", "expected at most 256 printable characters");
+    }
+    request.id = keyed_id(request.customer, key);
+    if (!request.shared.claims.begin)
+    {
+        return std::nullopt;
+    }
+    auto span = child_span(request, "claim");
+    auto refused = take_claim(request);
+    finish_span(request, std::move(span));
+    return refused;
+}
+
+request::claim_result claim_result_of(context const& request)
+{
+    if (request.state == progress::completed)
+    {
+        return request::claim_result::completed;
+    }
+    bool const not_run =
+        request.refusal && request.refusal->kind == request::outcome::not_run;
+    return not_run ? request::claim_result::not_run
+                   : request::claim_result::unknown;
+}
+
+void leave(context& request)
+{
+    if (!request.claim_epoch)
+    {
+        return;
+    }
+    auto const result = claim_result_of(request);
+    request.shared.claims.finish(
+        {request.id, *request.claim_epoch, result, request.idempotent(),
+         request.answer.value_or(request::kept_answer{})});
+}
+
+} // namespace
+
+filter identify_filter()
+{
+    return {"identify", enter, leave};
+}
+
+} // namespace caperpath::filters
--- /dev/null
+++ b/src/filters/reserve.cpp
@@ -0,0 +1,111 @@
+#include "filters/steps.hpp"
+
+#include <caperpath/request/pricing.hpp>
+
+namespace caperpath::filters
+{
+
+namespace
+{
+
+constexpr int http_payment_required = 402;
+constexpr int http_unavailable = 503;
+constexpr std::int64_t us_per_ms = 1'000;
+
+config::budget_policy policy_of(context const& request)
+{
+    return request.document->budgets.at(request.customer_settings->budget)
+        .policy;
+}
+
+request::refusal refusal_of(budget::reserve_reply const& reply)
+{
+    if (reply.verdict == budget::reserve_verdict::exhausted)
+    {
+        return {http_payment_required,
+                request::outcome::not_run,
+                reply.retry_after,
+                "insufficient_quota",
+                "budget_exhausted",
+                "",
+                "the prepaid budget does not cover this request"};
+    }
+    return {http_unavailable,
+            request::outcome::not_run,
+            reply.retry_after,
+            "server_error",
+            "budget_undecidable",
+            "",
+            "whether the budget covers this request cannot be told now"};
+}
+
+std::optional<request::refusal> enter(context& request)
+{
+    if (request.replayed)
+    {
+        return std::nullopt;
+    }
+    auto span = child_span(request, "reserve");
+    auto const asked = request.shared.time.now();
+    auto const reply = request.shared.budgets.reserve(
+        {request.id, request.customer_settings->budget, policy_of(request),
+         request.worst_case, request.shared.reserve_wait});
+    auto const waited = request.shared.time.now() - asked;
+    request.shared.metrics->reserve_wait(waited.ms * us_per_ms);
+    finish_span(request, std::move(span));
+    if (reply.verdict == budget::reserve_verdict::admitted)
+    {
+        return std::nullopt;
+    }
+    return refusal_of(reply);
+}
+
+// An answer that was not completed costs nothing, unless the caller left: what
+// was generated for it until then has been used.
+token_count cost_of(context const& request)
+{
+    bool const used = request.state == progress::completed ||
+                      request.state == progress::abandoned;
+    if (!used)
+    {
+        return 0;
+    }
+    auto const* chat = std::get_if<request::chat_request>(&request.work);
+    if (chat == nullptr)
+    {
+        bool const ran = request.state == progress::completed;
+        return ran ? request.worst_case : 0;
+    }
+    return request::cost(request.document->models.at(chat->model), request.used,
+                         request.worst_case);
+}
+
+void leave(context& request)
+{
+    if (request.replayed)
+    {
+        return;
+    }
+    request.cost = cost_of(request);
+    auto span = child_span(request, "settle");
+    budget::bill const cost{request.id,
+                            request.customer,
+                            request.customer_settings->budget,
+                            request.cost,
+                            request.used.prompt_tokens,
+                            request.used.completion_tokens,
+                            request.document->version};
+    auto const state = request.shared.budgets.finish(
+        {cost, policy_of(request), request.worst_case});
+    request.shared.metrics->bill_finished(state);
+    finish_span(request, std::move(span));
+}
+
+} // namespace
+
+filter reserve_filter()
+{
+    return {"reserve", enter, leave};
+}
+
+} // namespace caperpath::filters
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -93,6 +93,8 @@
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_decompress(false);
+    // The path is passed on as the caller encoded it.
+    client->set_url_encode(false);
     return client;
 }
 
--- /dev/null
+++ b/src/router/front.cpp
@@ -0,0 +1,221 @@
+#include "router/front.hpp"
+
+#include "filters/chain.hpp"
+#include "router/chat_answer.hpp"
+
+#include <caperpath/observe/log.hpp>
+
+#include "router/answer_json.hpp"
+
+#include <exception>
+#include <utility>
+
+namespace caperpath::router
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+constexpr int http_payload_too_large = 413;
+constexpr int http_internal_error = 500;
+constexpr int http_unavailable = 503;
+constexpr char json_type[] = "application/json";
+
+filters::incoming incoming_of(httplib::Request const& given)
+{
+    return {given.method,
+            given.target,
+            given.body,
+            given.get_header_value("Content-Type"),
+            given.get_header_value("Authorization"),
+            given.get_header_value("Idempotency-Key"),
+            given.get_header_value("traceparent")};
+}
+
+void answer_chat(filters::services const& shared, httplib::Request const& given,
+                 httplib::Response& response)
+{
+    auto const answer =
+        std::make_shared<chat_answer>(shared, incoming_of(given));
+    answer->begin(response);
+    if (answer->streams())
+    {
+        response.set_chunked_content_provider(
+            "text/event-stream",
+            [answer](std::size_t, httplib::DataSink& sink)
+            { return answer->write(sink); },
+            // Also runs when the caller's connection broke before the first
+            // write; without it the reservation would stay open for good.
+            [answer](bool) { answer->end(); });
+    }
+}
+
+void answer_service(filters::services const& shared,
+                    httplib::Request const& given, httplib::Response& response)
+{
+    filters::context request{shared, incoming_of(given)};
+    filters::chain chain{filters::request_filters(), request};
+    bool const passed = chain.enter();
+    chain.leave();
+    if (!passed)
+    {
+        write_refusal(request, response);
+        return;
+    }
+    response.status = request.answer->status;
+    response.set_header("X-Request-Id", request.id.value);
+    response.set_header("Caperpath-Outcome", "completed");
+    response.set_content(request.answer->body, request.answer->content_type);
+}
+
+void answer_models(filters::services const& shared,
+                   httplib::Request const& given, httplib::Response& response)
+{
+    filters::context request{shared, incoming_of(given)};
+    static std::vector<filters::filter> const only_authenticated{
+        filters::account_filter(), filters::authenticate_filter()};
+    filters::chain chain{only_authenticated, request};
+    bool const passed = chain.enter();
+    request.state = passed ? filters::progress::completed : request.state;
+    chain.leave();
+    if (!passed)
+    {
+        write_refusal(request, response);
+        return;
+    }
+    response.set_content(models_json(*request.document), json_type);
+}
+
+// Errors that the HTTP library answers by itself get the usual error object.
+void describe_error(httplib::Request const&, httplib::Response& response)
+{
+    if (!response.body.empty())
+    {
+        return;
+    }
+    bool const server_fault = response.status >= http_internal_error;
+    request::refusal refusal{response.status,
+                             request::outcome::not_run,
+                             {},
+                             server_fault ? "server_error"
+                                          : "invalid_request_error",
+                             "http_" + std::to_string(response.status),
+                             "",
+                             ""};
+    switch (response.status)
+    {
+    case http_payload_too_large:
+        refusal.param = "body";
+        refusal.message = "the body is larger than this server takes";
+        break;
+    case http_not_found:
+        refusal.param = "path";
+        refusal.message = "nothing is served at this path";
+        break;
+    case http_bad_request:
+        refusal.message = "the request is not well-formed HTTP";
+        break;
+    default:
+        refusal.message = "the request was not served";
+        break;
+    }
+    response.set_header("Caperpath-Outcome",
+                        std::string{request::to_string(refusal.kind)});
+    response.set_content(error_json(refusal), json_type);
+}
+
+std::string what_of(std::exception_ptr const& thrown)
+{
+    try
+    {
+        std::rethrow_exception(thrown);
+    }
+    catch (std::exception const& fault)
+    {
+        return fault.what();
+    }
+    catch (...)
+    {
+        return "not a std::exception";
+    }
+}
+
+// A fault of ours: the request may have been dispatched before it.
+void describe_exception(httplib::Request const&, httplib::Response& response,
+                        std::exception_ptr const& thrown)
+{
+    observe::log_error({"request", {}, {}}, what_of(thrown));
+    request::refusal const refusal{
+        http_internal_error,
+        request::outcome::unknown,
+        {},
+        "server_error",
+        "internal_error",
+        "",
+        "this router failed while serving the request"};
+    response.status = refusal.status;
+    response.set_header("Caperpath-Outcome",
+                        std::string{request::to_string(refusal.kind)});
+    response.set_content(error_json(refusal), json_type);
+}
+
+void register_status(http::server& server, filters::services const& shared,
+                     status_pages const& pages)
+{
+    server.Get("/healthz",
+               [pages](httplib::Request const&, httplib::Response& response)
+               { response.set_content(pages.health(), json_type); });
+    server.Get("/readyz",
+               [pages](httplib::Request const&, httplib::Response& response)
+               {
+                   bool const ready = pages.ready();
+                   response.status = ready ? http_ok : http_unavailable;
+                   response.set_content(ready ? "{\"ready\":true}"
+                                              : "{\"ready\":false}",
+                                        json_type);
+               });
+    server.Get("/metrics",
+               [&shared](httplib::Request const&, httplib::Response& response)
+               {
+                   response.set_content(shared.metrics->render(),
+                                        "text/plain; version=0.0.4");
+               });
+}
+
+} // namespace
+
+void register_routes(http::server& server, filters::services const& shared,
+                     status_pages const& pages)
+{
+    auto const chat =
+        [&shared](httplib::Request const& given, httplib::Response& response)
+    {
+        answer_chat(shared, given, response);
+    };
+    auto const service =
+        [&shared](httplib::Request const& given, httplib::Response& response)
+    {
+        answer_service(shared, given, response);
+    };
+    auto const models =
+        [&shared](httplib::Request const& given, httplib::Response& response)
+    {
+        answer_models(shared, given, response);
+    };
+    constexpr char services_pattern[] = "/services/.+";
+    server.Post("/v1/chat/completions", chat);
+    server.Get("/v1/models", models);
+    server.Get(services_pattern, service);
+    server.Post(services_pattern, httplib::Server::Handler{service});
+    server.Put(services_pattern, httplib::Server::Handler{service});
+    server.Patch(services_pattern, httplib::Server::Handler{service});
+    server.Delete(services_pattern, httplib::Server::Handler{service});
+    register_status(server, shared, pages);
+    server.set_error_handler(httplib::Server::Handler{describe_error});
+    server.set_exception_handler(describe_exception);
+}
+
+} // namespace caperpath::router
