Assemble the router: settings, actors, front, planned stop

Cause: the parts need one owner that starts them in an order in which no request meets a half-built process, and ends them without cutting an answer.

Change: bind first, then connect the actors, then serve; a stop goes not ready, waits for the balancer, ends the front, settles and returns shares, and names what is left. A poller hands on configurations and engines' loads.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -64,7 +64,7 @@
     this->finish();
 }
 
-int server::start(std::string const& address)
+int server::bind(std::string const& address)
 {
     auto const where = parse_endpoint(address);
     int port = where.port;
@@ -81,6 +81,11 @@
         return -1;
     }
     ::listen(this->svr_sock_, listen_backlog);
+    return port;
+}
+
+void server::serve()
+{
     this->acceptor = std::thread{[this]
                                  {
                                      this->listen_after_bind();
@@ -90,6 +95,15 @@
     {
         std::this_thread::yield();
     }
+}
+
+int server::start(std::string const& address)
+{
+    int const port = this->bind(address);
+    if (port >= 0)
+    {
+        this->serve();
+    }
     return port;
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -38,8 +38,14 @@
     server(server const&) = delete;
     server& operator=(server const&) = delete;
 
-    /// Binds "IP:port" (port 0: any free one) and serves on a thread of its
-    /// own. Returns the port, or -1 when the address cannot be bound.
+    /// Binds "IP:port" (port 0: any free one). Returns the port, or -1 when
+    /// the address cannot be bound. Callers wait until `serve`.
+    int bind(std::string const& address);
+
+    /// Serves on a thread of its own. @pre `bind` gave a port
+    void serve();
+
+    /// `bind`, then `serve` if that gave a port.
     int start(std::string const& address);
 
     /// Stops accepting, waits for the running handlers and joins. Idempotent.
--- /dev/null
+++ b/src/router/load_poller.cpp
@@ -0,0 +1,135 @@
+#include "router/load_poller.hpp"
+
+#include "http/server.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace caperpath::router
+{
+
+namespace
+{
+
+constexpr std::size_t most_threads = 8;
+constexpr int timeout_ms = 500;
+// A newer configuration reaches the backend controller within this time.
+constexpr duration configuration_check{50};
+constexpr int http_ok = 200;
+
+std::int64_t whole(nlohmann::json const& object, char const* name)
+{
+    auto const member = object.find(name);
+    bool const usable = member != object.end() && member->is_number_integer();
+    return usable ? member->get<std::int64_t>() : 0;
+}
+
+controllers::load_report parse_load(backend_server_id const& id,
+                                    std::string const& text)
+{
+    auto const body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object())
+    {
+        return {id, false, 0, 0, 0, {}, false};
+    }
+    auto const leaving = body.find("leaving");
+    return {id,
+            true,
+            whole(body, "running"),
+            whole(body, "queued"),
+            whole(body, "slots"),
+            {whole(body, "age_ms")},
+            leaving != body.end() && *leaving == true};
+}
+
+} // namespace
+
+load_poller::load_poller(caf::actor backend_controller,
+                         configuration_source configuration, clock time,
+                         duration interval)
+    : controller{std::move(backend_controller)},
+      configuration{std::move(configuration)}, time{std::move(time)},
+      interval{interval}, workers{most_threads}, thread{[this]
+                                                        {
+                                                            this->run();
+                                                        }}
+{
+}
+
+load_poller::~load_poller()
+{
+    {
+        std::lock_guard const lock{this->mutex};
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->thread.join();
+    this->workers.shutdown();
+}
+
+void load_poller::run()
+{
+    std::shared_ptr<config::document const> in_force;
+    instant next_poll;
+    while (true)
+    {
+        auto const newer = this->configuration();
+        if (newer != nullptr && newer != in_force)
+        {
+            in_force = newer;
+            controllers::send_configuration(this->controller, in_force);
+        }
+        auto const now = this->time.now();
+        if (in_force != nullptr && now >= next_poll)
+        {
+            this->poll_all(*in_force);
+            next_poll = now + this->interval;
+        }
+        std::unique_lock lock{this->mutex};
+        auto const pause = std::chrono::milliseconds{configuration_check.ms};
+        if (this->wake.wait_for(lock, pause, [this] { return this->stopping; }))
+        {
+            return;
+        }
+    }
+}
+
+void load_poller::poll_all(config::document const& document)
+{
+    for (auto const& [id, server] : document.backend_servers)
+    {
+        if (server.kind != config::backend_kind::engine)
+        {
+            continue;
+        }
+        std::lock_guard const lock{this->mutex};
+        bool const fresh = this->open.insert(id).second;
+        if (fresh)
+        {
+            this->workers.enqueue([this, id = id, address = server.address]
+                                  { this->poll_one(id, address); });
+        }
+    }
+}
+
+void load_poller::poll_one(backend_server_id const& id,
+                           std::string const& address)
+{
+    auto const where = http::parse_endpoint(address);
+    httplib::Client client{where.host, where.port};
+    client.set_connection_timeout(std::chrono::milliseconds{timeout_ms});
+    client.set_read_timeout(std::chrono::milliseconds{timeout_ms});
+    auto const answer = client.Get("/load");
+    if (answer && answer->status == http_ok)
+    {
+        controllers::send_load_report(this->controller,
+                                      parse_load(id, answer->body));
+    }
+    std::lock_guard const lock{this->mutex};
+    this->open.erase(id);
+}
+
+} // namespace caperpath::router
--- /dev/null
+++ b/src/router/router.hpp
@@ -0,0 +1,54 @@
+#ifndef CAPERPATH_SRC_ROUTER_ROUTER_HPP
+#define CAPERPATH_SRC_ROUTER_ROUTER_HPP
+
+#include "router/settings.hpp"
+
+#include <caperpath/base/error.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace caperpath::router
+{
+
+/// What a planned stop left behind. Immutable value.
+struct stop_report
+{
+    std::int64_t unsettled_bills{0};
+    std::int64_t budgets_with_shares{0};
+    bool clean{true};
+
+    friend bool operator==(stop_report const&, stop_report const&) = default;
+};
+
+/// One router process: the callers' front, the actors that own its state, and
+/// their connections to the platform. Not thread safe, but for what it serves.
+class router
+{
+public:
+    /// `incarnation` is new for each start of the process; `seed` gives the
+    /// ids and the jitter.
+    router(settings given, std::string incarnation, std::uint64_t seed);
+    ~router();
+
+    router(router const&) = delete;
+    router& operator=(router const&) = delete;
+
+    /// Binds and serves. Returns the port; `unavailable` when the address is
+    /// taken or the file for spans cannot be opened.
+    result<int> start();
+
+    /// Graceful shutdown: not ready, waits for the balancer's lag, takes no
+    /// new connections, lets open answers end (up to the drain bound), settles
+    /// bills and returns shares. Blocks. Call once.
+    stop_report stop();
+
+private:
+    struct parts;
+    std::unique_ptr<parts> inside;
+};
+
+} // namespace caperpath::router
+
+#endif
--- /dev/null
+++ b/src/router/settings.cpp
@@ -0,0 +1,56 @@
+#include "router/settings.hpp"
+
+namespace caperpath::router
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_ms = 3'600'000;
+constexpr std::int64_t most_connections = 10'000;
+constexpr std::int64_t least_body = 1'024;
+constexpr std::int64_t most_body = 64 * 1024 * 1024;
+
+duration read_ms(config::json_reader& reader, std::string_view key,
+                 std::int64_t least, duration fallback)
+{
+    return {
+        reader.whole_or(key, "milliseconds", least, longest_ms, fallback.ms)};
+}
+
+std::size_t read_size(config::json_reader& reader, std::string_view key,
+                      std::string_view unit, std::int64_t least,
+                      std::int64_t most, std::size_t fallback)
+{
+    return static_cast<std::size_t>(reader.whole_or(
+        key, unit, least, most, static_cast<std::int64_t>(fallback)));
+}
+
+} // namespace
+
+settings read_settings(nlohmann::json const& value,
+                       std::vector<config::fault>& faults)
+{
+    settings read;
+    config::json_reader reader{value, "", faults};
+    read.vm = reader.text("vm");
+    read.failure_domain = {reader.text("failure_domain")};
+    read.listen = reader.listen_address("listen");
+    read.platform = reader.address("platform");
+    read.spans_file = reader.text("spans_file", "");
+    read.config_poll = read_ms(reader, "config_poll_ms", 10, read.config_poll);
+    read.load_poll = read_ms(reader, "load_poll_ms", 10, read.load_poll);
+    read.settle_interval =
+        read_ms(reader, "settle_interval_ms", 1, read.settle_interval);
+    read.balancer_lag =
+        read_ms(reader, "balancer_lag_ms", 0, read.balancer_lag);
+    read.drain_bound = read_ms(reader, "drain_bound_ms", 0, read.drain_bound);
+    read.max_connections = read_size(reader, "max_connections", "connections",
+                                     1, most_connections, read.max_connections);
+    read.max_body_bytes = read_size(reader, "max_body_bytes", "bytes",
+                                    least_body, most_body, read.max_body_bytes);
+    reader.finish();
+    return read;
+}
+
+} // namespace caperpath::router
--- /dev/null
+++ b/tools/router/main.cpp
@@ -0,0 +1,79 @@
+#include "observe/command_line.hpp"
+#include "router/router.hpp"
+
+#include <caperpath/observe/log.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <string>
+
+namespace
+{
+
+using namespace caperpath;
+
+constexpr int exit_failed = 1;
+
+std::uint64_t random_word()
+{
+    std::random_device device;
+    constexpr int half = 32;
+    return (std::uint64_t{device()} << half) | device();
+}
+
+// Blocks the signals in every thread that is started later, so that only `main`
+// takes them, between two statements and never inside a handler.
+sigset_t block_stop_signals()
+{
+    sigset_t stop;
+    sigemptyset(&stop);
+    sigaddset(&stop, SIGTERM);
+    sigaddset(&stop, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return stop;
+}
+
+int serve(router::settings const& settings)
+{
+    auto const stop = block_stop_signals();
+    auto const seed = random_word();
+    auto const incarnation =
+        settings.vm + "-" + std::to_string(random_word() % 1'000'000'000);
+    router::router serving{settings, incarnation, seed};
+    auto const started = value_or_error([&] { return serving.start(); });
+    if (auto const* fault = std::get_if<error>(&started))
+    {
+        std::cerr << to_string(*fault) << '\n';
+        return exit_failed;
+    }
+    auto const colon = settings.listen.rfind(':');
+    std::cout << R"({"listening":")" << settings.listen.substr(0, colon) << ':'
+              << std::get<int>(started) << R"(","incarnation":")" << incarnation
+              << "\"}" << std::endl;
+    int caught = 0;
+    sigwait(&stop, &caught);
+    auto const left = serving.stop();
+    if (!left.clean)
+    {
+        observe::log_warning(
+            {"stop", {}, {}},
+            "left unsettled_bills=" + std::to_string(left.unsettled_bills) +
+                " budgets_with_shares=" +
+                std::to_string(left.budgets_with_shares));
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    observe::start_log("caperpath-router");
+    return observe::run_program<router::settings>(
+        {"caperpath-router",
+         "Routes callers' requests to backend servers within prepaid budgets."},
+        argc, argv, router::read_settings, serve);
+}
