Add the platform's HTTP client

The table, the objects and the VM list are behind HTTP, and a write has three outcomes that a caller must be able to trust.

Only Connection and ConnectionTimeout of cpp-httplib count as unsent; every other failed exchange is unknown. A refusal counts only when the body says that nothing took effect: a status alone may come from a balancer after the write.

Ruled out: that the library sends a write twice. A connection whose exchange failed is destroyed together with the idle ones.

The answer is asked for as "identity": by default the library asks for brotli and cpp-httplib's server then packs every answer.

--- /dev/null
+++ b/src/platform/http_port.cpp
@@ -0,0 +1,343 @@
+#include <caperpath/platform/http_port.hpp>
+
+#include <caperpath/platform/wire.hpp>
+
+#include "http/server.hpp"
+
+#include <csignal>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace caperpath::platform
+{
+
+namespace
+{
+
+constexpr int first_failure_status = 400;
+constexpr int ok_status = 200;
+constexpr char json_type[] = "application/json";
+
+enum class exchange_state
+{
+    unsent,  ///< no connection was made, so nothing can have arrived
+    lost,    ///< sent in part or whole, and no whole answer came back
+    answered ///< `status` and `body` are whole
+};
+
+struct exchange
+{
+    exchange_state state{exchange_state::unsent};
+    int status{};
+    std::string body;
+    std::string detail; ///< why there is no answer
+};
+
+struct idle_connection
+{
+    std::unique_ptr<httplib::Client> client;
+    instant since;
+};
+
+// Keeps idle connections, the last used on top.
+class connection_pool
+{
+public:
+    explicit connection_pool(http_port_options options)
+        : options{std::move(options)}
+    {
+    }
+
+    std::unique_ptr<httplib::Client> take()
+    {
+        std::lock_guard const lock{this->mutex};
+        auto const now = this->clock.now();
+        while (!this->idle.empty())
+        {
+            auto last = std::move(this->idle.back());
+            this->idle.pop_back();
+            if (now - last.since <= this->options.max_idle)
+            {
+                return std::move(last.client);
+            }
+        }
+        return this->make();
+    }
+
+    // @pre the last exchange of `client` had a whole answer.
+    void give_back(std::unique_ptr<httplib::Client> client)
+    {
+        std::lock_guard const lock{this->mutex};
+        if (this->idle.size() < this->options.max_idle_connections)
+        {
+            this->idle.push_back({std::move(client), this->clock.now()});
+        }
+    }
+
+    // One exchange failed, so whatever broke it (a restart of the platform,
+    // something on the way that lost track) broke its neighbours too. Without
+    // this each of them would cost one more call its full timeout.
+    void drop_idle()
+    {
+        std::lock_guard const lock{this->mutex};
+        this->idle.clear();
+    }
+
+    http_port_options const options;
+    caperpath::clock const clock{caperpath::clock::monotonic()};
+
+private:
+    std::unique_ptr<httplib::Client> make() const
+    {
+        auto const peer = http::parse_endpoint(this->options.address);
+        auto client = std::make_unique<httplib::Client>(peer.host, peer.port);
+        using std::chrono::milliseconds;
+        client->set_connection_timeout(
+            milliseconds{this->options.connect_timeout.ms});
+        client->set_read_timeout(milliseconds{this->options.read_timeout.ms});
+        client->set_write_timeout(milliseconds{this->options.read_timeout.ms});
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_url_encode(false);
+        // A redirect or an answer to a challenge would send a write twice.
+        client->set_follow_location(false);
+        return client;
+    }
+
+    std::mutex mutex;
+    std::vector<idle_connection> idle;
+};
+
+// httplib reports these two before it has written a byte. It looks once at a
+// kept connection, reconnects when that one is closed, writes the request once
+// and never again; everything else may have reached the platform.
+bool never_sent(httplib::Error fault)
+{
+    return fault == httplib::Error::Connection ||
+           fault == httplib::Error::ConnectionTimeout;
+}
+
+exchange send(connection_pool& pool, httplib::Request request)
+{
+    auto client = pool.take();
+    auto const deadline = pool.clock.now() + pool.options.read_timeout;
+    // The read timeout starts anew with each piece; a peer that trickles its
+    // answer would hold the caller without end.
+    request.progress = [&pool, deadline](std::uint64_t, std::uint64_t)
+    {
+        return pool.clock.now() < deadline;
+    };
+    // Left out, httplib asks for brotli and the peer packs every answer.
+    request.set_header("Accept-Encoding", "identity");
+    httplib::Response response;
+    auto fault = httplib::Error::Success;
+    if (client->send(request, response, fault))
+    {
+        pool.give_back(std::move(client));
+        return {exchange_state::answered, response.status,
+                std::move(response.body), ""};
+    }
+    pool.drop_idle();
+    auto const state =
+        never_sent(fault) ? exchange_state::unsent : exchange_state::lost;
+    return {state, 0, "", "http exchange: " + httplib::to_string(fault)};
+}
+
+httplib::Request make_request(char const* method, std::string path)
+{
+    httplib::Request request;
+    request.method = method;
+    request.path = std::move(path);
+    return request;
+}
+
+httplib::Request make_request(char const* method, std::string path,
+                              std::string body, char const* content_type)
+{
+    auto request = make_request(method, std::move(path));
+    request.body = std::move(body);
+    request.set_header("Content-Type", content_type);
+    return request;
+}
+
+std::optional<wire::refusal> refusal_of(exchange const& done)
+{
+    if (done.state != exchange_state::answered ||
+        done.status < first_failure_status)
+    {
+        return std::nullopt;
+    }
+    // The status alone proves nothing: a balancer also answers 503 when the
+    // platform died after the write. Only the platform's own word counts, or a
+    // caller would take a written bill for refused and write it again.
+    auto const decoded =
+        value_or_error([&] { return wire::decode_refusal(done.body); });
+    auto const* why = std::get_if<wire::refusal>(&decoded);
+    return why == nullptr ? std::nullopt : std::optional{*why};
+}
+
+// The error of an exchange that was neither a success nor a refusal.
+error failure_of(exchange const& done, char const* step,
+                 std::string const& peer)
+{
+    switch (done.state)
+    {
+    case exchange_state::unsent:
+        return {error_kind::unavailable, step, peer, done.detail};
+    case exchange_state::lost:
+        return {error_kind::timeout, step, peer, done.detail};
+    case exchange_state::answered:
+        break;
+    }
+    return {error_kind::timeout, step, peer,
+            "answer not understood, status " + std::to_string(done.status)};
+}
+
+commit_result write(connection_pool& pool, char const* step,
+                    httplib::Request request)
+{
+    auto const& peer = pool.options.address;
+    auto const done = send(pool, std::move(request));
+    if (done.state == exchange_state::answered && done.status == ok_status &&
+        wire::is_applied(done.body))
+    {
+        return {commit_outcome::applied, {}, {}};
+    }
+    if (auto const why = refusal_of(done))
+    {
+        return {commit_outcome::refused,
+                why->failed,
+                {why->kind, step, peer, why->detail}};
+    }
+    auto const outcome = done.state == exchange_state::unsent
+                             ? commit_outcome::refused
+                             : commit_outcome::unknown;
+    return {outcome, {}, failure_of(done, step, peer)};
+}
+
+commit_result commit(connection_pool& pool, transaction const& txn)
+{
+    constexpr auto step = "commit";
+    auto const body = value_or_error([&] { return wire::encode(txn); });
+    if (auto const* fault = std::get_if<error>(&body))
+    {
+        return {commit_outcome::refused,
+                {},
+                {fault->kind, step, pool.options.address, fault->detail}};
+    }
+    return write(pool, step,
+                 make_request("POST", wire::commit_path,
+                              std::get<std::string>(body), json_type));
+}
+
+result<std::string> query(connection_pool& pool, char const* step,
+                          httplib::Request request)
+{
+    auto const& peer = pool.options.address;
+    auto done = send(pool, std::move(request));
+    if (done.state == exchange_state::answered && done.status == ok_status)
+    {
+        return std::move(done.body);
+    }
+    if (auto const why = refusal_of(done))
+    {
+        return fail({why->kind, step, peer, why->detail});
+    }
+    return fail(failure_of(done, step, peer));
+}
+
+// Gives an error of the codec the step and peer of the call it arose in.
+template <class Value>
+result<Value> placed(std::variant<Value, error> outcome, char const* step,
+                     std::string const& peer)
+{
+    if (auto const* fault = std::get_if<error>(&outcome))
+    {
+        return fail({fault->kind, step, peer, fault->detail});
+    }
+    return std::get<Value>(std::move(outcome));
+}
+
+// A query whose answer is JSON.
+template <class Decode>
+auto query_json(connection_pool& pool, char const* step,
+                httplib::Request request, Decode decode)
+    -> decltype(decode(std::string{}))
+{
+    auto answer = query(pool, step, std::move(request));
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return placed(value_or_error([&] { return decode(*answer); }), step,
+                  pool.options.address);
+}
+
+// A query whose body and answer are JSON.
+template <class Encode, class Decode>
+auto query_json(connection_pool& pool, char const* step, char const* path,
+                Encode encode, Decode decode) -> decltype(decode(std::string{}))
+{
+    auto body = placed(value_or_error(encode), step, pool.options.address);
+    if (!body)
+    {
+        return body.error();
+    }
+    return query_json(pool, step,
+                      make_request("POST", path, std::move(*body), json_type),
+                      decode);
+}
+
+} // namespace
+
+port make_http_port(http_port_options const& options)
+{
+    // httplib writes without MSG_NOSIGNAL: a write to a connection that the
+    // platform has closed would end the process without a word.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto const pool = std::make_shared<connection_pool>(options);
+    port made;
+    made.commit = [pool](transaction const& txn)
+    {
+        return commit(*pool, txn);
+    };
+    made.read = [pool](std::vector<std::string> const& keys)
+    {
+        return query_json(
+            *pool, "read", wire::read_path,
+            [&] { return wire::encode_keys(keys); }, wire::decode_rows);
+    };
+    made.scan = [pool](std::string const& prefix, std::string const& after,
+                       std::size_t limit)
+    {
+        wire::scan_request const wanted{prefix, after, limit};
+        return query_json(
+            *pool, "scan", wire::scan_path,
+            [&] { return wire::encode(wanted); }, wire::decode_rows);
+    };
+    made.put_object =
+        [pool](std::string const& name, std::string const& content)
+    {
+        return write(*pool, "put object",
+                     make_request("PUT", wire::object_path(name), content,
+                                  "application/octet-stream"));
+    };
+    made.get_object = [pool](std::string const& name)
+    {
+        return query(*pool, "get object",
+                     make_request("GET", wire::object_path(name)));
+    };
+    made.list_vms = [pool]
+    {
+        return query_json(*pool, "list vms",
+                          make_request("GET", wire::vms_path),
+                          wire::decode_vms);
+    };
+    return made;
+}
+
+} // namespace caperpath::platform
