Add caperpath-platform, the platform's stand-in

Trials and tests need the table, the object store and the VM list with the platform's limits and faults: rate limits, outages, lost answers, silence, a list that lags.

platform/stand_in serves a memory_table through http::server; the binary adds the command line and ends on SIGTERM with 0. It prints one JSON line with the address it bound, so that scripts use port 0. Rate limits are token buckets with a burst of a quarter second; they and the list's lag run on a given clock, so that tests need no waiting. observe/termination holds the signal handling that the other binaries need as well.

--- /dev/null
+++ b/src/platform/token_bucket.cpp
@@ -0,0 +1,38 @@
+#include "platform/token_bucket.hpp"
+
+#include <algorithm>
+
+namespace caperpath::platform
+{
+
+namespace
+{
+
+// A rate of calls a second is the same number of thousandths a millisecond.
+constexpr std::int64_t one_call = 1'000;
+constexpr std::int64_t burst_ms = 250;
+
+} // namespace
+
+token_bucket::token_bucket(std::int64_t rate, instant now)
+    : rate{rate}, capacity{std::max(one_call, rate * burst_ms)},
+      level{this->capacity}, filled{now}
+{
+}
+
+bool token_bucket::take(instant now)
+{
+    auto const passed = std::max<std::int64_t>(0, (now - this->filled).ms);
+    // More than a second fills it whatever the rate; bounds the product below.
+    auto const counted = std::min<std::int64_t>(passed, one_call);
+    this->level = std::min(this->capacity, this->level + counted * this->rate);
+    this->filled = now;
+    if (this->level < one_call)
+    {
+        return false;
+    }
+    this->level -= one_call;
+    return true;
+}
+
+} // namespace caperpath::platform
--- /dev/null
+++ b/src/platform/token_bucket.hpp
@@ -0,0 +1,31 @@
+#ifndef CAPERPATH_SRC_PLATFORM_TOKEN_BUCKET_HPP
+#define CAPERPATH_SRC_PLATFORM_TOKEN_BUCKET_HPP
+
+#include <caperpath/base/clock.hpp>
+
+#include <cstdint>
+
+namespace caperpath::platform
+{
+
+/// Lets `rate` calls a second pass, and a burst of a quarter of that. Not
+/// thread safe.
+class token_bucket
+{
+public:
+    /// @pre `rate` is at least 1. Starts full.
+    token_bucket(std::int64_t rate, instant now);
+
+    /// Takes one call out; false when there is none left.
+    bool take(instant now);
+
+private:
+    std::int64_t rate;
+    std::int64_t capacity; ///< in thousandths of a call
+    std::int64_t level;    ///< in thousandths of a call
+    instant filled;
+};
+
+} // namespace caperpath::platform
+
+#endif
--- /dev/null
+++ b/tools/platform/main.cpp
@@ -0,0 +1,40 @@
+#include "observe/command_line.hpp"
+#include "observe/termination.hpp"
+#include "platform/stand_in.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+using namespace caperpath;
+
+namespace
+{
+
+constexpr int exit_cannot_listen = 1;
+
+int serve(platform::stand_in_settings const& settings)
+{
+    observe::termination_signal const termination;
+    platform::stand_in server{settings};
+    auto const address = server.start();
+    if (address.empty())
+    {
+        std::cerr << "/listen: cannot bind " << settings.listen << '\n';
+        return exit_cannot_listen;
+    }
+    std::cout << nlohmann::json{{"listening", address}} << std::endl;
+    termination.wait();
+    server.stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return observe::run_program<platform::stand_in_settings>(
+        {"caperpath-platform",
+         "Stand-in of the platform: table, objects and VM list in memory."},
+        argc, argv, platform::read_stand_in_settings, serve);
+}
