Add one command line for all binaries

Written per binary, the exit codes and the wording would drift apart.

CLI11 stays out of the header: a template passes the settings through and the parsing is compiled once.

The whole of a main is then one call of run_program.

--- /dev/null
+++ b/src/observe/command_line.hpp
@@ -0,0 +1,63 @@
+#ifndef CAPERPATH_SRC_OBSERVE_COMMAND_LINE_HPP
+#define CAPERPATH_SRC_OBSERVE_COMMAND_LINE_HPP
+
+#include <caperpath/config/json_reader.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace caperpath::observe
+{
+
+/// Exit code for a wrong command line or settings with a fault.
+constexpr int exit_bad_settings = 2;
+
+/// What `--help` and `--version` say of a program. Immutable value.
+struct program
+{
+    std::string name;    ///< for example "caperpath-router"
+    std::string purpose; ///< one sentence
+
+    friend bool operator==(program const&, program const&) = default;
+};
+
+/// Reads settings out of a whole JSON document; adds every fault it finds.
+template <class Settings>
+using settings_reader =
+    std::function<Settings(nlohmann::json const&, std::vector<config::fault>&)>;
+
+/// Handles `--help --version --settings FILE --check`. Returns the exit code to
+/// end with, or nothing when `check` saw settings without a fault and the
+/// program is to run. Faults go to stderr, one `path: detail` a line. Call it
+/// from one thread, before any other is started.
+std::optional<int> read_command_line(
+    program const& self, int argc, char const* const* argv,
+    std::function<void(nlohmann::json const&,
+                       std::vector<config::fault>&)> const& check);
+
+/// The whole of a `main`: reads the command line and the settings, then calls
+/// `run` with them and returns its exit code. As `read_command_line` otherwise.
+template <class Settings, class Run>
+int run_program(program const& self, int argc, char const* const* argv,
+                settings_reader<Settings> const& read, Run run)
+{
+    std::optional<Settings> settings;
+    auto const ended = read_command_line(
+        self, argc, argv,
+        [&](nlohmann::json const& value, std::vector<config::fault>& faults)
+        { settings = read(value, faults); });
+    if (ended)
+    {
+        return *ended;
+    }
+    return run(std::as_const(*settings));
+}
+
+} // namespace caperpath::observe
+
+#endif
