Add a stand-in for a model engine, thin

Cause: the path from a caller to a bill needs something that streams tokens at a known pace and whose answers can be proved right.

Ruled out: a thread that sleeps a token, which at 1,000 streams is 1,000 timers; and queues of token texts, since a token follows from the prompt and its index and a count is enough.

Change: caperpath-engine with POST /v1/chat/completions whole and streamed, resume at an offset, continuous batching on one thread, cancel, stats and the faults delay, error, outage, silent, cut, slow, wrong_id, repeat_chunk and skip_chunk.

--- /dev/null
+++ b/src/stand_in/answer_stream.cpp
@@ -0,0 +1,212 @@
+#include "stand_in/answer_stream.hpp"
+
+#include "stand_in/answer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace caperpath::stand_in
+{
+
+namespace
+{
+
+// How long a connection may go on without looking whether its caller left or
+// the process stops.
+constexpr duration look_around{100};
+
+std::string event(nlohmann::json const& data)
+{
+    return "data: " + data.dump() + "\n\n";
+}
+
+} // namespace
+
+answer_stream::answer_stream(std::shared_ptr<generation> source,
+                             answer_form form)
+    : source{std::move(source)}, form{std::move(form)},
+      seed{answer_seed(this->source->request.prompt)},
+      next{this->source->request.first}
+{
+}
+
+bool answer_stream::advance(byte_sink const& sink)
+{
+    auto const first = this->source->request.first;
+    // A whole answer waits for the last token, a stream for the next one.
+    auto const awaited =
+        this->form.streamed || this->faults.cut >= 0 || this->faults.silent >= 0
+            ? this->next
+            : this->source->request.last;
+    auto const seen = this->source->wait(awaited, look_around);
+    this->cached_tokens = seen.cached_tokens;
+    auto const reached =
+        (this->form.streamed ? this->next : seen.produced) - first;
+    if (this->strikes(this->faults.cut, reached))
+    {
+        return false;
+    }
+    if (this->strikes(this->faults.silent, reached))
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{look_around.ms});
+        return sink.writable();
+    }
+    if (seen.state == generation_state::cancelled || !sink.writable())
+    {
+        return false;
+    }
+    if (this->form.streamed && this->next < seen.produced)
+    {
+        return this->send_tokens(sink, seen.produced);
+    }
+    if (!this->form.streamed)
+    {
+        this->next = seen.produced;
+    }
+    return seen.state == generation_state::running || this->send_end(sink);
+}
+
+bool answer_stream::strikes(std::atomic<std::int64_t> const& fault,
+                            std::int64_t reached) const
+{
+    auto const at = fault.load();
+    return at >= 0 && reached >= at;
+}
+
+bool answer_stream::send_tokens(byte_sink const& sink, std::int64_t produced)
+{
+    while (this->next < produced)
+    {
+        if (!this->send_token(sink))
+        {
+            return false;
+        }
+        auto const sent = this->next - this->source->request.first;
+        if (this->strikes(this->faults.cut, sent) ||
+            this->strikes(this->faults.silent, sent))
+        {
+            return true; // the next call sees it
+        }
+    }
+    return true;
+}
+
+bool answer_stream::send_token(byte_sink const& sink)
+{
+    auto const offset = this->next++;
+    auto const sent = offset - this->source->request.first;
+    if (sent == this->faults.skip_chunk)
+    {
+        return true;
+    }
+    auto const text = answer_token(this->seed, offset);
+    std::string bytes;
+    if (sent == this->faults.wrong_id)
+    {
+        auto foreign = this->chunk(offset, "foreign ");
+        auto const id = "not-" + this->source->request.request;
+        foreign["id"] = "chatcmpl-" + id;
+        foreign["caperpath"]["request"] = id;
+        bytes += event(foreign);
+    }
+    auto const own = event(this->chunk(offset, text));
+    bytes += own;
+    if (sent == this->faults.repeat_chunk)
+    {
+        bytes += own;
+    }
+    return sink.write(bytes);
+}
+
+bool answer_stream::send_end(byte_sink const& sink)
+{
+    if (!this->form.streamed)
+    {
+        auto const sent = sink.write(this->whole().dump());
+        sink.done();
+        return sent;
+    }
+    auto bytes = event(this->end_chunk());
+    if (this->form.include_usage)
+    {
+        auto last = this->head("chat.completion.chunk");
+        last["choices"] = nlohmann::json::array();
+        last["usage"] = this->usage();
+        bytes += event(last);
+    }
+    bytes += "data: [DONE]\n\n";
+    auto const sent = sink.write(bytes);
+    sink.done();
+    return sent;
+}
+
+nlohmann::json answer_stream::head(char const* object) const
+{
+    auto const& request = this->source->request;
+    return {{"id", "chatcmpl-" + request.request},
+            {"object", object},
+            {"created", this->form.created},
+            {"model", this->form.model},
+            {"caperpath",
+             {{"request", request.request}, {"attempt", request.attempt}}}};
+}
+
+nlohmann::json answer_stream::chunk(std::int64_t offset,
+                                    std::string const& text) const
+{
+    auto chunk = this->head("chat.completion.chunk");
+    nlohmann::json delta{{"content", text}};
+    if (offset == this->source->request.first)
+    {
+        delta["role"] = "assistant";
+    }
+    chunk["choices"] = {
+        {{"index", 0}, {"delta", delta}, {"finish_reason", nullptr}}};
+    chunk["caperpath"]["offset"] = offset;
+    return chunk;
+}
+
+nlohmann::json answer_stream::end_chunk() const
+{
+    auto chunk = this->head("chat.completion.chunk");
+    chunk["choices"] = {{{"index", 0},
+                         {"delta", nlohmann::json::object()},
+                         {"finish_reason", this->form.finish_reason}}};
+    chunk["caperpath"]["offset"] = this->source->request.last;
+    return chunk;
+}
+
+nlohmann::json answer_stream::whole() const
+{
+    auto const& request = this->source->request;
+    auto whole = this->head("chat.completion");
+    auto const text = answer_text(request.prompt, request.first, request.last);
+    whole["choices"] = {
+        {{"index", 0},
+         {"message", {{"role", "assistant"}, {"content", text}}},
+         {"finish_reason", this->form.finish_reason}}};
+    whole["usage"] = this->usage();
+    if (this->faults.wrong_id >= 0)
+    {
+        whole["id"] = "chatcmpl-not-" + request.request;
+        whole["caperpath"]["request"] = "not-" + request.request;
+    }
+    return whole;
+}
+
+nlohmann::json answer_stream::usage() const
+{
+    auto const prompt = prompt_tokens(this->source->request.prompt);
+    // Counted from token 0 also when resumed: it is what the answer cost.
+    auto const completion = this->source->request.last;
+    return {
+        {"prompt_tokens", prompt},
+        {"completion_tokens", completion},
+        {"total_tokens", prompt + completion},
+        {"prompt_tokens_details", {{"cached_tokens", this->cached_tokens}}}};
+}
+
+} // namespace caperpath::stand_in
--- /dev/null
+++ b/src/stand_in/chat_request.cpp
@@ -0,0 +1,106 @@
+#include "stand_in/chat_request.hpp"
+
+#include "stand_in/answer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+namespace caperpath::stand_in
+{
+
+namespace
+{
+
+constexpr std::int64_t most_tokens = 1'000'000;
+constexpr std::int64_t most_attempts = 1'000'000;
+constexpr std::int64_t largest_priority = 1'000;
+constexpr std::int64_t ms_per_second = 1'000;
+
+std::int64_t whole_header(httplib::Request const& request, char const* name,
+                          std::int64_t least, std::int64_t most,
+                          std::int64_t fallback,
+                          std::vector<config::fault>& faults)
+{
+    if (!request.has_header(name))
+    {
+        return fallback;
+    }
+    auto const text = request.get_header_value(name);
+    auto const* const end = text.data() + text.size();
+    std::int64_t value = 0;
+    auto const parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || value < least ||
+        value > most)
+    {
+        faults.push_back({name, "expected a whole number from " +
+                                    std::to_string(least) + " to " +
+                                    std::to_string(most)});
+        return fallback;
+    }
+    return value;
+}
+
+bool includes_usage(nlohmann::json const& body)
+{
+    auto const options = body.find("stream_options");
+    if (options == body.end() || !options->is_object())
+    {
+        return false;
+    }
+    auto const include = options->find("include_usage");
+    return include != options->end() && *include == true;
+}
+
+std::int64_t read_max_tokens(config::json_reader& reader)
+{
+    auto const* const key = reader.has("max_completion_tokens")
+                                ? "max_completion_tokens"
+                                : "max_tokens";
+    return reader.whole_or(key, "tokens", 1, most_tokens, most_tokens);
+}
+
+answer_form read_form(config::json_reader& reader, nlohmann::json const& body)
+{
+    answer_form form;
+    form.model = reader.text("model");
+    form.created = clock::wall().now().ms / ms_per_second;
+    form.streamed = reader.boolean_or("stream", false);
+    form.include_usage = includes_usage(body);
+    return form;
+}
+
+} // namespace
+
+chat_request parse_chat(httplib::Request const& request,
+                        nlohmann::json const& body,
+                        std::vector<config::fault>& faults)
+{
+    config::json_reader reader{body, "", faults};
+    chat_request chat;
+    chat.form = read_form(reader, body);
+    auto const max_tokens = read_max_tokens(reader);
+    if (!body.contains("messages") || !body.at("messages").is_array())
+    {
+        reader.reject("messages", "expected an array of messages");
+        return chat;
+    }
+    auto& generation = chat.generation;
+    generation.prompt = prompt_text(body.at("messages"));
+    auto const length = answer_length(generation.prompt);
+    generation.last = std::min(length, max_tokens);
+    chat.form.finish_reason = length > max_tokens ? "length" : "stop";
+    generation.request = request.get_header_value("X-Request-Id");
+    generation.attempt =
+        whole_header(request, "Caperpath-Attempt", 1, most_attempts, 1, faults);
+    generation.first = whole_header(request, "Caperpath-Resume-Offset", 0,
+                                    generation.last, 0, faults);
+    generation.priority =
+        whole_header(request, "Caperpath-Priority", -largest_priority,
+                     largest_priority, 0, faults);
+    return chat;
+}
+
+} // namespace caperpath::stand_in
--- /dev/null
+++ b/src/stand_in/engine.hpp
@@ -0,0 +1,67 @@
+#ifndef CAPERPATH_STAND_IN_ENGINE_HPP
+#define CAPERPATH_STAND_IN_ENGINE_HPP
+
+#include "http/server.hpp"
+#include "stand_in/answer_stream.hpp"
+#include "stand_in/engine_settings.hpp"
+#include "stand_in/fault_board.hpp"
+#include "stand_in/run_counter.hpp"
+#include "stand_in/scheduler.hpp"
+#include "stand_in/stop_signal.hpp"
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace caperpath::stand_in
+{
+
+/// A stand-in for a model engine: an OpenAI chat endpoint over continuous
+/// batching by a stated service-time model (see `engine_settings`), and a
+/// fault interface. It computes no model: the answer follows from the prompt
+/// (see `answer.hpp`). Thread safe.
+class engine
+{
+public:
+    engine(engine_settings settings, clock time);
+    ~engine();
+
+    engine(engine const&) = delete;
+    engine& operator=(engine const&) = delete;
+
+    /// Serves on the address of the settings; returns the port or -1.
+    int start();
+
+    /// Cuts what is open and joins. Idempotent.
+    void stop();
+
+private:
+    void add_routes();
+    void chat(httplib::Request const& request, httplib::Response& response);
+    bool refuse_chat(httplib::Request const& request,
+                     httplib::Response& response);
+    void answer(std::shared_ptr<generation> const& source, answer_form form,
+                httplib::Response& response);
+    void take_faults(stream_faults& faults);
+    void post_fault(httplib::Request const& request,
+                    httplib::Response& response);
+    void strike_open(ordered_fault const& fault);
+    void cancel(httplib::Request const& request, httplib::Response& response);
+    void stats(httplib::Response& response) const;
+    scheduler_hooks hooks();
+
+    engine_settings const settings;
+    clock const time;
+    int port{-1};
+    fault_board faults;
+    run_counter runs;
+    stop_signal stopping;
+    std::mutex open_mutex;
+    std::vector<std::weak_ptr<answer_stream>> open;
+    scheduler batch;
+    http::server server;
+};
+
+} // namespace caperpath::stand_in
+
+#endif
--- /dev/null
+++ b/src/stand_in/engine_settings.cpp
@@ -0,0 +1,69 @@
+#include "stand_in/engine_settings.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+
+namespace caperpath::stand_in
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_ms = 600'000;
+constexpr std::int64_t most_slots = 10'000;
+constexpr std::int64_t largest_cache = 100'000'000;
+
+} // namespace
+
+std::string read_listen(config::json_reader& reader)
+{
+    auto const text = reader.text("listen");
+    // Port 0 is no address to call, but one to listen on: check it as port 1.
+    auto const checked =
+        text.ends_with(":0") ? text.substr(0, text.size() - 1) + "1" : text;
+    if (!text.empty() && !config::is_address(checked))
+    {
+        reader.reject("listen",
+                      "expected a numeric IPv4 address and port, IP:port");
+    }
+    return text;
+}
+
+engine_settings parse_engine_settings(nlohmann::json const& document,
+                                      std::vector<config::fault>& faults)
+{
+    config::json_reader reader{document, "", faults};
+    engine_settings const usual;
+    engine_settings settings;
+    auto const span = [&reader](std::string_view key, duration fallback)
+    {
+        return duration{
+            reader.whole_or(key, "milliseconds", 0, longest_ms, fallback.ms)};
+    };
+    settings.listen = read_listen(reader);
+    settings.name = reader.text("name");
+    settings.model = reader.text("model");
+    settings.slots =
+        reader.whole_or("slots", "requests", 1, most_slots, usual.slots);
+    settings.max_queue = reader.whole_or("max_queue", "requests", 0, most_slots,
+                                         usual.max_queue);
+    settings.prefill_per_1000_tokens =
+        span("prefill_ms_per_1000_tokens", usual.prefill_per_1000_tokens);
+    settings.first_token = span("first_token_ms", usual.first_token);
+    settings.token_time = span("token_ms", usual.token_time);
+    settings.batch_slope_percent = reader.whole_or(
+        "batch_slope_percent", "percent", 0, 10'000, usual.batch_slope_percent);
+    settings.cache_capacity = reader.whole_or(
+        "cache_capacity", "tokens", 0, largest_cache, usual.cache_capacity);
+    settings.load_lag = span("load_lag_ms", usual.load_lag);
+    settings.event_lag = span("event_lag_ms", usual.event_lag);
+    settings.event_gap_percent = reader.whole_or(
+        "event_gap_percent", "percent", 0, 100, usual.event_gap_percent);
+    settings.checks_fencing =
+        reader.boolean_or("checks_fencing", usual.checks_fencing);
+    reader.finish();
+    return settings;
+}
+
+} // namespace caperpath::stand_in
--- /dev/null
+++ b/src/stand_in/engine_settings.hpp
@@ -0,0 +1,52 @@
+#ifndef CAPERPATH_STAND_IN_ENGINE_SETTINGS_HPP
+#define CAPERPATH_STAND_IN_ENGINE_SETTINGS_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/config/json_reader.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperpath::stand_in
+{
+
+/// Settings of `caperpath-engine`. Immutable value.
+///
+/// The service-time model: a request waits for one of `slots`; its first token
+/// comes `first_token` plus `prefill_per_1000_tokens` for each 1,000 prompt
+/// tokens that the prefix cache does not hold after that, each further one
+/// `token_time * (1 + batch_slope_percent / 100 * (running - 1) / slots)`
+/// after the one before.
+struct engine_settings
+{
+    std::string listen{"127.0.0.1:0"};
+    std::string name{"engine"};
+    std::string model{"asistente"};
+    std::int64_t slots{64};
+    std::int64_t max_queue{256};
+    duration prefill_per_1000_tokens{120};
+    duration first_token{30};
+    duration token_time{41};
+    std::int64_t batch_slope_percent{50};
+    std::int64_t cache_capacity{100'000}; ///< tokens
+    duration load_lag{500};
+    duration event_lag{300};
+    std::int64_t event_gap_percent{2};
+    bool checks_fencing{true};
+
+    friend bool operator==(engine_settings const&,
+                           engine_settings const&) = default;
+};
+
+/// Reads and checks a settings document; adds what is wrong to `faults`.
+/// Thread safe.
+engine_settings parse_engine_settings(nlohmann::json const& document,
+                                      std::vector<config::fault>& faults);
+
+/// "IP:port" where port 0 means any free one. Adds a fault otherwise.
+std::string read_listen(config::json_reader& reader);
+
+} // namespace caperpath::stand_in
+
+#endif
--- /dev/null
+++ b/src/stand_in/fault_board.cpp
@@ -0,0 +1,105 @@
+#include "stand_in/fault_board.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace caperpath::stand_in
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_ms = 3'600'000;
+constexpr std::int64_t most_requests = 1'000'000;
+constexpr std::int64_t largest_factor = 10'000;
+
+} // namespace
+
+ordered_fault parse_fault(nlohmann::json const& body,
+                          std::vector<std::string> const& known,
+                          std::vector<config::fault>& faults)
+{
+    config::json_reader reader{body, "", faults};
+    ordered_fault fault;
+    fault.kind = reader.text("kind");
+    if (std::find(known.begin(), known.end(), fault.kind) == known.end())
+    {
+        auto const nearest = config::nearest_name(fault.kind, known);
+        reader.reject("kind", nearest.empty() ? "unknown fault"
+                                              : "unknown, did you mean \"" +
+                                                    nearest + "\"?");
+    }
+    fault.span = {reader.whole_or("ms", "milliseconds", 0, longest_ms, 0)};
+    fault.count = reader.whole_or("count", "requests", 0, most_requests, 0);
+    fault.after_tokens =
+        reader.whole_or("after_tokens", "tokens", 0, most_requests, 0);
+    fault.factor =
+        reader.whole_or("factor", "times the token time", 1, largest_factor, 1);
+    reader.finish();
+    return fault;
+}
+
+fault_board::fault_board(clock time) : time{std::move(time)}
+{
+}
+
+void fault_board::add(ordered_fault fault)
+{
+    std::lock_guard const lock{this->mutex};
+    // A delay's span says how long it delays, not how long it stands.
+    if (fault.span.ms > 0 && fault.kind != "delay")
+    {
+        fault.ends = this->time.now() + fault.span;
+    }
+    this->standing.push_back(std::move(fault));
+}
+
+void fault_board::clear()
+{
+    std::lock_guard const lock{this->mutex};
+    this->standing.clear();
+    ++this->cleared;
+}
+
+std::optional<ordered_fault> fault_board::take(std::string_view kind)
+{
+    return this->find(kind, true);
+}
+
+std::optional<ordered_fault> fault_board::look(std::string_view kind)
+{
+    return this->find(kind, false);
+}
+
+std::uint64_t fault_board::generation() const
+{
+    std::lock_guard const lock{this->mutex};
+    return this->cleared;
+}
+
+std::optional<ordered_fault> fault_board::find(std::string_view kind,
+                                               bool strike)
+{
+    std::lock_guard const lock{this->mutex};
+    auto const now = this->time.now();
+    std::erase_if(this->standing, [now](ordered_fault const& fault)
+                  { return fault.ends && *fault.ends <= now; });
+    auto const found = std::find_if(
+        this->standing.begin(), this->standing.end(),
+        [kind](ordered_fault const& fault) { return fault.kind == kind; });
+    if (found == this->standing.end())
+    {
+        return std::nullopt;
+    }
+    auto fault = *found;
+    // Count 0 strikes for ever, count 1 for the last time.
+    if (strike && found->count > 0 && --found->count == 0)
+    {
+        this->standing.erase(found);
+    }
+    return fault;
+}
+
+} // namespace caperpath::stand_in
--- /dev/null
+++ b/src/stand_in/replies.hpp
@@ -0,0 +1,40 @@
+#ifndef CAPERPATH_STAND_IN_REPLIES_HPP
+#define CAPERPATH_STAND_IN_REPLIES_HPP
+
+#include <caperpath/config/json_reader.hpp>
+
+#include <httplib.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Answers that both stand-ins give. All functions here are thread safe.
+namespace caperpath::stand_in
+{
+
+void reply_json(httplib::Response& response, int status,
+                nlohmann::json const& body);
+
+/// OpenAI's error object.
+void reply_error(httplib::Response& response, int status, std::string_view type,
+                 std::string_view message);
+
+/// 400 that names every fault of the body by its path.
+void reply_faults(httplib::Response& response,
+                  std::vector<config::fault> const& faults);
+
+/// 503 with the proof that nothing of the request was run.
+void reply_not_run(httplib::Response& response, std::string_view message);
+
+/// Parses a body; null value and a 400 when it is not JSON.
+nlohmann::json parse_body(httplib::Request const& request,
+                          httplib::Response& response);
+
+/// Shuts the connection of a request down, so that its caller gets no byte of
+/// an answer, whatever the handler returns. Nothing when it can't be found.
+void drop_connection(httplib::Request const& request, int server_port);
+
+} // namespace caperpath::stand_in
+
+#endif
--- /dev/null
+++ b/src/stand_in/run_counter.hpp
@@ -0,0 +1,56 @@
+#ifndef CAPERPATH_STAND_IN_RUN_COUNTER_HPP
+#define CAPERPATH_STAND_IN_RUN_COUNTER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace caperpath::stand_in
+{
+
+/// Counts how often each key ran; forgets the oldest key past its capacity.
+/// Thread safe.
+class run_counter
+{
+public:
+    explicit run_counter(std::size_t capacity) : capacity{capacity}
+    {
+    }
+
+    /// Counts one more run of `key` and returns how many there were.
+    std::int64_t add(std::string const& key)
+    {
+        std::lock_guard const lock{this->mutex};
+        auto const [found, fresh] = this->runs.try_emplace(key, 0);
+        auto const count = ++found->second;
+        if (fresh)
+        {
+            this->order.push_back(key);
+        }
+        if (this->order.size() > this->capacity)
+        {
+            this->runs.erase(this->order.front());
+            this->order.pop_front();
+        }
+        return count;
+    }
+
+    std::map<std::string, std::int64_t> all() const
+    {
+        std::lock_guard const lock{this->mutex};
+        return this->runs;
+    }
+
+private:
+    std::size_t capacity;
+    mutable std::mutex mutex;
+    std::map<std::string, std::int64_t> runs;
+    std::deque<std::string> order;
+};
+
+} // namespace caperpath::stand_in
+
+#endif
