--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -1,9 +1,9 @@
 #include <caperpath/config/keys.hpp>
 
+#include "config/sha256.hpp"
+
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
 
-#include <array>
 #include <cstdint>
 
 namespace caperpath::config
@@ -15,15 +15,6 @@
 constexpr std::string_view key_prefix = "cp_";
 constexpr std::size_t sha256_bytes = 32;
 
-std::string sha256(std::string const& bytes)
-{
-    std::array<unsigned char, sha256_bytes> digest{};
-    unsigned int size = 0;
-    EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(),
-               nullptr);
-    return {digest.begin(), digest.begin() + size};
-}
-
 int digit_value(char digit)
 {
     return digit >= 'a' ? digit - 'a' + 10 : digit - '0';
--- /dev/null
+++ b/src/config/store_rows.cpp
@@ -0,0 +1,141 @@
+#include "config/store_rows.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+#include <variant>
+
+namespace caperpath::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int version_digits = 12;
+constexpr int read_attempts = 3;
+
+// Runs `read` over the row's JSON; nothing when a member is missing or of
+// another type, so that a foreign value in a row never ends a router.
+template <class Read>
+auto read_value(platform::row const& source, Read read)
+    -> std::optional<decltype(read(json{}))>
+{
+    try
+    {
+        return read(json::parse(source.value));
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string version_key(std::uint64_t version)
+{
+    std::ostringstream key;
+    key << version_prefix << std::setw(version_digits) << std::setfill('0')
+        << version;
+    return key.str();
+}
+
+std::string patch_key(std::string const& id)
+{
+    return "config/patch/" + id;
+}
+
+std::string name_key(std::string const& name)
+{
+    return "config/name/" + name;
+}
+
+std::string write_pointer(version_pointer const& source)
+{
+    return json{{"version", source.version}, {"object", source.object}}.dump();
+}
+
+std::string write_record(version_record const& source)
+{
+    return json{{"version", source.version},   {"object", source.object},
+                {"patch_id", source.patch_id}, {"author", source.author},
+                {"name", source.name},         {"at_ms", source.at.ms}}
+        .dump();
+}
+
+std::string write_patch_record(patch_record const& source)
+{
+    return json{{"version", source.version}, {"digest", source.digest}}.dump();
+}
+
+std::string write_named(std::uint64_t version)
+{
+    return json{{"version", version}}.dump();
+}
+
+std::optional<version_pointer> read_pointer(platform::row const& source)
+{
+    return read_value(source,
+                      [&](json const& value)
+                      {
+                          return version_pointer{value.at("version"),
+                                                 value.at("object"),
+                                                 source.version};
+                      });
+}
+
+std::optional<version_record> read_record(platform::row const& source)
+{
+    return read_value(source,
+                      [](json const& value)
+                      {
+                          return version_record{
+                              value.at("version"),  value.at("object"),
+                              value.at("patch_id"), value.at("author"),
+                              value.at("name"),     {value.at("at_ms")}};
+                      });
+}
+
+std::optional<patch_record> read_patch_record(platform::row const& source)
+{
+    return read_value(
+        source,
+        [](json const& value) {
+            return patch_record{value.at("version"), value.at("digest")};
+        });
+}
+
+std::optional<std::uint64_t> read_named(platform::row const& source)
+{
+    return read_value(source, [](json const& value)
+                      { return value.at("version").get<std::uint64_t>(); });
+}
+
+platform::row const* find_row(std::vector<platform::row> const& rows,
+                              std::string const& key)
+{
+    auto const found =
+        std::find_if(rows.begin(), rows.end(),
+                     [&](platform::row const& one) { return one.key == key; });
+    return found == rows.end() ? nullptr : &*found;
+}
+
+result<std::vector<platform::row>>
+read_rows(platform::port const& port, std::vector<std::string> const& keys)
+{
+    error last;
+    for (int attempt = 0; attempt < read_attempts; ++attempt)
+    {
+        auto const answer = value_or_error([&] { return port.read(keys); });
+        if (auto const* rows = std::get_if<0>(&answer))
+        {
+            return *rows;
+        }
+        last = std::get<error>(answer);
+    }
+    return fail(last);
+}
+
+} // namespace caperpath::config
--- /dev/null
+++ b/src/config/store_rows.hpp
@@ -0,0 +1,51 @@
+#ifndef CAPERPATH_SRC_CONFIG_STORE_ROWS_HPP
+#define CAPERPATH_SRC_CONFIG_STORE_ROWS_HPP
+
+#include <caperpath/config/store.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caperpath::config
+{
+
+inline constexpr auto current_key = "config/current";
+inline constexpr auto version_prefix = "config/version/";
+
+/// Key of a version's record; padded, so that a scan gives them in order.
+std::string version_key(std::uint64_t version);
+std::string patch_key(std::string const& id);
+std::string name_key(std::string const& name);
+
+/// What the row of an accepted patch id holds.
+struct patch_record
+{
+    std::uint64_t version{};
+    std::string digest; ///< of base and patch: one id stands for one patch
+
+    friend bool operator==(patch_record const&, patch_record const&) = default;
+};
+
+std::string write_pointer(version_pointer const& source);
+std::string write_record(version_record const& source);
+std::string write_patch_record(patch_record const& source);
+std::string write_named(std::uint64_t version);
+
+/// Each gives nothing when the row's value is not what we would have written.
+std::optional<version_pointer> read_pointer(platform::row const& source);
+std::optional<version_record> read_record(platform::row const& source);
+std::optional<patch_record> read_patch_record(platform::row const& source);
+std::optional<std::uint64_t> read_named(platform::row const& source);
+
+/// The row `key` among `rows`, or null.
+platform::row const* find_row(std::vector<platform::row> const& rows,
+                              std::string const& key);
+
+/// `port.read` with a few attempts; the error of the last one.
+result<std::vector<platform::row>>
+read_rows(platform::port const& port, std::vector<std::string> const& keys);
+
+} // namespace caperpath::config
+
+#endif
