--- /dev/null
+++ b/include/caperpath/budget/share.hpp
@@ -0,0 +1,203 @@
+#ifndef CAPERPATH_BUDGET_SHARE_HPP
+#define CAPERPATH_BUDGET_SHARE_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/budget/bill.hpp>
+#include <caperpath/budget/rows.hpp>
+#include <caperpath/budget/sizing.hpp>
+#include <caperpath/platform/table.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// One budget as one router holds it: a plain value and functions from value
+/// to value. The caller carries out the steps that `next_step` asks for, one
+/// at a time, and brings their results back.
+namespace caperpath::budget
+{
+
+/// The holder row as this router wrote it; each write names its version.
+struct holder_view
+{
+    incarnation_id incarnation;
+    std::uint64_t version{};
+
+    friend bool operator==(holder_view const&, holder_view const&) = default;
+};
+
+/// The budget row as last seen.
+struct seen_budget
+{
+    budget_row row;
+    std::uint64_t version{}; ///< 0: the row does not exist
+    instant at{};
+
+    friend bool operator==(seen_budget const&, seen_budget const&) = default;
+};
+
+/// A reservation that waits for a draw.
+struct waiting_reservation
+{
+    request_id request;
+    token_count amount{};
+    instant since{};
+    instant until{};
+
+    friend bool operator==(waiting_reservation const&,
+                           waiting_reservation const&) = default;
+};
+
+/// What the write under way makes of the rows if it takes effect.
+struct planned_write
+{
+    std::optional<share_row> share;
+    std::optional<budget_row> budget;
+    bool retires{false}; ///< deletes the share row
+
+    friend bool operator==(planned_write const&,
+                           planned_write const&) = default;
+};
+
+/// What one router knows and holds of one budget. Value type.
+struct share_state
+{
+    budget_id budget;
+    config::budget_policy policy{};
+    sizing sizes;
+    bool fenced{false}; ///< the holder row was changed by somebody else
+
+    std::optional<seen_budget> seen;
+    share_row share;                  ///< as last confirmed
+    std::uint64_t share_version{};    ///< 0: no share row yet
+    std::optional<planned_write> planned;
+    /// Set while writes whose answer was lost may still take effect: the least
+    /// that any of them leaves.
+    std::optional<share_row> floor;
+    bool look_first{false};   ///< a lost answer: see what became of it
+    token_count wanting{};    ///< what this router put into `wanted`
+
+    token_count reserved{};  ///< open reservations
+    token_count unsettled{}; ///< finished, not yet in the ledger
+    token_count settled{};   ///< in the ledger, by this incarnation
+    std::unordered_map<request_id, token_count> open;
+    std::vector<waiting_reservation> waiting;
+
+    rate_meter rate;
+    token_count last_amount{}; ///< of the latest reservation
+    bool busy{false};          ///< a step is under way
+    bool closing{false};       ///< returns everything, admits nothing
+    int failures{};            ///< of the store, in a row
+    std::optional<instant> down_since;
+    instant retry_at{};
+
+    friend bool operator==(share_state const&, share_state const&) = default;
+};
+
+/// A state of a budget that this router has not drawn on. Thread safe.
+share_state make_share(budget_id budget, config::budget_policy policy,
+                       sizing sizes);
+
+/// Tokens that may be reserved now without asking anybody. Thread safe.
+token_count free_tokens(share_state const& state);
+
+/// The state and, when the reservation was decided, the reply.
+struct reserve_step
+{
+    share_state state;
+    std::optional<reserve_reply> reply;
+};
+
+/// Sets the worst case aside, refuses, or lets the reservation wait (no reply
+/// yet; `answer_waiting` will give it). Thread safe.
+reserve_step reserve(share_state state, reserve_request const& request,
+                     instant now);
+
+/// Ends a reservation: its bill is unsettled from now on. `accepted` is false
+/// when no such reservation is open (a repeat): nothing changed and the bill
+/// must not be queued again. Thread safe.
+struct finish_step
+{
+    share_state state;
+    bool accepted{};
+    bill cost; ///< at most what had been reserved
+};
+finish_step finish(share_state state, finish_request const& request,
+                   instant now);
+
+/// `tokens` of this budget are in the ledger now. Thread safe.
+share_state settled(share_state state, token_count tokens);
+
+/// A reservation that stopped waiting.
+struct answered_reservation
+{
+    request_id request;
+    reserve_reply reply;
+
+    friend bool operator==(answered_reservation const&,
+                           answered_reservation const&) = default;
+};
+
+struct answer_step
+{
+    share_state state;
+    std::vector<answered_reservation> answers;
+};
+
+/// Admits what fits now and refuses what waited long enough or cannot fit.
+/// Call after each step and when time passes. Thread safe.
+answer_step answer_waiting(share_state state, instant now);
+
+enum class step_kind
+{
+    none,
+    look, ///< read the budget row and the share row: `looked`
+    write ///< commit `txn`: `wrote`
+};
+
+/// What to do next for this budget. While it is under way `state.busy` is set
+/// and no other step is given out, so draws are coalesced.
+struct table_step
+{
+    share_state state;
+    step_kind kind{step_kind::none};
+    platform::transaction txn;
+};
+
+/// Chooses a draw, a return, a look or nothing. Thread safe.
+table_step next_step(share_state state, holder_view const& holder, instant now);
+
+/// When `next_step` may have something to do without any event. Thread safe.
+instant next_due(share_state const& state, instant now);
+
+/// The result of a look: the rows that exist. Thread safe.
+share_state looked(share_state state, holder_view const& holder,
+                   std::vector<platform::row> const& rows, instant now);
+
+/// A look failed. Thread safe.
+share_state look_failed(share_state state, instant now);
+
+/// The store was reached, or not, on behalf of something else (settlement).
+/// Thread safe.
+share_state store_result(share_state state, bool reached, instant now);
+
+/// The keys of a look, in no particular order. Thread safe.
+std::vector<std::string> look_keys(share_state const& state,
+                                   holder_view const& holder);
+
+/// Stops admission; from now on `next_step` returns the share as it becomes
+/// free and deletes its row when nothing is open. Thread safe.
+share_state close(share_state state);
+
+/// True when nothing of this budget is left at this router. Thread safe.
+bool is_closed(share_state const& state);
+
+/// The result of a write that `next_step` asked for. Thread safe.
+share_state wrote(share_state state, holder_view const& holder,
+                  platform::commit_result const& outcome, instant now);
+
+} // namespace caperpath::budget
+
+#endif
--- /dev/null
+++ b/include/caperpath/budget/sizing.hpp
@@ -0,0 +1,78 @@
+#ifndef CAPERPATH_BUDGET_SIZING_HPP
+#define CAPERPATH_BUDGET_SIZING_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+#include <caperpath/budget/rows.hpp>
+#include <caperpath/config/document.hpp>
+
+#include <cstdint>
+
+namespace caperpath::budget
+{
+
+/// Tokens a second that one budget loses at one router, smoothed over some ten
+/// seconds. A reservation counts up, what it did not use counts down, so that
+/// the figure follows consumption and not the worst cases. Immutable value.
+struct rate_meter
+{
+    instant since{};
+    token_count gathered{}; ///< since `since`
+    double per_second{};
+
+    friend bool operator==(rate_meter const&, rate_meter const&) = default;
+};
+
+/// The meter after `tokens` were taken (or, if negative, given back) at `now`.
+/// Thread safe.
+rate_meter metered(rate_meter meter, token_count tokens, instant now);
+
+/// How large shares are and how often rows are looked at. Immutable value.
+struct sizing
+{
+    duration horizon{}; ///< a draw covers this much of the router's traffic
+    std::int64_t end_divisor{2}; ///< no draw ahead takes more than the
+                                 ///< remainder / (end_divisor * holders)
+    std::int64_t near_end_part{50}; ///< near the end: ungranted < paid / this
+    duration fresh{50};             ///< a row seen this long ago may be used
+    duration look_interval{1'000};  ///< of a holder of idle tokens
+    duration near_end_look{200};    ///< the same near the end of the budget
+    duration waiting_look{50};      ///< while a reservation waits
+    duration store_down_after{2'000}; ///< no admission under overspend_first
+                                      ///< after so long without the store
+
+    friend bool operator==(sizing const&, sizing const&) = default;
+};
+
+/// The defaults of a policy. `overspend_first` draws for a shorter time, so
+/// that a dead or cut off holder strands less; `false_refusals_first` draws for
+/// a longer time, so that an outage of the store refuses less. Thread safe.
+sizing sizing_for(config::budget_policy policy);
+
+/// Tokens that the budget row has not given out. Thread safe.
+token_count ungranted(budget_row const& row);
+
+/// True when the last tokens must not be scattered over idle holders. Thread
+/// safe.
+bool near_end(budget_row const& row, sizing const& sizes);
+
+/// The most that one of the holders may draw ahead of need. Thread safe.
+/// `newcomer` counts a holder that has no share row yet.
+token_count fair_part(budget_row const& row, sizing const& sizes,
+                      bool newcomer);
+
+/// What to draw when waiting reservations lack `need` tokens, `free` are idle
+/// and the traffic of the horizon is `ahead`. Never more than is ungranted;
+/// `need` comes before all else. Thread safe. @pre `need` >= 0.
+token_count draw_size(budget_row const& row, sizing const& sizes,
+                      bool newcomer, token_count need, token_count free,
+                      token_count ahead);
+
+/// Doubling pause after `failures` in a row, with a jitter that depends on
+/// `salt`, so that routers do not return to a recovering store together.
+/// Thread safe.
+duration backoff(int failures, std::size_t salt);
+
+} // namespace caperpath::budget
+
+#endif
--- /dev/null
+++ b/src/budget/row_access.cpp
@@ -0,0 +1,46 @@
+#include "row_access.hpp"
+
+#include <algorithm>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+constexpr std::size_t page_size = 500;
+
+} // namespace
+
+platform::row find_row(std::vector<platform::row> const& rows,
+                       std::string const& key)
+{
+    auto const found = std::find_if(rows.begin(), rows.end(),
+                                    [&key](platform::row const& one)
+                                    { return one.key == key; });
+    return found == rows.end() ? platform::row{key, 0, ""} : *found;
+}
+
+result<std::vector<platform::row>> scan_all(platform::port const& port,
+                                            std::string const& prefix)
+{
+    std::vector<platform::row> all;
+    for (;;)
+    {
+        auto const after = all.empty() ? std::string{} : all.back().key;
+        BOOST_LEAF_AUTO(page, port.scan(prefix, after, page_size));
+        all.insert(all.end(), page.begin(), page.end());
+        if (page.size() < page_size)
+        {
+            return all;
+        }
+    }
+}
+
+bool is_turned_away(platform::commit_result const& outcome)
+{
+    return outcome.outcome == platform::commit_outcome::refused &&
+           outcome.failed.empty();
+}
+
+} // namespace caperpath::budget
--- /dev/null
+++ b/src/budget/share.cpp
@@ -0,0 +1,251 @@
+#include <caperpath/budget/share.hpp>
+
+#include "share_rules.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+constexpr duration ask_again{1'000};
+
+bool is_known(share_state const& state, request_id const& request)
+{
+    auto const same = [&request](waiting_reservation const& one)
+    { return one.request == request; };
+    return state.open.contains(request) ||
+           std::any_of(state.waiting.begin(), state.waiting.end(), same);
+}
+
+void admit(share_state& state, request_id const& request, token_count amount,
+           instant now)
+{
+    state.open.emplace(request, amount);
+    state.reserved += amount;
+    state.rate = metered(state.rate, amount, now);
+}
+
+/// Under overspend_first a bill must be durable before its answer ends. Work
+/// admitted while the store is away could not be billed in time.
+bool store_is_missing(share_state const& state, instant now)
+{
+    return state.policy == config::budget_policy::overspend_first &&
+           state.down_since &&
+           now - *state.down_since >= state.sizes.store_down_after;
+}
+
+bool fits(share_state const& state, token_count amount)
+{
+    return amount <= reservable(state);
+}
+
+/// The row was seen after the reservation came, so a top-up before it counts.
+bool seen_since(share_state const& state, instant at)
+{
+    return state.seen && state.seen->at >= at;
+}
+
+/// True when even with every other holder's whole share the budget does not
+/// cover `amount`.
+bool beyond_everything(share_state const& state, token_count amount)
+{
+    auto const used = state.settled + state.unsettled + state.reserved;
+    return amount > state.seen->row.paid - state.seen->row.retired - used;
+}
+
+reserve_reply undecidable(share_state const& state, instant now)
+{
+    return {reserve_verdict::undecidable,
+            std::max(ask_again, state.retry_at - now)};
+}
+
+reserve_reply exhausted(share_state const& state)
+{
+    // Tokens in the shares of others may come back; a used up budget won't.
+    auto const elsewhere = state.seen->row.granted - state.seen->row.retired -
+                           state.share.granted;
+    return {reserve_verdict::exhausted,
+            elsewhere > 0 ? ask_again : duration{0}};
+}
+
+/// The reply to a reservation that does not fit now, if it is time for one.
+std::optional<reserve_reply> refuse(share_state const& state,
+                                    waiting_reservation const& one, instant now)
+{
+    if (state.fenced || state.closing)
+    {
+        return undecidable(state, now);
+    }
+    if (seen_since(state, one.since) && beyond_everything(state, one.amount))
+    {
+        return exhausted(state);
+    }
+    if (one.until > now)
+    {
+        return std::nullopt;
+    }
+    auto const reachable =
+        seen_since(state, one.since) && !state.floor && !state.down_since;
+    auto const covered =
+        reachable &&
+        one.amount <= free_tokens(state) + ungranted(state.seen->row);
+    return reachable && !covered ? exhausted(state) : undecidable(state, now);
+}
+
+} // namespace
+
+share_state make_share(budget_id budget, config::budget_policy policy,
+                       sizing sizes)
+{
+    share_state state;
+    state.budget = std::move(budget);
+    state.policy = policy;
+    state.sizes = sizes;
+    return state;
+}
+
+share_row usable(share_state const& state)
+{
+    auto row = state.share;
+    auto const lower = [&row](share_row const& other)
+    {
+        row.granted = std::min(row.granted, other.granted);
+        row.exposed = std::min(row.exposed, other.exposed);
+    };
+    if (state.planned && state.planned->retires)
+    {
+        lower({});
+    }
+    if (state.planned && state.planned->share)
+    {
+        lower(*state.planned->share);
+    }
+    if (state.floor)
+    {
+        lower(*state.floor);
+    }
+    return row;
+}
+
+token_count free_tokens(share_state const& state)
+{
+    auto const used = state.settled + state.unsettled + state.reserved;
+    return std::max<token_count>(0, usable(state).granted - used);
+}
+
+token_count reservable(share_state const& state)
+{
+    auto const free = free_tokens(state);
+    if (state.policy == config::budget_policy::overspend_first)
+    {
+        return free;
+    }
+    // An answer may end before its bill is durable. If this router died then,
+    // the recovery would give the tokens out again and the customer would use
+    // them twice. It holds back `exposed`, so no more may be open than that.
+    auto const open = state.unsettled + state.reserved;
+    return std::clamp<token_count>(usable(state).exposed - open, 0, free);
+}
+
+reserve_step reserve(share_state state, reserve_request const& request,
+                     instant now)
+{
+    if (state.policy != request.policy)
+    {
+        state.policy = request.policy;
+        state.sizes = sizing_for(request.policy);
+    }
+    auto const blocked =
+        state.fenced || state.closing || store_is_missing(state, now);
+    if (request.amount < 0 || blocked || is_known(state, request.request))
+    {
+        auto const reply = undecidable(state, now);
+        return {std::move(state), reply};
+    }
+    state.last_amount = request.amount;
+    if (fits(state, request.amount))
+    {
+        admit(state, request.request, request.amount, now);
+        return {std::move(state),
+                reserve_reply{reserve_verdict::admitted, duration{0}}};
+    }
+    // A row seen just now decides as well as one that would be read again.
+    if (seen_since(state, now - state.sizes.near_end_look) &&
+        beyond_everything(state, request.amount))
+    {
+        auto const reply = exhausted(state);
+        return {std::move(state), reply};
+    }
+    state.waiting.push_back(
+        {request.request, request.amount, now, now + request.wait});
+    return {std::move(state), std::nullopt};
+}
+
+finish_step finish(share_state state, finish_request const& request,
+                   instant now)
+{
+    auto const found = state.open.find(request.cost.request);
+    if (found == state.open.end())
+    {
+        return {std::move(state), false, request.cost};
+    }
+    auto const reserved = found->second;
+    auto cost = request.cost;
+    // A cost above the reservation was never set aside: billing it would spend
+    // tokens that another holder may have.
+    cost.tokens = std::clamp<token_count>(cost.tokens, 0, reserved);
+    state.open.erase(found);
+    state.reserved -= reserved;
+    state.unsettled += cost.tokens;
+    state.rate = metered(state.rate, cost.tokens - reserved, now);
+    return {std::move(state), true, std::move(cost)};
+}
+
+share_state settled(share_state state, token_count tokens)
+{
+    state.unsettled -= tokens;
+    state.settled += tokens;
+    return state;
+}
+
+answer_step answer_waiting(share_state state, instant now)
+{
+    std::vector<answered_reservation> answers;
+    std::vector<waiting_reservation> left;
+    auto const waiting = std::exchange(state.waiting, {});
+    for (auto const& one : waiting)
+    {
+        if (!state.fenced && !state.closing && fits(state, one.amount))
+        {
+            admit(state, one.request, one.amount, now);
+            answers.push_back({one.request, {reserve_verdict::admitted, {}}});
+            continue;
+        }
+        auto const reply = refuse(state, one, now);
+        if (reply)
+        {
+            answers.push_back({one.request, *reply});
+            continue;
+        }
+        left.push_back(one);
+    }
+    state.waiting = std::move(left);
+    return {std::move(state), std::move(answers)};
+}
+
+share_state close(share_state state)
+{
+    state.closing = true;
+    return state;
+}
+
+bool is_closed(share_state const& state)
+{
+    return state.share_version == 0 && !state.floor && !state.busy;
+}
+
+} // namespace caperpath::budget
--- /dev/null
+++ b/src/budget/share_results.cpp
@@ -0,0 +1,228 @@
+#include "share_rules.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+using platform::commit_outcome;
+
+/// A row that cannot be read decides nothing: the state stays as it was.
+template <class Row>
+std::optional<Row> row_of(platform::row const& found,
+                          result<Row> (*decode)(std::string const&))
+{
+    auto both = value_or_error([&] { return decode(found.value); });
+    auto* const row = std::get_if<Row>(&both);
+    return row != nullptr ? std::optional<Row>{*row} : std::nullopt;
+}
+
+void take_budget(share_state& state, platform::row const& found, instant now)
+{
+    if (found.version == 0)
+    {
+        state.seen = seen_budget{{}, 0, now};
+        return;
+    }
+    auto const row = row_of(found, &decode_budget);
+    if (row)
+    {
+        state.seen = seen_budget{*row, found.version, now};
+    }
+}
+
+/// The share row has one writer, this router, so a newer version than ours is a
+/// write of ours whose answer was lost, and it is the last one: each names the
+/// version before it. A row that is gone was recovered by somebody else.
+void take_share(share_state& state, platform::row const& found)
+{
+    if (found.version == 0 && state.share_version > 0)
+    {
+        state.fenced = !state.closing;
+        state.share = {};
+        state.share_version = 0;
+        state.floor.reset();
+        return;
+    }
+    if (found.version <= state.share_version)
+    {
+        return;
+    }
+    auto const row = row_of(found, &decode_share);
+    if (row)
+    {
+        state.share = *row;
+        state.share_version = found.version;
+        state.floor.reset();
+    }
+}
+
+void take_rows(share_state& state, holder_view const& holder,
+               std::vector<platform::row> const& rows, instant now)
+{
+    auto const budget = budget_key(state.budget);
+    auto const share = share_key(state.budget, holder.incarnation);
+    auto const own = holder_key(holder.incarnation);
+    for (auto const& found : rows)
+    {
+        if (found.key == budget)
+        {
+            take_budget(state, found, now);
+        }
+        if (found.key == share)
+        {
+            take_share(state, found);
+        }
+        if (found.key == own && found.version != holder.version)
+        {
+            state.fenced = true;
+        }
+    }
+}
+
+void store_failed(share_state& state, instant now)
+{
+    state.failures += 1;
+    state.down_since = state.down_since.value_or(now);
+    auto const salt = std::hash<budget_id>{}(state.budget) +
+                      static_cast<std::size_t>(now.ms);
+    state.retry_at = now + backoff(state.failures, salt);
+}
+
+void store_reached(share_state& state)
+{
+    state.failures = 0;
+    state.down_since.reset();
+}
+
+void take_effect(share_state& state, planned_write const& planned, instant now)
+{
+    if (planned.budget)
+    {
+        state.seen = seen_budget{*planned.budget, state.seen->version + 1, now};
+        state.wanting = planned.budget->wanted == state.wanting ? state.wanting
+                                                                : 0;
+    }
+    if (planned.share)
+    {
+        state.share = *planned.share;
+        state.share_version += 1;
+        // Every earlier write named the version that is gone now: none of them
+        // can take effect any more.
+        state.floor.reset();
+    }
+    if (planned.retires)
+    {
+        state.share = {};
+        state.share_version = 0;
+        state.settled = 0;
+    }
+}
+
+/// The answer was lost, or the write may still be on its way: it can take
+/// effect later than any read shows. Until a write of the same share row
+/// version is applied, or is refused because the row moved, the lower of the
+/// two values counts; otherwise a return that lands late would leave tokens
+/// spent here that another router has drawn.
+void lower_floor(share_state& state, planned_write const& planned)
+{
+    state.look_first = true;
+    if (!planned.share && !planned.retires)
+    {
+        return;
+    }
+    auto const after = planned.share.value_or(share_row{});
+    auto const before = state.floor.value_or(state.share);
+    state.floor = share_row{std::min(before.granted, after.granted),
+                            std::min(before.exposed, after.exposed)};
+}
+
+platform::row absent(std::string key)
+{
+    return {std::move(key), 0, ""};
+}
+
+} // namespace
+
+std::vector<std::string> look_keys(share_state const& state,
+                                   holder_view const& holder)
+{
+    return {budget_key(state.budget),
+            share_key(state.budget, holder.incarnation),
+            holder_key(holder.incarnation)};
+}
+
+share_state looked(share_state state, holder_view const& holder,
+                   std::vector<platform::row> const& rows, instant now)
+{
+    state.busy = false;
+    state.look_first = false;
+    store_reached(state);
+    std::vector<platform::row> all;
+    for (auto const& key : look_keys(state, holder))
+    {
+        auto const found = std::find_if(rows.begin(), rows.end(),
+                                        [&key](platform::row const& one)
+                                        { return one.key == key; });
+        all.push_back(found == rows.end() ? absent(key) : *found);
+    }
+    take_rows(state, holder, all, now);
+    return state;
+}
+
+share_state look_failed(share_state state, instant now)
+{
+    state.busy = false;
+    store_failed(state, now);
+    return state;
+}
+
+share_state store_result(share_state state, bool reached, instant now)
+{
+    if (reached)
+    {
+        store_reached(state);
+        return state;
+    }
+    state.down_since = state.down_since.value_or(now);
+    return state;
+}
+
+share_state wrote(share_state state, holder_view const& holder,
+                  platform::commit_result const& outcome, instant now)
+{
+    state.busy = false;
+    auto const planned = std::exchange(state.planned, std::nullopt);
+    if (!planned)
+    {
+        return state;
+    }
+    switch (outcome.outcome)
+    {
+    case commit_outcome::applied:
+        store_reached(state);
+        take_effect(state, *planned, now);
+        return state;
+    case commit_outcome::refused:
+        if (outcome.failed.empty())
+        {
+            store_failed(state, now);
+            return state;
+        }
+        store_reached(state);
+        take_rows(state, holder, outcome.failed, now);
+        return state;
+    case commit_outcome::unknown:
+        store_failed(state, now);
+        lower_floor(state, *planned);
+        break;
+    }
+    return state;
+}
+
+} // namespace caperpath::budget
--- /dev/null
+++ b/src/budget/share_steps.cpp
@@ -0,0 +1,327 @@
+#include "share_rules.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+constexpr std::int64_t ms_per_second = 1'000;
+constexpr int surplus_factor = 4; ///< idle beyond this many fair parts goes back
+
+/// What the waiting reservations lack.
+struct demand
+{
+    token_count need{};  ///< a draw of this much serves those that fit
+    token_count unmet{}; ///< what the largest of the others lacks
+};
+
+demand demand_of(share_state const& state)
+{
+    demand found;
+    auto const free = reservable(state);
+    auto const left = ungranted(state.seen->row);
+    token_count covered = 0;
+    for (auto const& one : state.waiting)
+    {
+        if (covered + one.amount <= free + left)
+        {
+            covered += one.amount;
+            continue;
+        }
+        found.unmet = std::max(found.unmet, one.amount - free);
+    }
+    found.need = std::max<token_count>(0, covered - free);
+    return found;
+}
+
+token_count tokens_ahead(share_state const& state)
+{
+    auto const traffic = state.rate.per_second *
+                         static_cast<double>(state.sizes.horizon.ms) /
+                         ms_per_second;
+    return std::max(static_cast<token_count>(traffic), 2 * state.last_amount);
+}
+
+bool is_low(share_state const& state)
+{
+    return state.last_amount > 0 &&
+           free_tokens(state) < tokens_ahead(state) / 2;
+}
+
+bool is_newcomer(share_state const& state)
+{
+    return state.share_version == 0;
+}
+
+bool wanted_by_another(share_state const& state)
+{
+    auto const wanted = state.seen->row.wanted;
+    return wanted > 0 && wanted != state.wanting;
+}
+
+/// Idle tokens that another router has more use for.
+token_count surplus(share_state const& state)
+{
+    auto const free = free_tokens(state);
+    if (state.closing || wanted_by_another(state))
+    {
+        return free;
+    }
+    auto const& row = state.seen->row;
+    auto const fair = fair_part(row, state.sizes, is_newcomer(state));
+    auto const idle = state.waiting.empty() && near_end(row, state.sizes);
+    return idle && free > surplus_factor * fair ? free - fair : 0;
+}
+
+/// Tokens worth a draw of their own, without anybody waiting.
+token_count refill(share_state const& state)
+{
+    auto const free = free_tokens(state);
+    auto const amount =
+        draw_size(state.seen->row, state.sizes, is_newcomer(state), 0, free,
+                  tokens_ahead(state));
+    // Near the end each draw ahead gets smaller; below one request it only
+    // scatters what is left.
+    auto const least = std::max({token_count{1}, 2 * state.last_amount, free});
+    return amount >= least ? amount : 0;
+}
+
+token_count exposure(share_state const& state, token_count granted)
+{
+    return state.policy == config::budget_policy::overspend_first ? 0 : granted;
+}
+
+bool exposure_is_low(share_state const& state)
+{
+    return state.share.exposed < exposure(state, state.share.granted);
+}
+
+platform::condition holder_is(holder_view const& holder)
+{
+    return {holder_key(holder.incarnation), holder.version};
+}
+
+/// A write of the planned rows, on condition that none of them has changed.
+table_step write_step(share_state state, holder_view const& holder,
+                      planned_write planned)
+{
+    platform::transaction txn;
+    txn.conditions.push_back(holder_is(holder));
+    if (planned.budget)
+    {
+        auto const key = budget_key(state.budget);
+        txn.conditions.push_back({key, state.seen->version});
+        txn.writes.push_back({key, encode(*planned.budget)});
+    }
+    if (planned.share || planned.retires)
+    {
+        auto const key = share_key(state.budget, holder.incarnation);
+        txn.conditions.push_back({key, state.share_version});
+        auto const value = planned.share ? std::optional{encode(*planned.share)}
+                                         : std::nullopt;
+        txn.writes.push_back({key, value});
+    }
+    state.busy = true;
+    state.planned = std::move(planned);
+    return {std::move(state), step_kind::write, std::move(txn)};
+}
+
+table_step look_step(share_state state)
+{
+    state.busy = true;
+    return {std::move(state), step_kind::look, {}};
+}
+
+table_step no_step(share_state state)
+{
+    return {std::move(state), step_kind::none, {}};
+}
+
+/// Moves `tokens` (negative: back) from the budget row to the share row.
+table_step move_step(share_state state, holder_view const& holder,
+                     token_count tokens, token_count unmet)
+{
+    auto budget = state.seen->row;
+    budget.granted += tokens;
+    budget.holders += is_newcomer(state) ? 1 : 0;
+    auto const is_mine = state.wanting > 0 && budget.wanted == state.wanting;
+    if ((is_mine && unmet == 0) || ungranted(budget) >= budget.wanted)
+    {
+        budget.wanted = 0;
+    }
+    auto share = state.share;
+    share.granted += tokens;
+    share.exposed = exposure(state, share.granted);
+    return write_step(std::move(state), holder,
+                      {share, std::move(budget), false});
+}
+
+table_step want_step(share_state state, holder_view const& holder,
+                     token_count unmet)
+{
+    auto budget = state.seen->row;
+    budget.wanted = unmet;
+    state.wanting = unmet;
+    return write_step(std::move(state), holder,
+                      {std::nullopt, std::move(budget), false});
+}
+
+table_step touch_step(share_state state, holder_view const& holder)
+{
+    auto share = state.share;
+    share.exposed = exposure(state, share.granted);
+    return write_step(std::move(state), holder, {share, std::nullopt, false});
+}
+
+table_step retire_step(share_state state, holder_view const& holder)
+{
+    auto budget = state.seen->row;
+    budget.granted -= state.share.granted - state.settled;
+    budget.retired += state.settled;
+    budget.holders -= 1;
+    return write_step(std::move(state), holder,
+                      {std::nullopt, std::move(budget), true});
+}
+
+bool can_retire(share_state const& state)
+{
+    return state.closing && state.share_version > 0 && !state.floor &&
+           state.reserved == 0 && state.unsettled == 0;
+}
+
+duration look_pause(share_state const& state)
+{
+    if (!state.waiting.empty())
+    {
+        return state.sizes.waiting_look;
+    }
+    return near_end(state.seen->row, state.sizes) ? state.sizes.near_end_look
+                                                  : state.sizes.look_interval;
+}
+
+/// A row is worth a look when tokens lie idle here (others may want them), when
+/// somebody waits, or when a policy change or a lost answer must be written.
+bool is_interested(share_state const& state)
+{
+    return free_tokens(state) > 0 || !state.waiting.empty() || state.floor ||
+           state.look_first || (state.closing && state.share_version > 0);
+}
+
+bool is_fresh(share_state const& state, instant now)
+{
+    return state.seen && now - state.seen->at <= state.sizes.fresh;
+}
+
+/// True when a draw would be tried if the row were fresh.
+bool may_draw(share_state const& state)
+{
+    auto const promising = !state.seen || ungranted(state.seen->row) > 0;
+    return promising && !state.closing &&
+           (!state.waiting.empty() || is_low(state));
+}
+
+bool look_is_due(share_state const& state, instant now)
+{
+    if (!state.seen || state.look_first)
+    {
+        return is_interested(state) || may_draw(state);
+    }
+    if (is_fresh(state, now))
+    {
+        return false;
+    }
+    if (may_draw(state) && (!state.waiting.empty() || refill(state) > 0))
+    {
+        return true;
+    }
+    return is_interested(state) && now - state.seen->at >= look_pause(state);
+}
+
+/// With a fresh row: the write that is worth most, if any.
+table_step choose_write(share_state state, holder_view const& holder)
+{
+    auto const back = surplus(state);
+    if (state.closing)
+    {
+        if (can_retire(state))
+        {
+            return retire_step(std::move(state), holder);
+        }
+        // Also settles a floor: a write that is applied, or refused for the
+        // share row, proves that the lost one can no longer take effect.
+        return back > 0 || state.floor
+                   ? move_step(std::move(state), holder, -back, 0)
+                   : no_step(std::move(state));
+    }
+    auto const wish = demand_of(state);
+    if (wish.need > 0)
+    {
+        auto const amount =
+            draw_size(state.seen->row, state.sizes, is_newcomer(state),
+                      wish.need, free_tokens(state), tokens_ahead(state));
+        return move_step(std::move(state), holder, amount, wish.unmet);
+    }
+    if (back > 0)
+    {
+        return move_step(std::move(state), holder, -back, wish.unmet);
+    }
+    if (wish.unmet > state.seen->row.wanted)
+    {
+        return want_step(std::move(state), holder, wish.unmet);
+    }
+    auto const is_mine =
+        state.wanting > 0 && state.seen->row.wanted == state.wanting;
+    if (is_mine && wish.unmet == 0)
+    {
+        return want_step(std::move(state), holder, 0);
+    }
+    if (state.floor || exposure_is_low(state))
+    {
+        return touch_step(std::move(state), holder);
+    }
+    auto const more = is_low(state) ? refill(state) : 0;
+    return more > 0 ? move_step(std::move(state), holder, more, 0)
+                    : no_step(std::move(state));
+}
+
+} // namespace
+
+table_step next_step(share_state state, holder_view const& holder, instant now)
+{
+    auto const blocked = state.busy || state.fenced || holder.version == 0 ||
+                         now < state.retry_at;
+    if (blocked)
+    {
+        return no_step(std::move(state));
+    }
+    state.rate = metered(state.rate, 0, now);
+    if (look_is_due(state, now))
+    {
+        return look_step(std::move(state));
+    }
+    if (is_fresh(state, now) && !state.look_first)
+    {
+        return choose_write(std::move(state), holder);
+    }
+    return no_step(std::move(state));
+}
+
+instant next_due(share_state const& state, instant now)
+{
+    auto due = now + state.sizes.look_interval;
+    if (state.seen)
+    {
+        due = std::min(due, state.seen->at + look_pause(state));
+    }
+    for (auto const& one : state.waiting)
+    {
+        due = std::min(due, one.until);
+    }
+    return std::max(due, std::max(now, state.retry_at));
+}
+
+} // namespace caperpath::budget
--- /dev/null
+++ b/src/budget/sizing.cpp
@@ -0,0 +1,98 @@
+#include <caperpath/budget/sizing.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+constexpr double smoothing_ms = 10'000;
+constexpr duration shortest_sample{500};
+constexpr duration overspend_first_horizon{20'000};
+constexpr duration false_refusals_first_horizon{60'000};
+constexpr std::int64_t first_pause_ms = 50;
+constexpr std::int64_t longest_pause_ms = 2'000;
+constexpr int most_doublings = 6;
+
+} // namespace
+
+rate_meter metered(rate_meter meter, token_count tokens, instant now)
+{
+    auto const span = now - meter.since;
+    if (span >= shortest_sample)
+    {
+        auto const ms = static_cast<double>(span.ms);
+        auto const sample = static_cast<double>(meter.gathered) * 1'000 / ms;
+        auto const weight = 1 - std::exp(-ms / smoothing_ms);
+        meter.per_second += weight * (sample - meter.per_second);
+        meter.gathered = 0;
+        meter.since = now;
+    }
+    meter.gathered += tokens;
+    return meter;
+}
+
+sizing sizing_for(config::budget_policy policy)
+{
+    sizing sizes;
+    sizes.horizon = policy == config::budget_policy::overspend_first
+                        ? overspend_first_horizon
+                        : false_refusals_first_horizon;
+    return sizes;
+}
+
+token_count ungranted(budget_row const& row)
+{
+    return std::max<token_count>(0, row.paid - row.granted);
+}
+
+bool near_end(budget_row const& row, sizing const& sizes)
+{
+    return row.wanted > 0 ||
+           ungranted(row) < row.paid / std::max<std::int64_t>(
+                                           1, sizes.near_end_part);
+}
+
+token_count fair_part(budget_row const& row, sizing const& sizes, bool newcomer)
+{
+    auto const holders =
+        std::max<std::int64_t>(1, row.holders + (newcomer ? 1 : 0));
+    return ungranted(row) / (sizes.end_divisor * holders);
+}
+
+token_count draw_size(budget_row const& row, sizing const& sizes, bool newcomer,
+                      token_count need, token_count free, token_count ahead)
+{
+    auto const left = ungranted(row);
+    if (need > left)
+    {
+        return 0;
+    }
+    // Somebody waits for these tokens: taking them ahead of need would refuse
+    // a request that fits.
+    if (row.wanted > 0)
+    {
+        return need;
+    }
+    auto const idle = need > 0 ? 0 : free;
+    auto const missing = std::max<token_count>(0, ahead - idle);
+    auto const room = std::max<token_count>(
+        0, fair_part(row, sizes, newcomer) - need - idle);
+    return std::min(left, need + std::min(missing, room));
+}
+
+duration backoff(int failures, std::size_t salt)
+{
+    auto const doublings = std::clamp(failures - 1, 0, most_doublings);
+    auto const pause = std::min(longest_pause_ms, first_pause_ms << doublings);
+    // Between half and all of the pause.
+    auto const spread = static_cast<std::size_t>(pause / 2 + 1);
+    auto const mixed = (salt + static_cast<std::size_t>(failures)) *
+                       std::size_t{0x9E3779B97F4A7C15};
+    return {pause / 2 + static_cast<std::int64_t>((mixed >> 32) % spread)};
+}
+
+} // namespace caperpath::budget
