Add the CAF controller of budgets

Cause: the pure core needs an owner that carries its steps to the platform, which blocks, and its answers to the request filters.

Change: one event-based actor holds every budget of the router; detached workers make the calls. Draws are coalesced by the core, looks at several budgets share one read, a caller of finish waits at most durable_wait under overspend_first. stop_budgets settles, returns and closes within a bound and reports what is left.

--- a/include/caperpath/budget/rows.hpp
+++ b/include/caperpath/budget/rows.hpp
@@ -20,10 +20,10 @@
 /// Row `budget/<budget>`. Immutable value.
 struct budget_row
 {
-    token_count paid{};    ///< raised by top-ups only
-    token_count granted{}; ///< out in shares, spent by former holders, or held
-    token_count retired{}; ///< the part of `granted` without a live share
-    token_count wanted{};  ///< hint: a reservation that no draw could cover
+    token_count paid{};     ///< raised by top-ups only
+    token_count granted{};  ///< out in shares, spent by former holders, or held
+    token_count retired{};  ///< the part of `granted` without a live share
+    token_count wanted{};   ///< hint: a reservation that no draw could cover
     std::int64_t holders{}; ///< number of share rows
 
     friend bool operator==(budget_row const&, budget_row const&) = default;
@@ -75,8 +75,8 @@
 {
     token_count granted{};
     token_count spent{};
-    token_count tokens{};  ///< at most this much was answered without a bill
-    bool released{false};  ///< an operator gave the tokens back to the budget
+    token_count tokens{}; ///< at most this much was answered without a bill
+    bool released{false}; ///< an operator gave the tokens back to the budget
 
     friend bool operator==(held_row const&, held_row const&) = default;
 };
--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -70,14 +70,14 @@
     bool fenced{false}; ///< the holder row was changed by somebody else
 
     std::optional<seen_budget> seen;
-    share_row share;                  ///< as last confirmed
-    std::uint64_t share_version{};    ///< 0: no share row yet
+    share_row share;               ///< as last confirmed
+    std::uint64_t share_version{}; ///< 0: no share row yet
     std::optional<planned_write> planned;
     /// Set while writes whose answer was lost may still take effect: the least
     /// that any of them leaves.
     std::optional<share_row> floor;
-    bool look_first{false};   ///< a lost answer: see what became of it
-    token_count wanting{};    ///< what this router put into `wanted`
+    bool look_first{false}; ///< a lost answer: see what became of it
+    token_count wanting{};  ///< what this router put into `wanted`
 
     token_count reserved{};  ///< open reservations
     token_count unsettled{}; ///< finished, not yet in the ledger
@@ -127,6 +127,10 @@
 finish_step finish(share_state state, finish_request const& request,
                    instant now);
 
+/// Forgets a reservation, waiting or open, that nothing was run for. Thread
+/// safe.
+share_state cancel(share_state state, request_id const& request);
+
 /// `tokens` of this budget are in the ledger now. Thread safe.
 share_state settled(share_state state, token_count tokens);
 
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -31,13 +31,13 @@
 struct sizing
 {
     duration horizon{}; ///< a draw covers this much of the router's traffic
-    std::int64_t end_divisor{2}; ///< no draw ahead takes more than the
-                                 ///< remainder / (end_divisor * holders)
-    std::int64_t near_end_part{50}; ///< near the end: ungranted < paid / this
-    duration fresh{50};             ///< a row seen this long ago may be used
-    duration look_interval{1'000};  ///< of a holder of idle tokens
-    duration near_end_look{200};    ///< the same near the end of the budget
-    duration waiting_look{50};      ///< while a reservation waits
+    std::int64_t end_divisor{2};      ///< no draw ahead takes more than the
+                                      ///< remainder / (end_divisor * holders)
+    std::int64_t near_end_part{50};   ///< near the end: ungranted < paid / this
+    duration fresh{50};               ///< a row seen this long ago may be used
+    duration look_interval{1'000};    ///< of a holder of idle tokens
+    duration near_end_look{200};      ///< the same near the end of the budget
+    duration waiting_look{50};        ///< while a reservation waits
     duration store_down_after{2'000}; ///< no admission under overspend_first
                                       ///< after so long without the store
 
@@ -64,9 +64,8 @@
 /// What to draw when waiting reservations lack `need` tokens, `free` are idle
 /// and the traffic of the horizon is `ahead`. Never more than is ungranted;
 /// `need` comes before all else. Thread safe. @pre `need` >= 0.
-token_count draw_size(budget_row const& row, sizing const& sizes,
-                      bool newcomer, token_count need, token_count free,
-                      token_count ahead);
+token_count draw_size(budget_row const& row, sizing const& sizes, bool newcomer,
+                      token_count need, token_count free, token_count ahead);
 
 /// Doubling pause after `failures` in a row, with a jitter that depends on
 /// `salt`, so that routers do not return to a recovering store together.
--- /dev/null
+++ b/include/caperpath/controllers/budget_controller.hpp
@@ -0,0 +1,114 @@
+#ifndef CAPERPATH_CONTROLLERS_BUDGET_CONTROLLER_HPP
+#define CAPERPATH_CONTROLLERS_BUDGET_CONTROLLER_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+#include <caperpath/budget/bill.hpp>
+#include <caperpath/budget/settlement.hpp>
+#include <caperpath/platform/table.hpp>
+
+#include <caf/actor.hpp>
+#include <caf/fwd.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace caperpath::controllers
+{
+
+/// What the controller of all budgets at one router needs. Made by
+/// `budget_options_builder`.
+struct budget_options
+{
+    incarnation_id incarnation;
+    std::string address; ///< "IP:port" that this process has bound
+    failure_domain_id failure_domain;
+    platform::port platform;
+    caperpath::clock clock{caperpath::clock::monotonic()};
+    budget::settle_options settle;
+    /// Replace the sizes of a budget's policy when set.
+    std::optional<budget::sizing> sizes;
+    std::size_t workers{4};       ///< threads that call the platform
+    duration tick{10};            ///< how often time is looked at
+    duration durable_wait{2'000}; ///< the longest that `finish` blocks
+};
+
+/// Builds `budget_options`. Not thread safe.
+class budget_options_builder
+{
+public:
+    /// @pre `platform` has all its functions set.
+    budget_options_builder(incarnation_id incarnation, platform::port platform);
+
+    budget_options_builder& with_address(std::string address);
+    budget_options_builder& with_failure_domain(failure_domain_id name);
+    budget_options_builder& with_clock(caperpath::clock clock);
+    budget_options_builder& with_settle(budget::settle_options settle);
+    budget_options_builder& with_sizes(budget::sizing sizes);
+    /// @pre `count` > 0.
+    budget_options_builder& with_workers(std::size_t count);
+    budget_options_builder& with_tick(duration tick);
+    budget_options_builder& with_durable_wait(duration wait);
+
+    budget_options build() const;
+
+private:
+    budget_options options;
+};
+
+/// One budget at this router, for metrics and operators. Immutable value.
+struct budget_status
+{
+    budget_id budget;
+    token_count paid{};      ///< as last seen
+    token_count ungranted{}; ///< as last seen
+    token_count granted{};   ///< the share of this router
+    token_count free{};
+    token_count reserved{};
+    token_count unsettled{};
+    token_count settled{};
+    std::size_t waiting{};
+    bool fenced{false};
+    bool store_down{false};
+
+    friend bool operator==(budget_status const&,
+                           budget_status const&) = default;
+};
+
+struct budget_report
+{
+    std::vector<budget_status> budgets;
+    std::size_t unsettled_bills{};
+    /// True once stopped with nothing left behind.
+    bool clean{false};
+
+    friend bool operator==(budget_report const&,
+                           budget_report const&) = default;
+};
+
+/// Starts the actor that owns the state of all budgets at this router, and its
+/// workers. It binds the holder row at once and again until that succeeds;
+/// until then reservations wait. Thread safe. @pre call `stop_budgets` before
+/// `system` ends.
+caf::actor spawn_budget_controller(caf::actor_system& system,
+                                   budget_options options);
+
+/// The functions that request filters call, from any thread. `system` must
+/// outlive the port.
+budget::port make_budget_port(caf::actor_system& system, caf::actor controller);
+
+/// What the controller holds now. Thread safe; blocks.
+budget_report report_budgets(caf::actor_system& system,
+                             caf::actor const& controller);
+
+/// Admits nothing more, settles every bill, returns the shares, closes the
+/// holder row and ends the actor; gives up after `bound`. What the report still
+/// shows was left behind: a recovery takes it back. Reservations that are open
+/// keep their budget from closing, so finish them first. Thread safe; blocks.
+budget_report stop_budgets(caf::actor_system& system,
+                           caf::actor const& controller, duration bound);
+
+} // namespace caperpath::controllers
+
+#endif
--- a/src/budget/recovery.cpp
+++ b/src/budget/recovery.cpp
@@ -69,8 +69,9 @@
     return decode_spent(found.value);
 }
 
-result<std::vector<budget_id>> budgets_with_share(
-    platform::port const& port, incarnation_id const& incarnation)
+result<std::vector<budget_id>>
+budgets_with_share(platform::port const& port,
+                   incarnation_id const& incarnation)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, budget_prefix));
     std::vector<budget_id> budgets;
@@ -133,9 +134,10 @@
 }
 
 /// Empty when somebody else has taken the share back.
-result<std::optional<recovered_share>>
-recover_share(platform::port const& port, death_proof const& proof,
-              budget_id const& budget, token_count spent)
+result<std::optional<recovered_share>> recover_share(platform::port const& port,
+                                                     death_proof const& proof,
+                                                     budget_id const& budget,
+                                                     token_count spent)
 {
     auto const budget_at = budget_key(budget);
     auto const share_at = share_key(budget, proof.incarnation);
@@ -154,8 +156,8 @@
         auto const budget_found = find_row(rows, budget_at);
         BOOST_LEAF_AUTO(budget_now, decode_budget(budget_found.value));
         BOOST_LEAF_AUTO(share, decode_share(share_found.value));
-        auto const plan = plan_recovery(proof, budget, budget_found,
-                                        budget_now, share_found, share, spent);
+        auto const plan = plan_recovery(proof, budget, budget_found, budget_now,
+                                        share_found, share, spent);
         outcome = port.commit(plan.txn);
         if (outcome.outcome == commit_outcome::applied)
         {
@@ -213,8 +215,8 @@
         return fail({error_kind::conflict, "close holder", "table",
                      "a share of " + budgets.front().value + " is left"});
     }
-    BOOST_LEAF_CHECK(move_holder(port, holder.incarnation,
-                                 holder_state::active, holder_state::closed));
+    BOOST_LEAF_CHECK(move_holder(port, holder.incarnation, holder_state::active,
+                                 holder_state::closed));
     return {};
 }
 
@@ -245,10 +247,9 @@
         row.granted -= held.tokens;
         row.retired -= held.tokens;
         held.released = true;
-        outcome = port.commit({{{held_at, held_found.version},
-                                {budget_at, budget_found.version}},
-                               {{held_at, encode(held)},
-                                {budget_at, encode(row)}}});
+        outcome = port.commit(
+            {{{held_at, held_found.version}, {budget_at, budget_found.version}},
+             {{held_at, encode(held)}, {budget_at, encode(row)}}});
         if (outcome.outcome == commit_outcome::applied)
         {
             return held.tokens;
@@ -257,8 +258,8 @@
         {
             break;
         }
-        tried = outcome.outcome == commit_outcome::unknown ? held.tokens
-                                                           : tried;
+        tried =
+            outcome.outcome == commit_outcome::unknown ? held.tokens : tried;
     }
     return fail(gave_up("release held", outcome));
 }
--- a/src/budget/rows.cpp
+++ b/src/budget/rows.cpp
@@ -201,7 +201,9 @@
                       row.paid = tokens(object, "paid");
                       // An operator's tool creates the row with `paid` alone.
                       auto const optional = [&object](char const* key)
-                      { return object.contains(key) ? tokens(object, key) : 0; };
+                      {
+                          return object.contains(key) ? tokens(object, key) : 0;
+                      };
                       row.granted = optional("granted");
                       row.retired = optional("retired");
                       row.wanted = optional("wanted");
--- a/src/budget/settlement.cpp
+++ b/src/budget/settlement.cpp
@@ -45,7 +45,10 @@
     {
         return true;
     }
-    auto const due = [now](queued_bill const& one) { return one.due <= now; };
+    auto const due = [now](queued_bill const& one)
+    {
+        return one.due <= now;
+    };
     return std::any_of(state.pending.begin(), state.pending.end(), due);
 }
 
@@ -80,7 +83,9 @@
 {
     auto const ledger = ledger_key(holder.incarnation, state.spent.seq + 1);
     auto const exists = [&ledger](platform::row const& one)
-    { return one.key == ledger && one.version > 0; };
+    {
+        return one.key == ledger && one.version > 0;
+    };
     return std::any_of(outcome.failed.begin(), outcome.failed.end(), exists);
 }
 
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -16,7 +16,9 @@
 bool is_known(share_state const& state, request_id const& request)
 {
     auto const same = [&request](waiting_reservation const& one)
-    { return one.request == request; };
+    {
+        return one.request == request;
+    };
     return state.open.contains(request) ||
            std::any_of(state.waiting.begin(), state.waiting.end(), same);
 }
@@ -66,8 +68,8 @@
 reserve_reply exhausted(share_state const& state)
 {
     // Tokens in the shares of others may come back; a used up budget won't.
-    auto const elsewhere = state.seen->row.granted - state.seen->row.retired -
-                           state.share.granted;
+    auto const elsewhere =
+        state.seen->row.granted - state.seen->row.retired - state.share.granted;
     return {reserve_verdict::exhausted,
             elsewhere > 0 ? ask_again : duration{0}};
 }
@@ -205,6 +207,19 @@
     return {std::move(state), true, std::move(cost)};
 }
 
+share_state cancel(share_state state, request_id const& request)
+{
+    std::erase_if(state.waiting, [&request](waiting_reservation const& one)
+                  { return one.request == request; });
+    auto const found = state.open.find(request);
+    if (found != state.open.end())
+    {
+        state.reserved -= found->second;
+        state.open.erase(found);
+    }
+    return state;
+}
+
 share_state settled(share_state state, token_count tokens)
 {
     state.unsettled -= tokens;
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -89,8 +89,8 @@
 {
     state.failures += 1;
     state.down_since = state.down_since.value_or(now);
-    auto const salt = std::hash<budget_id>{}(state.budget) +
-                      static_cast<std::size_t>(now.ms);
+    auto const salt =
+        std::hash<budget_id>{}(state.budget) + static_cast<std::size_t>(now.ms);
     state.retry_at = now + backoff(state.failures, salt);
 }
 
@@ -105,8 +105,8 @@
     if (planned.budget)
     {
         state.seen = seen_budget{*planned.budget, state.seen->version + 1, now};
-        state.wanting = planned.budget->wanted == state.wanting ? state.wanting
-                                                                : 0;
+        state.wanting =
+            planned.budget->wanted == state.wanting ? state.wanting : 0;
     }
     if (planned.share)
     {
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -10,7 +10,8 @@
 {
 
 constexpr std::int64_t ms_per_second = 1'000;
-constexpr int surplus_factor = 4; ///< idle beyond this many fair parts goes back
+constexpr int surplus_factor =
+    4; ///< idle beyond this many fair parts goes back
 
 /// What the waiting reservations lack.
 struct demand
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -52,8 +52,8 @@
 bool near_end(budget_row const& row, sizing const& sizes)
 {
     return row.wanted > 0 ||
-           ungranted(row) < row.paid / std::max<std::int64_t>(
-                                           1, sizes.near_end_part);
+           ungranted(row) <
+               row.paid / std::max<std::int64_t>(1, sizes.near_end_part);
 }
 
 token_count fair_part(budget_row const& row, sizing const& sizes, bool newcomer)
@@ -79,8 +79,8 @@
     }
     auto const idle = need > 0 ? 0 : free;
     auto const missing = std::max<token_count>(0, ahead - idle);
-    auto const room = std::max<token_count>(
-        0, fair_part(row, sizes, newcomer) - need - idle);
+    auto const room =
+        std::max<token_count>(0, fair_part(row, sizes, newcomer) - need - idle);
     return std::min(left, need + std::min(missing, room));
 }
 
--- a/src/budget/top_up.cpp
+++ b/src/budget/top_up.cpp
@@ -58,9 +58,9 @@
                          "expected a positive number of tokens"});
         }
         row.paid += tokens;
-        outcome = port.commit(
-            {{{topup_at, 0}, {budget_at, budget_found.version}},
-             {{topup_at, amount}, {budget_at, encode(row)}}});
+        outcome =
+            port.commit({{{topup_at, 0}, {budget_at, budget_found.version}},
+                         {{topup_at, amount}, {budget_at, encode(row)}}});
         if (outcome.outcome == platform::commit_outcome::applied)
         {
             return row.paid;
--- /dev/null
+++ b/src/controllers/budget_actor.cpp
@@ -0,0 +1,281 @@
+#include "budget_actor.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace caperpath::controllers
+{
+
+namespace
+{
+
+using budget::bill_state;
+using budget::reserve_verdict;
+
+/// A worker spends its life in blocking calls; each has its own thread.
+caf::behavior worker_behavior()
+{
+    return {[](table_job const& job)
+            {
+                job.run();
+            }};
+}
+
+bool must_be_durable(config::budget_policy policy)
+{
+    return policy == config::budget_policy::overspend_first;
+}
+
+} // namespace
+
+budget_actor::budget_actor(caf::event_based_actor* self, budget_options options)
+    : self{self}, options{std::move(options)}
+{
+    for (std::size_t i = 0; i < this->options.workers; ++i)
+    {
+        this->workers.push_back(self->spawn<caf::detached>(worker_behavior));
+    }
+}
+
+caf::behavior budget_actor::behavior()
+{
+    this->tick();
+    return {
+        [this](budget::reserve_request const& request)
+        { return this->reserve(request); },
+        [this](budget::finish_request const& request)
+        { return this->finish(request); },
+        [this](cancel_request const& request) { this->cancel(request); },
+        [this](report_request const&) { return this->report(); },
+        [this](stop_request const& request) { return this->stop(request); },
+        [this](tick_message const&) { this->tick(); },
+        [this](bind_result const& result) { this->bound(result); },
+        [this](look_result const& result) { this->looked(result); },
+        [this](write_result const& result) { this->wrote(result); },
+        [this](batch_result const& result) { this->settled(result); },
+        [this](close_result const& result) { this->closed(result); },
+    };
+}
+
+budget::share_state& budget_actor::share_of(budget_id const& budget,
+                                            config::budget_policy policy)
+{
+    auto const found = this->shares.find(budget);
+    if (found != this->shares.end())
+    {
+        return found->second;
+    }
+    auto const sizes = this->options.sizes.value_or(budget::sizing_for(policy));
+    auto made = budget::make_share(budget, policy, sizes);
+    made.closing = this->stopping.has_value();
+    return this->shares.emplace(budget, std::move(made)).first->second;
+}
+
+caf::response_promise
+budget_actor::reserve(budget::reserve_request const& request)
+{
+    auto promise = this->self->make_response_promise();
+    auto& share = this->share_of(request.budget, request.policy);
+    auto step =
+        budget::reserve(std::move(share), request, this->options.clock.now());
+    share = std::move(step.state);
+    if (step.reply)
+    {
+        promise.deliver(*step.reply);
+    }
+    else
+    {
+        this->reserving.emplace(request.request, promise);
+    }
+    this->pump();
+    return promise;
+}
+
+caf::response_promise
+budget_actor::finish(budget::finish_request const& request)
+{
+    auto promise = this->self->make_response_promise();
+    auto const now = this->options.clock.now();
+    auto& share = this->share_of(request.cost.budget, request.policy);
+    auto step = budget::finish(std::move(share), request, now);
+    share = std::move(step.state);
+    auto const& id = request.cost.request;
+    if (step.accepted)
+    {
+        this->unsettled[id];
+        this->settlement = budget::queue_bill(
+            std::move(this->settlement), std::move(step.cost), request.policy,
+            this->options.settle, now);
+    }
+    auto const open = this->unsettled.find(id);
+    if (open == this->unsettled.end())
+    {
+        promise.deliver(bill_state::durable);
+        return promise;
+    }
+    auto const hopeless = this->settlement.fenced;
+    if (must_be_durable(request.policy) && !hopeless)
+    {
+        open->second.push_back({promise, now + this->options.durable_wait});
+    }
+    else
+    {
+        promise.deliver(bill_state::local);
+    }
+    this->pump();
+    return promise;
+}
+
+void budget_actor::cancel(cancel_request const& request)
+{
+    auto const found = this->shares.find(request.budget);
+    if (found == this->shares.end())
+    {
+        return;
+    }
+    found->second = budget::cancel(std::move(found->second), request.request);
+    this->reserving.erase(request.request);
+    this->pump();
+}
+
+void budget_actor::answer(budget::share_state& share)
+{
+    auto step =
+        budget::answer_waiting(std::move(share), this->options.clock.now());
+    share = std::move(step.state);
+    for (auto const& one : step.answers)
+    {
+        auto const found = this->reserving.find(one.request);
+        if (found != this->reserving.end())
+        {
+            found->second.deliver(one.reply);
+            this->reserving.erase(found);
+        }
+    }
+}
+
+void budget_actor::bound(bind_result const& result)
+{
+    this->binding = false;
+    if (result.holder)
+    {
+        this->holder = *result.holder;
+        this->pump();
+        return;
+    }
+    this->bind_failures += 1;
+    LOG(WARNING) << "cannot bind the holder row yet: "
+                 << to_string(result.fault);
+    auto const salt = std::hash<incarnation_id>{}(this->options.incarnation);
+    this->bind_at =
+        this->options.clock.now() + budget::backoff(this->bind_failures, salt);
+}
+
+void budget_actor::looked(look_result const& result)
+{
+    auto const now = this->options.clock.now();
+    for (auto const& budget : result.budgets)
+    {
+        auto& share = this->shares.at(budget);
+        share = result.rows ? budget::looked(std::move(share), this->holder,
+                                             *result.rows, now)
+                            : budget::look_failed(std::move(share), now);
+    }
+    this->pump();
+}
+
+void budget_actor::wrote(write_result const& result)
+{
+    auto& share = this->shares.at(result.budget);
+    share = budget::wrote(std::move(share), this->holder, result.outcome,
+                          this->options.clock.now());
+    this->pump();
+}
+
+void budget_actor::settled(batch_result const& result)
+{
+    auto const now = this->options.clock.now();
+    auto step = budget::batch_written(std::move(this->settlement), this->holder,
+                                      result.outcome, now);
+    this->settlement = std::move(step.state);
+    this->note_store(this->settlement.failures == 0);
+    for (auto const& one : step.durable)
+    {
+        auto& share = this->shares.at(one.budget);
+        share = budget::settled(std::move(share), one.tokens);
+        auto waiters = this->unsettled.extract(one.request);
+        if (waiters.empty())
+        {
+            continue;
+        }
+        for (auto& waiter : waiters.mapped())
+        {
+            waiter.promise.deliver(bill_state::durable);
+        }
+    }
+    if (this->settlement.fenced)
+    {
+        LOG(ERROR) << "this holder was fenced; "
+                   << this->settlement.batch.size() +
+                          this->settlement.pending.size()
+                   << " bills cannot be settled any more";
+        this->release_all_waiters();
+    }
+    this->pump();
+}
+
+void budget_actor::note_store(bool reached)
+{
+    auto const now = this->options.clock.now();
+    for (auto& [budget, share] : this->shares)
+    {
+        share = budget::store_result(std::move(share), reached, now);
+    }
+}
+
+void budget_actor::release_all_waiters()
+{
+    for (auto& [request, waiters] : this->unsettled)
+    {
+        for (auto& waiter : waiters)
+        {
+            waiter.promise.deliver(bill_state::local);
+        }
+        waiters.clear();
+    }
+}
+
+/// A store that is down would hold the caller's connection for as long. The
+/// caller learns that the bill is not durable and decides.
+void budget_actor::release_expired(instant now)
+{
+    for (auto& [request, waiters] : this->unsettled)
+    {
+        auto const expired = [now](finish_waiter const& one)
+        {
+            return one.until <= now;
+        };
+        for (auto& waiter : waiters)
+        {
+            if (expired(waiter))
+            {
+                waiter.promise.deliver(bill_state::local);
+            }
+        }
+        std::erase_if(waiters, expired);
+    }
+}
+
+void budget_actor::tick()
+{
+    this->release_expired(this->options.clock.now());
+    this->pump();
+    this->self->delayed_send(this->self,
+                             std::chrono::milliseconds{this->options.tick.ms},
+                             tick_message{});
+}
+
+} // namespace caperpath::controllers
--- /dev/null
+++ b/src/controllers/budget_messages.hpp
@@ -0,0 +1,91 @@
+#ifndef CAPERPATH_CONTROLLERS_BUDGET_MESSAGES_HPP
+#define CAPERPATH_CONTROLLERS_BUDGET_MESSAGES_HPP
+
+#include <caperpath/budget/recovery.hpp>
+#include <caperpath/controllers/budget_controller.hpp>
+
+#include <caf/all.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+/// Messages within one process; none of them is ever serialised.
+namespace caperpath::controllers
+{
+
+/// A blocking call for a worker; `run` sends its result itself.
+struct table_job
+{
+    std::function<void()> run;
+};
+
+struct tick_message
+{
+};
+
+struct bind_result
+{
+    std::optional<budget::holder_view> holder;
+    error fault; ///< when there is no holder
+};
+
+/// The rows that exist of several budgets looked at together, or none when the
+/// read failed.
+struct look_result
+{
+    std::vector<budget_id> budgets;
+    std::optional<std::vector<platform::row>> rows;
+};
+
+struct write_result
+{
+    budget_id budget;
+    platform::commit_result outcome;
+};
+
+struct batch_result
+{
+    platform::commit_result outcome;
+};
+
+struct close_result
+{
+    bool closed{};
+};
+
+struct cancel_request
+{
+    budget_id budget;
+    request_id request;
+};
+
+struct report_request
+{
+};
+
+struct stop_request
+{
+    duration bound{};
+};
+
+} // namespace caperpath::controllers
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::budget::reserve_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::budget::reserve_reply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::budget::finish_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::budget::bill_state)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::table_job)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::tick_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::bind_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::look_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::write_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::batch_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::close_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::cancel_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::report_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::stop_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::budget_report)
+
+#endif
--- /dev/null
+++ b/tests/budget/audit.hpp
@@ -0,0 +1,78 @@
+#ifndef CAPERPATH_TESTS_BUDGET_AUDIT_HPP
+#define CAPERPATH_TESTS_BUDGET_AUDIT_HPP
+
+#include <caperpath/budget/rows.hpp>
+#include <caperpath/platform/memory_table.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace caperpath::budget
+{
+
+/// What the whole table says about one budget.
+struct audit
+{
+    budget_row row;
+    token_count in_shares{}; ///< sum of share.granted
+    token_count spent{};     ///< sum of all spent rows
+    token_count billed{};    ///< sum of all bills in the ledger
+    std::int64_t shares{};
+    std::map<request_id, int> bills; ///< how often each request was billed
+};
+
+constexpr std::size_t whole_table = 1'000'000;
+
+/// Adds up the rows of `budget`. Throws when a row cannot be read.
+inline audit audit_of(platform::memory_table const& table,
+                      budget_id const& budget)
+{
+    audit found;
+    for (auto const& row : table.read({budget_key(budget)}))
+    {
+        found.row = decode_budget(row.value).value();
+    }
+    for (auto const& row :
+         table.scan("share/" + budget.value + "/", "", whole_table))
+    {
+        found.in_shares += decode_share(row.value).value().granted;
+        found.shares += 1;
+    }
+    for (auto const& row : table.scan("spent/", "", whole_table))
+    {
+        auto const spent = decode_spent(row.value).value().spent;
+        auto const own = spent.find(budget);
+        found.spent += own == spent.end() ? 0 : own->second;
+    }
+    for (auto const& row : table.scan("ledger/", "", whole_table))
+    {
+        auto const bills = decode_bills(row.value).value();
+        for (auto const& one : bills)
+        {
+            if (one.budget == budget)
+            {
+                found.billed += one.tokens;
+                found.bills[one.request] += 1;
+            }
+        }
+    }
+    return found;
+}
+
+/// The formula of `rows.hpp`, and that each request is billed once.
+inline bool upholds_formula(audit const& found)
+{
+    auto const once =
+        std::all_of(found.bills.begin(), found.bills.end(),
+                    [](auto const& entry) { return entry.second == 1; });
+    return once && found.billed == found.spent &&
+           found.spent <= found.row.granted &&
+           found.in_shares + found.row.retired == found.row.granted &&
+           found.row.granted <= found.row.paid &&
+           found.shares == found.row.holders;
+}
+
+} // namespace caperpath::budget
+
+#endif
