Give the settlement of bills that nobody waits for its own interval

Cause: the budget controller settles bills at two paces; the settings had one. Change: deferred_settle_interval_ms, 2,000 by default, beside settle_interval_ms. Conclusion: both paces can be set.

--- a/src/filters/context.hpp
+++ b/src/filters/context.hpp
@@ -37,8 +37,8 @@
 {
     std::string vm;
     std::string incarnation;
-    clock time;
-    clock wall;
+    clock time{clock::monotonic()};
+    clock wall{clock::wall()};
     std::function<std::shared_ptr<config::document const>()> configuration;
     budget::port budgets;
     routing::limit_port limits;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -16,6 +16,8 @@
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
+#include <caf/exit_reason.hpp>
+#include <caf/send.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -138,7 +140,8 @@
         counted(platform::make_http_port({.address = this->given.platform}),
                 this->metrics);
     budget::settle_options settle;
-    settle.interval = this->given.settle_interval;
+    settle.durable_interval = this->given.settle_interval;
+    settle.deferred_interval = this->given.deferred_settle_interval;
     this->budgets = controllers::spawn_budget_controller(
         this->system,
         controllers::budget_options_builder{{this->incarnation}, platform}
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -42,6 +42,9 @@
     read.load_poll = read_ms(reader, "load_poll_ms", 10, read.load_poll);
     read.settle_interval =
         read_ms(reader, "settle_interval_ms", 1, read.settle_interval);
+    read.deferred_settle_interval =
+        read_ms(reader, "deferred_settle_interval_ms", 1,
+                read.deferred_settle_interval);
     read.balancer_lag =
         read_ms(reader, "balancer_lag_ms", 0, read.balancer_lag);
     read.drain_bound = read_ms(reader, "drain_bound_ms", 0, read.drain_bound);
--- a/src/router/settings.hpp
+++ b/src/router/settings.hpp
@@ -24,7 +24,10 @@
     std::string spans_file; ///< empty: no spans are written
     duration config_poll{1'000};
     duration load_poll{1'000};
+    /// Between two ledger writes while a caller waits for its bill.
     duration settle_interval{100};
+    /// The same while nobody waits.
+    duration deferred_settle_interval{2'000};
     /// How long the balancer goes on sending new callers after `/readyz` has
     /// said no.
     duration balancer_lag{2'000};
