Add a stand-in for a plain service; engines cache, report and obey

Cause: doubled orders show only where somebody counts how often an order really ran, and routing needs engines whose load, cache events and orders behave as late and as gappy as the real ones.

Ruled out: answers withheld inside cpp-httplib, which writes a status line whatever a handler does. A fault that must leave no byte shuts the socket down, found by the ports of its two ends.

Change: caperpath-service (any method and path, GET /executions, faults, orders, load). The engine gets a bounded LRU prefix cache over chained blocks, GET /cache-events late and with gaps, GET /load with a lag, POST /orders with or without a check of the fencing number, and a queue bound that answers 503 with Caperpath-Not-Run.

Conclusion: the fault interface that the tests of outcomes need stands.

--- /dev/null
+++ b/src/stand_in/admin_routes.cpp
@@ -0,0 +1,90 @@
+#include "stand_in/admin_routes.hpp"
+
+#include "stand_in/replies.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace caperpath::stand_in
+{
+
+void add_fault_routes(httplib::Server& server, fault_board& board,
+                      std::vector<std::string> kinds,
+                      std::function<void(ordered_fault const&)> accept)
+{
+    server.Post(
+        "/faults",
+        [kinds = std::move(kinds), accept = std::move(accept)](
+            httplib::Request const& request, httplib::Response& response)
+        {
+            std::vector<config::fault> wrong;
+            auto const fault = parse_fault(parse_body(request), kinds, wrong);
+            if (!wrong.empty())
+            {
+                reply_faults(response, wrong);
+                return;
+            }
+            accept(fault);
+            reply_json(response, 200, {{"standing", fault.kind}});
+        });
+    server.Delete("/faults",
+                  [&board](httplib::Request const&, httplib::Response& response)
+                  {
+                      board.clear();
+                      reply_json(response, 200, {{"cleared", true}});
+                  });
+}
+
+void add_outage(httplib::Server& server, fault_board& board, int const& port,
+                std::vector<std::string> spared)
+{
+    server.set_pre_routing_handler(
+        [&board, &port, spared = std::move(spared)](
+            httplib::Request const& request, httplib::Response&)
+        {
+            auto const kept =
+                std::find(spared.begin(), spared.end(), request.path);
+            if (kept != spared.end() || !board.take("outage"))
+            {
+                return httplib::Server::HandlerResponse::Unhandled;
+            }
+            drop_connection(request, port);
+            return httplib::Server::HandlerResponse::Handled;
+        });
+}
+
+void add_order_route(httplib::Server& server, order_desk& desk,
+                     std::function<void()> changed)
+{
+    server.Post(
+        "/orders",
+        [&desk, changed = std::move(changed)](httplib::Request const& request,
+                                              httplib::Response& response)
+        {
+            std::vector<config::fault> wrong;
+            auto const order = parse_order(parse_body(request), wrong);
+            if (!wrong.empty())
+            {
+                reply_faults(response, wrong);
+                return;
+            }
+            auto const applied = desk.apply(order);
+            if (applied)
+            {
+                changed();
+            }
+            auto state = desk.state();
+            state["obeyed"] = applied;
+            reply_json(response, applied ? 200 : 409, state);
+        });
+}
+
+void reply_leaving(httplib::Response& response)
+{
+    reply_not_run(response, "leaving, takes no new work");
+    response.set_header("Caperpath-Leaving", "true");
+}
+
+} // namespace caperpath::stand_in
--- a/src/stand_in/chat_request.cpp
+++ b/src/stand_in/chat_request.cpp
@@ -82,6 +82,10 @@
     chat_request chat;
     chat.form = read_form(reader, body);
     auto const max_tokens = read_max_tokens(reader);
+    if (!body.is_object())
+    {
+        return chat;
+    }
     if (!body.contains("messages") || !body.at("messages").is_array())
     {
         reader.reject("messages", "expected an array of messages");
--- a/src/stand_in/engine.cpp
+++ b/src/stand_in/engine.cpp
@@ -1,11 +1,11 @@
 #include "stand_in/engine.hpp"
 
+#include "stand_in/admin_routes.hpp"
 #include "stand_in/chat_request.hpp"
 #include "stand_in/replies.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace caperpath::stand_in
@@ -50,7 +50,12 @@
 } // namespace
 
 engine::engine(engine_settings settings, clock time)
-    : settings{std::move(settings)}, time{time}, faults{time}, runs{runs_kept},
+    : settings{std::move(settings)}, time{time}, faults{time},
+      orders{this->settings.checks_fencing, this->settings.model},
+      cache{this->settings.cache_capacity,
+            {this->settings.event_lag, this->settings.event_gap_percent},
+            time},
+      history{time, this->settings.load_lag}, runs{runs_kept},
       batch{this->settings, time, this->hooks()}, server{options_of(
                                                       this->settings)}
 {
@@ -80,14 +85,22 @@
     return {[this](generation_request const& request)
             {
                 this->runs.add(request.request);
-                return std::int64_t{0};
+                return this->cache.use(request.prompt);
             },
             [this]
             {
                 auto const slow = this->faults.look("slow");
                 return slow ? static_cast<double>(slow->factor) : 1.0;
             },
-            [](std::int64_t, std::int64_t) {
+            [this](std::int64_t running, std::int64_t queued)
+            {
+                this->history.update(
+                    [&](load_sample& sample)
+                    {
+                        sample.running = running;
+                        sample.queued = queued;
+                        sample.cache_tokens = this->cache.tokens();
+                    });
             }};
 }
 
@@ -95,55 +108,52 @@
 {
     using httplib::Request;
     using httplib::Response;
-    this->server.set_pre_routing_handler(
-        [this](Request const& request, Response&)
-        {
-            auto const spared =
-                request.path == "/faults" || request.path == "/stats";
-            if (spared || !this->faults.take("outage"))
-            {
-                return httplib::Server::HandlerResponse::Unhandled;
-            }
-            drop_connection(request, this->port);
-            return httplib::Server::HandlerResponse::Handled;
-        });
+    add_outage(this->server, this->faults, this->port, {"/faults", "/stats"});
+    add_fault_routes(this->server, this->faults, fault_kinds(),
+                     [this](ordered_fault const& fault)
+                     { this->accept_fault(fault); });
+    add_order_route(this->server, this->orders,
+                    [this]
+                    {
+                        this->history.update(
+                            [this](load_sample& sample)
+                            { sample.leaving = this->orders.leaving(); });
+                    });
     this->server.Post("/v1/chat/completions",
                       [this](Request const& request, Response& response)
                       { this->chat(request, response); });
     this->server.Post("/cancel",
                       [this](Request const& request, Response& response)
                       { this->cancel(request, response); });
-    this->server.Post("/faults",
-                      [this](Request const& request, Response& response)
-                      { this->post_fault(request, response); });
-    this->server.Delete("/faults",
-                        [this](Request const&, Response& response)
-                        {
-                            this->faults.clear();
-                            reply_json(response, 200, {{"cleared", true}});
-                        });
+    this->server.Get("/v1/models", [this](Request const&, Response& response)
+                     { this->models(response); });
+    this->server.Get("/load", [this](Request const&, Response& response)
+                     { this->load(response); });
+    this->server.Get("/cache-events",
+                     [this](Request const& request, Response& response)
+                     { this->cache_events(request, response); });
     this->server.Get("/stats", [this](Request const&, Response& response)
                      { this->stats(response); });
 }
 
 void engine::chat(httplib::Request const& request, httplib::Response& response)
 {
-    auto const body = parse_body(request, response);
-    if (body.is_null())
-    {
-        return;
-    }
     std::vector<config::fault> wrong;
-    auto const parsed = parse_chat(request, body, wrong);
+    auto parsed = parse_chat(request, parse_body(request), wrong);
     if (!wrong.empty())
     {
         reply_faults(response, wrong);
         return;
     }
-    auto const& wanted = parsed.generation;
+    auto& wanted = parsed.generation;
+    if (wanted.request.empty())
+    {
+        wanted.request =
+            this->settings.name + "-" + std::to_string(++this->unnamed);
+    }
     response.set_header("X-Request-Id", wanted.request);
     response.set_header("Caperpath-Attempt", std::to_string(wanted.attempt));
-    if (this->refuse_chat(request, response))
+    if (this->refuse_chat(parsed.form.model, response))
     {
         return;
     }
@@ -156,7 +166,7 @@
     this->answer(source, parsed.form, response);
 }
 
-bool engine::refuse_chat(httplib::Request const&, httplib::Response& response)
+bool engine::refuse_chat(std::string const& model, httplib::Response& response)
 {
     if (auto const delay = this->faults.take("delay"))
     {
@@ -167,6 +177,18 @@
         reply_error(response, 500, "server_error", "ordered by a fault");
         return true;
     }
+    if (this->orders.leaving())
+    {
+        reply_leaving(response);
+        return true;
+    }
+    if (!this->orders.has_model(model))
+    {
+        reply_error(response, 404, "invalid_request_error",
+                    "/model: not loaded here");
+        response.set_header("Caperpath-Not-Run", "true");
+        return true;
+    }
     return false;
 }
 
@@ -209,21 +231,8 @@
     faults.skip_chunk = place("skip_chunk");
 }
 
-void engine::post_fault(httplib::Request const& request,
-                        httplib::Response& response)
+void engine::accept_fault(ordered_fault const& fault)
 {
-    auto const body = parse_body(request, response);
-    if (body.is_null())
-    {
-        return;
-    }
-    std::vector<config::fault> wrong;
-    auto const fault = parse_fault(body, fault_kinds(), wrong);
-    if (!wrong.empty())
-    {
-        reply_faults(response, wrong);
-        return;
-    }
     if (fault.count == 0)
     {
         this->strike_open(fault);
@@ -233,7 +242,6 @@
     {
         this->faults.add(fault);
     }
-    reply_json(response, 200, {{"standing", fault.kind}});
 }
 
 void engine::strike_open(ordered_fault const& fault)
@@ -256,11 +264,7 @@
 void engine::cancel(httplib::Request const& request,
                     httplib::Response& response)
 {
-    auto const body = parse_body(request, response);
-    if (body.is_null())
-    {
-        return;
-    }
+    auto const body = parse_body(request);
     std::vector<config::fault> wrong;
     config::json_reader reader{body, "", wrong};
     auto const id = reader.text("request");
@@ -275,14 +279,4 @@
     reply_json(response, 200, {{"cancelled", this->batch.cancel(id, attempt)}});
 }
 
-void engine::stats(httplib::Response& response) const
-{
-    auto const totals = this->batch.totals();
-    reply_json(response, 200,
-               {{"name", this->settings.name},
-                {"runs", this->runs.all()},
-                {"tokens_generated", totals.tokens_generated},
-                {"cancelled", totals.cancelled}});
-}
-
 } // namespace caperpath::stand_in
--- a/src/stand_in/engine.hpp
+++ b/src/stand_in/engine.hpp
@@ -5,12 +5,18 @@
 #include "stand_in/answer_stream.hpp"
 #include "stand_in/engine_settings.hpp"
 #include "stand_in/fault_board.hpp"
+#include "stand_in/load_history.hpp"
+#include "stand_in/order_desk.hpp"
+#include "stand_in/prefix_cache.hpp"
 #include "stand_in/run_counter.hpp"
 #include "stand_in/scheduler.hpp"
 #include "stand_in/stop_signal.hpp"
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace caperpath::stand_in
@@ -38,23 +44,29 @@
 private:
     void add_routes();
     void chat(httplib::Request const& request, httplib::Response& response);
-    bool refuse_chat(httplib::Request const& request,
-                     httplib::Response& response);
+    bool refuse_chat(std::string const& model, httplib::Response& response);
     void answer(std::shared_ptr<generation> const& source, answer_form form,
                 httplib::Response& response);
     void take_faults(stream_faults& faults);
-    void post_fault(httplib::Request const& request,
-                    httplib::Response& response);
+    void accept_fault(ordered_fault const& fault);
     void strike_open(ordered_fault const& fault);
     void cancel(httplib::Request const& request, httplib::Response& response);
     void stats(httplib::Response& response) const;
+    void load(httplib::Response& response) const;
+    void cache_events(httplib::Request const& request,
+                      httplib::Response& response) const;
+    void models(httplib::Response& response) const;
     scheduler_hooks hooks();
 
     engine_settings const settings;
     clock const time;
     int port{-1};
     fault_board faults;
+    order_desk orders;
+    prefix_cache cache;
+    load_history history;
     run_counter runs;
+    std::atomic<std::uint64_t> unnamed{0}; // requests without an id
     stop_signal stopping;
     std::mutex open_mutex;
     std::vector<std::weak_ptr<answer_stream>> open;
--- a/src/stand_in/fault_board.hpp
+++ b/src/stand_in/fault_board.hpp
@@ -43,7 +43,7 @@
     /// For every kind but "delay", `span` bounds how long the fault stands.
     void add(ordered_fault fault);
 
-    /// Ends all faults; waiting callers of `generation` see it change.
+    /// Ends all faults.
     void clear();
 
     /// Takes one strike of the first fault of this kind; empty if none stands.
@@ -52,7 +52,7 @@
     /// The fault without using up a strike.
     std::optional<ordered_fault> look(std::string_view kind);
 
-    /// Grows with each `clear`.
+    /// Grows with each `clear`: whoever waits for one compares.
     std::uint64_t generation() const;
 
 private:
--- /dev/null
+++ b/src/stand_in/order_desk.cpp
@@ -0,0 +1,112 @@
+#include "stand_in/order_desk.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace caperpath::stand_in
+{
+
+namespace
+{
+
+std::vector<std::string> const& order_kinds()
+{
+    static std::vector<std::string> const kinds{"load_model", "unload_model",
+                                                "set_role", "leave", "stay"};
+    return kinds;
+}
+
+} // namespace
+
+backend_order parse_order(nlohmann::json const& body,
+                          std::vector<config::fault>& faults)
+{
+    config::json_reader reader{body, "", faults};
+    backend_order order;
+    order.fencing = reader.whole("fencing", "orders given", 0,
+                                 std::numeric_limits<std::int64_t>::max());
+    order.kind = reader.text("order");
+    auto const& kinds = order_kinds();
+    if (std::find(kinds.begin(), kinds.end(), order.kind) == kinds.end())
+    {
+        reader.reject("order", "unknown order");
+    }
+    if (order.kind.ends_with("_model"))
+    {
+        order.argument = reader.text("model");
+    }
+    if (order.kind == "set_role")
+    {
+        order.argument = reader.text("role");
+    }
+    reader.finish();
+    return order;
+}
+
+order_desk::order_desk(bool checks_fencing, std::string model)
+    : checks_fencing{checks_fencing}, loaded{std::move(model)}
+{
+}
+
+bool order_desk::apply(backend_order const& order)
+{
+    std::lock_guard const lock{this->mutex};
+    if (this->checks_fencing && order.fencing < this->largest)
+    {
+        ++this->refused;
+        return false;
+    }
+    this->largest = std::max(this->largest, order.fencing);
+    ++this->applied;
+    if (order.kind == "load_model")
+    {
+        this->loaded.insert(order.argument);
+    }
+    else if (order.kind == "unload_model")
+    {
+        this->loaded.erase(order.argument);
+    }
+    else if (order.kind == "set_role")
+    {
+        this->role = order.argument;
+    }
+    else
+    {
+        this->left = order.kind == "leave";
+    }
+    return true;
+}
+
+bool order_desk::leaving() const
+{
+    std::lock_guard const lock{this->mutex};
+    return this->left;
+}
+
+bool order_desk::has_model(std::string const& model) const
+{
+    std::lock_guard const lock{this->mutex};
+    return this->loaded.contains(model);
+}
+
+std::set<std::string> order_desk::models() const
+{
+    std::lock_guard const lock{this->mutex};
+    return this->loaded;
+}
+
+nlohmann::json order_desk::state() const
+{
+    std::lock_guard const lock{this->mutex};
+    return {{"largest_fencing", this->largest},
+            {"applied", this->applied},
+            {"refused", this->refused},
+            {"models", this->loaded},
+            {"role", this->role},
+            {"leaving", this->left}};
+}
+
+} // namespace caperpath::stand_in
--- /dev/null
+++ b/src/stand_in/order_desk.hpp
@@ -0,0 +1,61 @@
+#ifndef CAPERPATH_STAND_IN_ORDER_DESK_HPP
+#define CAPERPATH_STAND_IN_ORDER_DESK_HPP
+
+#include <caperpath/config/json_reader.hpp>
+
+#include <cstdint>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace caperpath::stand_in
+{
+
+/// One call of `POST /orders`. Immutable value.
+struct backend_order
+{
+    std::int64_t fencing{};
+    std::string kind;     ///< load_model, unload_model, set_role, leave, stay
+    std::string argument; ///< the model or the role, else empty
+
+    friend bool operator==(backend_order const&,
+                           backend_order const&) = default;
+};
+
+/// Reads and checks the body of `POST /orders`. Thread safe.
+backend_order parse_order(nlohmann::json const& body,
+                          std::vector<config::fault>& faults);
+
+/// What a backend server was ordered to do. Thread safe.
+class order_desk
+{
+public:
+    /// @param checks_fencing refuse an order whose number is below the largest
+    /// seen; otherwise every order is obeyed, as by engines that don't check.
+    order_desk(bool checks_fencing, std::string model);
+
+    /// False when the fencing number is old: nothing took effect.
+    bool apply(backend_order const& order);
+
+    bool leaving() const;
+    bool has_model(std::string const& model) const;
+    std::set<std::string> models() const;
+
+    /// For `GET /stats`.
+    nlohmann::json state() const;
+
+private:
+    bool const checks_fencing;
+    mutable std::mutex mutex;
+    std::set<std::string> loaded;
+    std::string role{"mixed"};
+    bool left{false};
+    std::int64_t largest{0};
+    std::int64_t applied{0};
+    std::int64_t refused{0};
+};
+
+} // namespace caperpath::stand_in
+
+#endif
--- a/src/stand_in/replies.cpp
+++ b/src/stand_in/replies.cpp
@@ -46,7 +46,11 @@
                 nlohmann::json const& body)
 {
     response.status = status;
-    response.set_content(body.dump(), "application/json");
+    // A request may hold bytes that are no UTF-8, and an answer that echoes
+    // them must not end in an exception after the work was done.
+    constexpr auto replace = nlohmann::json::error_handler_t::replace;
+    response.set_content(body.dump(-1, ' ', false, replace),
+                         "application/json");
 }
 
 void reply_error(httplib::Response& response, int status, std::string_view type,
@@ -76,17 +80,10 @@
     response.set_header("Retry-After", retry_after_seconds);
 }
 
-nlohmann::json parse_body(httplib::Request const& request,
-                          httplib::Response& response)
+nlohmann::json parse_body(httplib::Request const& request)
 {
     auto body = nlohmann::json::parse(request.body, nullptr, false);
-    if (body.is_discarded() || !body.is_object())
-    {
-        reply_error(response, 400, "invalid_request_error",
-                    "/: expected an object");
-        return nullptr;
-    }
-    return body;
+    return body.is_discarded() ? nlohmann::json{} : body;
 }
 
 void drop_connection(httplib::Request const& request, int server_port)
--- a/src/stand_in/replies.hpp
+++ b/src/stand_in/replies.hpp
@@ -27,9 +27,9 @@
 /// 503 with the proof that nothing of the request was run.
 void reply_not_run(httplib::Response& response, std::string_view message);
 
-/// Parses a body; null value and a 400 when it is not JSON.
-nlohmann::json parse_body(httplib::Request const& request,
-                          httplib::Response& response);
+/// The body as JSON; null when it is none, which every reader of an object
+/// refuses.
+nlohmann::json parse_body(httplib::Request const& request);
 
 /// Shuts the connection of a request down, so that its caller gets no byte of
 /// an answer, whatever the handler returns. Nothing when it can't be found.
--- /dev/null
+++ b/src/stand_in/service.hpp
@@ -0,0 +1,80 @@
+#ifndef CAPERPATH_STAND_IN_SERVICE_HPP
+#define CAPERPATH_STAND_IN_SERVICE_HPP
+
+#include "http/server.hpp"
+#include "stand_in/fault_board.hpp"
+#include "stand_in/load_history.hpp"
+#include "stand_in/order_desk.hpp"
+#include "stand_in/run_counter.hpp"
+#include "stand_in/stop_signal.hpp"
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/config/json_reader.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperpath::stand_in
+{
+
+/// Settings of `caperpath-service`. Immutable value.
+struct service_settings
+{
+    std::string listen{"127.0.0.1:0"};
+    std::string name{"service"};
+    duration work{5};       ///< how long one call runs
+    std::int64_t slots{64}; ///< calls at once; more are refused as not run
+    duration load_lag{500};
+    bool checks_fencing{false};
+
+    friend bool operator==(service_settings const&,
+                           service_settings const&) = default;
+};
+
+/// Reads and checks a settings document; adds what is wrong to `faults`.
+/// Thread safe.
+service_settings parse_service_settings(nlohmann::json const& document,
+                                        std::vector<config::fault>& faults);
+
+/// A stand-in for a plain service. It knows nothing of idempotency: it runs
+/// what it gets and counts how often, so that doubled work shows. Thread safe.
+class service
+{
+public:
+    service(service_settings settings, clock time);
+    ~service();
+
+    service(service const&) = delete;
+    service& operator=(service const&) = delete;
+
+    /// Serves on the address of the settings; returns the port or -1.
+    int start();
+
+    /// Ends delayed calls and joins. Idempotent.
+    void stop();
+
+private:
+    void add_routes();
+    void call(httplib::Request const& request, httplib::Response& response);
+    bool refuse(httplib::Response& response);
+    void run(httplib::Request const& request, httplib::Response& response);
+    void lose_answer(httplib::Request const& request);
+    std::int64_t count_running(std::int64_t change);
+    void load(httplib::Response& response) const;
+
+    service_settings const settings;
+    int port{-1};
+    fault_board faults;
+    order_desk orders;
+    load_history history;
+    run_counter executions;
+    stop_signal stopping;
+    std::atomic<std::int64_t> running{0};
+    http::server server;
+};
+
+} // namespace caperpath::stand_in
+
+#endif
