Test versions, patches, keys and the controller

Ruled out: a store of its own for the tests; platform::memory_table injects outages, lost calls and lost answers.

--- /dev/null
+++ b/tests/controllers/config_controller_test.cpp
@@ -0,0 +1,157 @@
+#include <caperpath/config/codec.hpp>
+#include <caperpath/config/store.hpp>
+#include <caperpath/controllers/config_controller.hpp>
+#include <caperpath/platform/memory_table.hpp>
+
+#include <caf/all.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using namespace caperpath;
+using namespace caperpath::controllers;
+using platform::injected_fault;
+
+namespace
+{
+
+// Waits without a limit of its own: ctest's limit ends a test that hangs.
+template <class Condition>
+void wait_until(Condition condition)
+{
+    while (!condition())
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+struct fixture
+{
+    std::shared_ptr<platform::memory_table> table{
+        std::make_shared<platform::memory_table>()};
+    std::atomic<injected_fault> fault{injected_fault::none};
+    std::atomic<int> get_faults{0};
+    platform::port good{platform::make_memory_port(table)};
+    platform::port faulty{
+        platform::make_memory_port(table, [this](std::string const& step)
+                                   { return this->next_fault(step); })};
+    caf::actor_system_config config;
+    caf::actor_system system{config};
+
+    injected_fault next_fault(std::string const& step)
+    {
+        if (step == "get object" && this->get_faults > 0)
+        {
+            --this->get_faults;
+            return injected_fault::outage;
+        }
+        return this->fault;
+    }
+
+    void accept(std::uint64_t base)
+    {
+        auto const id = "p" + std::to_string(base);
+        auto const outcome = config::submit_patch(
+            this->good, {base,
+                         {{"budgets", {{id, nlohmann::json::object()}}}},
+                         id,
+                         "",
+                         {}});
+        CPPUNIT_ASSERT(outcome.status == config::patch_status::accepted);
+    }
+};
+
+config_controller_options fast()
+{
+    return {{4}, 1};
+}
+
+// The text and name under which the next version would stand in the store.
+std::pair<std::string, std::string> peer_document(std::uint64_t version)
+{
+    config::document made;
+    made.version = version;
+    auto const text = config::to_json(made).dump();
+    return {config::object_name(version, text), text};
+}
+
+} // namespace
+
+class config_controller_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(config_controller_test);
+    CPPUNIT_TEST(follows_the_store_and_outlives_its_outage);
+    CPPUNIT_TEST(a_fresh_router_waits_for_the_store);
+    CPPUNIT_TEST(refuses_damaged_and_older_documents);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The store goes down after a version is in force, and the first loads of
+    // the next one fail. Callers must be served under the old version until
+    // then and under the new one afterwards, without a gap.
+    void follows_the_store_and_outlives_its_outage()
+    {
+        fixture site;
+        config_controller controller{site.system, site.faulty, fast()};
+        auto const port = controller.port();
+        CPPUNIT_ASSERT(!port.current());
+        site.accept(0);
+        wait_until([&] { return controller.ready(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, port.current()->version);
+        site.fault = injected_fault::outage;
+        site.accept(1);
+        auto const failed = controller.status().failed_polls;
+        wait_until([&]
+                   { return controller.status().failed_polls > failed + 2; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, port.current()->version);
+        site.get_faults = 3;
+        site.fault = injected_fault::none;
+        wait_until([&] { return port.current()->version == 2; });
+        CPPUNIT_ASSERT_EQUAL(0, site.get_faults.load());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, controller.status().loads);
+    }
+
+    // A VM is replaced while the store is down and a peer offers what it has.
+    // That may be old: the router must not serve it before the store has named
+    // a version, or a withdrawn key would be let in.
+    void a_fresh_router_waits_for_the_store()
+    {
+        fixture site;
+        site.accept(0);
+        site.accept(1);
+        site.fault = injected_fault::outage;
+        config_controller controller{site.system, site.faulty, fast()};
+        auto const [object, text] = peer_document(1);
+        CPPUNIT_ASSERT(controller.offer(object, text));
+        wait_until([&] { return controller.status().failed_polls > 2; });
+        CPPUNIT_ASSERT(!controller.ready());
+        CPPUNIT_ASSERT(!controller.port().current());
+        site.fault = injected_fault::none;
+        controller.poll_now();
+        wait_until([&] { return controller.ready(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                             controller.port().current()->version);
+    }
+
+    void refuses_damaged_and_older_documents()
+    {
+        fixture site;
+        site.accept(0);
+        config_controller controller{site.system, site.good, fast()};
+        wait_until([&] { return controller.ready(); });
+        auto const [object, text] = peer_document(1);
+        CPPUNIT_ASSERT(!controller.offer(object, text));
+        CPPUNIT_ASSERT(!controller.offer(peer_document(2).first, text));
+        CPPUNIT_ASSERT(!controller.offer("config/9-", "{"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                             controller.status().refused_offers);
+        auto const [newer, newer_text] = peer_document(5);
+        CPPUNIT_ASSERT(controller.offer(newer, newer_text));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                             controller.port().current()->version);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(config_controller_test);
