Test the platform's client against its stand-in

Each outcome of a write is shown over real sockets on a free port: applied, refused (condition, rate limit, outage, stopped platform, text that cannot be sent) and unknown (lost answer, silence, an error that says nothing, a balancer's 503, half an answer). A lost answer on a kept connection leaves the row at version 1, so the write was sent once. Rates, outages and the list's lag run on a clock that the test moves.

--- /dev/null
+++ b/tests/platform/http_port_test.cpp
@@ -0,0 +1,412 @@
+#include <caperpath/platform/http_port.hpp>
+#include <caperpath/platform/wire.hpp>
+
+#include "http/server.hpp"
+#include "platform/stand_in.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <fstream>
+#include <thread>
+
+using namespace caperpath;
+using namespace caperpath::platform;
+using nlohmann::json;
+
+namespace
+{
+
+// Long enough for an exchange over loopback on a busy machine; one test waits
+// for it once.
+constexpr duration short_timeout{2'000};
+
+// A stand-in on a free port with a clock that the test moves.
+class fake_platform
+{
+public:
+    explicit fake_platform(stand_in_settings const& settings = {})
+        : server{settings, caperpath::clock{[this]
+                                            {
+                                                return instant{now};
+                                            }}},
+          address{server.start()}
+    {
+    }
+
+    port connect(duration read_timeout = {30'000}) const
+    {
+        http_port_options options;
+        options.address = this->address;
+        options.read_timeout = read_timeout;
+        return make_http_port(options);
+    }
+
+    void plan(json const& fault) const
+    {
+        CPPUNIT_ASSERT_EQUAL(200, this->post("/faults", fault));
+    }
+
+    int post(std::string const& path, json const& body) const
+    {
+        auto const answer = this->client().Post(path, body.dump(), "text/json");
+        return answer ? answer->status : -1;
+    }
+
+    json stats() const
+    {
+        return json::parse(this->client().Get("/stats")->body);
+    }
+
+    httplib::Client client() const
+    {
+        return httplib::Client{"http://" + this->address};
+    }
+
+    std::atomic<std::int64_t> now{1'000'000};
+    stand_in server;
+    std::string address;
+};
+
+transaction insert(std::string const& key, std::string const& value)
+{
+    return {{{key, 0}}, {{key, value}}};
+}
+
+void assert_fault(error const& fault, error_kind kind, std::string const& step,
+                  std::string const& peer)
+{
+    CPPUNIT_ASSERT_EQUAL(std::string{to_string(kind)},
+                         std::string{to_string(fault.kind)});
+    CPPUNIT_ASSERT_EQUAL(step, fault.step);
+    CPPUNIT_ASSERT_EQUAL(peer, fault.peer);
+}
+
+void assert_not_applied(commit_result const& result, commit_outcome outcome,
+                        error_kind kind, std::string const& peer)
+{
+    CPPUNIT_ASSERT(result.outcome == outcome);
+    assert_fault(result.fault, kind, "commit", peer);
+}
+
+bool is_applied(commit_result const& result)
+{
+    return result.outcome == commit_outcome::applied;
+}
+
+std::vector<row> rows_of(port const& connected, std::string const& key)
+{
+    auto const found = value_or_error([&] { return connected.read({key}); });
+    return std::get<std::vector<row>>(found);
+}
+
+std::size_t listed(port const& connected)
+{
+    auto const found = value_or_error([&] { return connected.list_vms(); });
+    return std::get<std::vector<listed_vm>>(found).size();
+}
+
+} // namespace
+
+class http_port_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_port_test);
+    CPPUNIT_TEST(applies_reads_and_scans);
+    CPPUNIT_TEST(a_failed_condition_shows_the_row);
+    CPPUNIT_TEST(a_lost_answer_is_unknown_and_sent_once);
+    CPPUNIT_TEST(a_silent_connection_is_unknown_and_left);
+    CPPUNIT_TEST(an_error_that_says_nothing_is_unknown);
+    CPPUNIT_TEST(a_foreign_refusal_is_unknown);
+    CPPUNIT_TEST(a_truncated_answer_is_unknown);
+    CPPUNIT_TEST(past_the_rate_limit_is_refused);
+    CPPUNIT_TEST(an_outage_is_refused_until_it_ends);
+    CPPUNIT_TEST(a_stopped_platform_is_refused);
+    CPPUNIT_TEST(what_cannot_be_sent_is_refused);
+    CPPUNIT_TEST(the_vm_list_lags);
+    CPPUNIT_TEST(objects_keep_name_and_content);
+    CPPUNIT_TEST(concurrent_writers_lose_no_update);
+    CPPUNIT_TEST(the_example_settings_are_good);
+    CPPUNIT_TEST_SUITE_END();
+
+    void applies_reads_and_scans()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        auto const both = transaction{{}, {{"a/1", "1"}, {"a/2", "2"}}};
+        CPPUNIT_ASSERT(is_applied(connected.commit(both)));
+        CPPUNIT_ASSERT(rows_of(connected, "a/1") ==
+                       (std::vector<row>{{"a/1", 1, "1"}}));
+        auto const rest =
+            value_or_error([&] { return connected.scan("a/", "a/1", 10); });
+        CPPUNIT_ASSERT(std::get<std::vector<row>>(rest) ==
+                       (std::vector<row>{{"a/2", 1, "2"}}));
+        CPPUNIT_ASSERT(is_applied(
+            connected.commit({{{"a/1", 1}}, {{"a/1", std::nullopt}}})));
+        CPPUNIT_ASSERT(rows_of(connected, "a/1").empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t{3},
+            platform.stats()["rows_written"].get<std::int64_t>());
+    }
+
+    void a_failed_condition_shows_the_row()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("a", "1"))));
+        auto const second = connected.commit(insert("a", "2"));
+        assert_not_applied(second, commit_outcome::refused,
+                           error_kind::conflict, platform.address);
+        CPPUNIT_ASSERT(second.failed == (std::vector<row>{{"a", 1, "1"}}));
+    }
+
+    // The platform writes a bill and its answer is lost on a connection that
+    // had worked before. A client that sends it again by itself, or calls it
+    // refused, has the customer billed twice: the row would reach version 2.
+    void a_lost_answer_is_unknown_and_sent_once()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("warm", "1"))));
+        platform.plan({{"step", "commit"}, {"kind", "lost_answer"}});
+        auto const outcome = connected.commit({{}, {{"bill", "7"}}});
+        assert_not_applied(outcome, commit_outcome::unknown,
+                           error_kind::timeout, platform.address);
+        CPPUNIT_ASSERT(rows_of(connected, "bill") ==
+                       (std::vector<row>{{"bill", 1, "7"}}));
+    }
+
+    // Something on the way forgets a connection: calls on it get no answer for
+    // good while new connections work. A client that kept using it would fail
+    // every call from then on; the next one must go through.
+    void a_silent_connection_is_unknown_and_left()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect(short_timeout);
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("warm", "1"))));
+        platform.plan({{"step", "commit"}, {"kind", "silent"}});
+        assert_not_applied(connected.commit(insert("a", "1")),
+                           commit_outcome::unknown, error_kind::timeout,
+                           platform.address);
+        CPPUNIT_ASSERT(is_applied(platform.connect().commit(insert("a", "1"))));
+    }
+
+    void an_error_that_says_nothing_is_unknown()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        platform.plan({{"step", "any"}, {"kind", "error"}, {"count", 2}});
+        assert_not_applied(connected.commit(insert("a", "1")),
+                           commit_outcome::unknown, error_kind::timeout,
+                           platform.address);
+        auto const read = value_or_error([&] { return connected.read({"a"}); });
+        assert_fault(std::get<error>(read), error_kind::timeout, "read",
+                     platform.address);
+    }
+
+    // The platform dies after a write and its balancer answers 503 in its
+    // place. Taken for a refusal, the bill is written a second time.
+    void a_foreign_refusal_is_unknown()
+    {
+        http::server balancer;
+        balancer.Post(wire::commit_path,
+                      [](httplib::Request const&, httplib::Response& answer)
+                      {
+                          answer.status = 503;
+                          answer.set_content("upstream gone", "text/plain");
+                      });
+        assert_unknown_from(balancer);
+    }
+
+    // The connection breaks inside a good answer. Half an answer is none: only
+    // the whole text proves that the write took effect.
+    void a_truncated_answer_is_unknown()
+    {
+        http::server broken;
+        broken.Post(wire::commit_path,
+                    [](httplib::Request const&, httplib::Response& answer)
+                    {
+                        auto const whole = wire::encode_applied();
+                        answer.set_content_provider(
+                            whole.size() + 1, "application/json",
+                            [whole](std::size_t offset, std::size_t,
+                                    httplib::DataSink& sink) {
+                                return offset == 0 &&
+                                       sink.write(whole.data(), whole.size());
+                            });
+                    });
+        assert_unknown_from(broken);
+    }
+
+    static void assert_unknown_from(http::server& peer)
+    {
+        http_port_options options;
+        options.address =
+            "127.0.0.1:" + std::to_string(peer.start("127.0.0.1:0"));
+        assert_not_applied(make_http_port(options).commit(insert("a", "1")),
+                           commit_outcome::unknown, error_kind::timeout,
+                           options.address);
+    }
+
+    // More writes arrive than the platform takes. They are turned away before
+    // they have an effect, so the caller may safely send them again later.
+    void past_the_rate_limit_is_refused()
+    {
+        stand_in_settings settings;
+        settings.writes_per_second = 4; // a burst of one write
+        fake_platform platform{settings};
+        auto const connected = platform.connect();
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("a", "1"))));
+        assert_not_applied(connected.commit(insert("b", "1")),
+                           commit_outcome::refused, error_kind::refused,
+                           platform.address);
+        CPPUNIT_ASSERT(rows_of(connected, "b").empty());
+        platform.now += 250;
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("b", "1"))));
+        CPPUNIT_ASSERT_EQUAL(1, platform.stats()["refused_by_rate"].get<int>());
+    }
+
+    void an_outage_is_refused_until_it_ends()
+    {
+        fake_platform platform;
+        auto const connected = platform.connect();
+        platform.plan({{"step", "any"}, {"kind", "outage"}, {"ms", 500}});
+        assert_not_applied(connected.commit(insert("a", "1")),
+                           commit_outcome::refused, error_kind::unavailable,
+                           platform.address);
+        auto const read = value_or_error([&] { return connected.list_vms(); });
+        assert_fault(std::get<error>(read), error_kind::unavailable, "list vms",
+                     platform.address);
+        platform.now += 500;
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("a", "1"))));
+    }
+
+    // The platform stops while the client holds an idle connection to it. The
+    // next write must not be sent into that connection and then be called
+    // unknown: nothing was sent, and a router may try it elsewhere or later.
+    void a_stopped_platform_is_refused()
+    {
+        fake_platform platform;
+        auto const connected = platform.connect();
+        CPPUNIT_ASSERT(is_applied(connected.commit(insert("a", "1"))));
+        platform.server.stop();
+        assert_not_applied(connected.commit(insert("b", "1")),
+                           commit_outcome::refused, error_kind::unavailable,
+                           platform.address);
+        auto const read =
+            value_or_error([&] { return connected.get_object("a"); });
+        assert_fault(std::get<error>(read), error_kind::unavailable,
+                     "get object", platform.address);
+    }
+
+    // A caller's header ends up in a key and holds bytes that JSON cannot
+    // carry. The router must get an answer, not an exception that ends it.
+    void what_cannot_be_sent_is_refused()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        assert_not_applied(connected.commit(insert("\xff", "1")),
+                           commit_outcome::refused, error_kind::invalid,
+                           platform.address);
+        auto const read =
+            value_or_error([&] { return connected.read({"\xff"}); });
+        assert_fault(std::get<error>(read), error_kind::invalid, "read",
+                     platform.address);
+    }
+
+    // A VM is destroyed and its replacement appears, but the list shows it
+    // seconds later; a router must not take the list for the present.
+    void the_vm_list_lags()
+    {
+        stand_in_settings settings;
+        settings.list_lag = {2'000};
+        fake_platform platform{settings};
+        auto const connected = platform.connect();
+        json const added{{"vm", "entry-1"},
+                         {"incarnation", "a"},
+                         {"address", "127.0.0.1:7201"},
+                         {"failure_domain", "mapo"},
+                         {"state", "live"}};
+        CPPUNIT_ASSERT_EQUAL(200, platform.post("/vms", added));
+        platform.now += 1'999;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listed(connected));
+        platform.now += 1;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed(connected));
+        platform.plan({{"step", "list_vms"}, {"kind", "lag"}, {"ms", 1}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listed(connected));
+        CPPUNIT_ASSERT_EQUAL(200,
+                             platform.client().Delete("/vms/entry-1")->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed(connected));
+        platform.now += 2'000;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listed(connected));
+    }
+
+    void objects_keep_name_and_content()
+    {
+        fake_platform const platform;
+        auto const connected = platform.connect();
+        std::string const content{"\0\xff\r\n{}", 6};
+        for (std::string const name :
+             {"config/7", "a b+c", "50%2F", "x?y=z#w", "r\xc3\xa9gle"})
+        {
+            CPPUNIT_ASSERT(is_applied(connected.put_object(name, content)));
+            CPPUNIT_ASSERT(is_applied(connected.put_object(name, content)));
+            CPPUNIT_ASSERT(connected.put_object(name, "other").fault.kind ==
+                           error_kind::conflict);
+            auto const found =
+                value_or_error([&] { return connected.get_object(name); });
+            CPPUNIT_ASSERT_EQUAL(content, std::get<std::string>(found));
+        }
+        auto const missing =
+            value_or_error([&] { return connected.get_object("config/8"); });
+        assert_fault(std::get<error>(missing), error_kind::not_found,
+                     "get object", platform.address);
+    }
+
+    // Routers draw on one budget at once over one client. An update that is
+    // lost or doubled shows as a sum other than the number of draws.
+    void concurrent_writers_lose_no_update()
+    {
+        constexpr int writers = 8;
+        constexpr int draws = 20;
+        stand_in_settings settings;
+        settings.writes_per_second = 1'000'000;
+        settings.reads_per_second = 1'000'000;
+        fake_platform const platform{settings};
+        auto const connected = platform.connect();
+        connected.commit(insert("budget", "0"));
+        std::vector<std::thread> threads;
+        for (int i = 0; i < writers; ++i)
+        {
+            threads.emplace_back(
+                [&connected]
+                {
+                    for (int drawn = 0; drawn < draws;)
+                    {
+                        auto const now = rows_of(connected, "budget").at(0);
+                        auto const more = std::stoi(now.value) + 1;
+                        drawn += is_applied(connected.commit(
+                            {{{"budget", now.version}},
+                             {{"budget", std::to_string(more)}}}));
+                    }
+                });
+        }
+        for (auto& thread : threads)
+        {
+            thread.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::to_string(writers * draws),
+                             rows_of(connected, "budget").at(0).value);
+    }
+
+    void the_example_settings_are_good()
+    {
+        std::ifstream file{CAPERPATH_SOURCE_DIR "/examples/platform.json"};
+        std::vector<config::fault> faults;
+        auto const settings = read_stand_in_settings(json::parse(file), faults);
+        CPPUNIT_ASSERT(faults.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, settings.vms.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_port_test);
