Measure microseconds with one stopwatch

Cause: a token's way through the router takes less than the millisecond that the project's clock counts, and spans, metrics and the load tool all measure it. Change: a header-only stopwatch over the steady clock; spans use it.

--- a/include/caperpath/observe/trace.hpp
+++ b/include/caperpath/observe/trace.hpp
@@ -2,6 +2,7 @@
 #define CAPERPATH_OBSERVE_TRACE_HPP
 
 #include <caperpath/base/clock.hpp>
+#include <caperpath/observe/stopwatch.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -132,7 +133,7 @@
 private:
     span value;
     bool sampled;
-    std::int64_t start_us;
+    stopwatch watch;
 };
 
 /// The caller's trace when `header` is well formed, else a new trace without a
--- a/src/observe/trace.cpp
+++ b/src/observe/trace.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <chrono>
 #include <utility>
 
 namespace caperpath::observe
@@ -69,12 +68,6 @@
     return version > 0 && header[header_size] == '-';
 }
 
-std::int64_t monotonic_us()
-{
-    auto const now = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
 } // namespace
 
 std::string to_string(trace_id id)
@@ -196,7 +189,7 @@
             wall.now(),
             0,
             {}},
-      sampled{parent.sampled}, start_us{monotonic_us()}
+      sampled{parent.sampled}
 {
 }
 
@@ -213,7 +206,7 @@
 
 span span_builder::finish()
 {
-    this->value.duration_us = monotonic_us() - this->start_us;
+    this->value.duration_us = this->watch.elapsed_us();
     return std::move(this->value);
 }
 
