--- /dev/null
+++ b/tests/load/answer_reader_test.cpp
@@ -0,0 +1,148 @@
+#include "load/answer_reader.hpp"
+#include "stand_in/answer.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace caperpath;
+using namespace caperpath::load;
+
+namespace
+{
+
+std::string event(nlohmann::json const& body)
+{
+    return "data: " + body.dump() + "\n\n";
+}
+
+std::string token_event(std::string const& text)
+{
+    nlohmann::json const choice{{"index", 0}, {"delta", {{"content", text}}}};
+    return event({{"choices", {choice}}});
+}
+
+std::vector<std::string> tokens_of(std::string const& prompt, int count)
+{
+    std::vector<std::string> tokens;
+    for (int i = 0; i < count; ++i)
+    {
+        tokens.push_back(stand_in::answer_token(prompt + "\n", i));
+    }
+    return tokens;
+}
+
+std::string stream_of(std::vector<std::string> const& tokens, int counted)
+{
+    std::string text;
+    for (auto const& token : tokens)
+    {
+        text += token_event(token);
+    }
+    nlohmann::json const usage{{"prompt_tokens", 3},
+                               {"completion_tokens", counted}};
+    text += event({{"choices", nlohmann::json::array()}, {"usage", usage}});
+    return text + "data: [DONE]\n\n";
+}
+
+chat_answer read(std::string const& bytes)
+{
+    stream_reader reader;
+    reader.feed(bytes, 1);
+    return reader.answer();
+}
+
+std::string make_prompt(std::string const& words, int tokens)
+{
+    return words + " [tokens=" + std::to_string(tokens) + "]";
+}
+
+} // namespace
+
+class answer_reader_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(answer_reader_test);
+    CPPUNIT_TEST(pieces_do_not_matter);
+    CPPUNIT_TEST(a_stream_that_ends_early_is_cut);
+    CPPUNIT_TEST(a_doubled_missing_or_foreign_token_is_wrong);
+    CPPUNIT_TEST(a_wrong_count_is_wrong);
+    CPPUNIT_TEST_SUITE_END();
+
+    void pieces_do_not_matter()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                auto const count = *rc::gen::inRange(1, 30);
+                auto const prompt = make_prompt("mine", count);
+                auto const bytes = stream_of(tokens_of(prompt, count), count);
+                stream_reader reader;
+                for (std::size_t at = 0; at < bytes.size();)
+                {
+                    auto const size = *rc::gen::inRange<std::size_t>(1, 99);
+                    reader.feed(bytes.substr(at, size), 1);
+                    at += size;
+                }
+                RC_ASSERT(reader.answer() == read(bytes));
+                RC_ASSERT(judge(prompt, count, reader.answer()) ==
+                          verdict::whole);
+            }));
+    }
+
+    // The router dies while a stream is open. The caller has the beginning of
+    // an answer, which must never be counted as a whole one.
+    void a_stream_that_ends_early_is_cut()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                auto const count = *rc::gen::inRange(1, 30);
+                auto const prompt = make_prompt("mine", count);
+                auto const bytes = stream_of(tokens_of(prompt, count), count);
+                auto const kept =
+                    *rc::gen::inRange<std::size_t>(0, bytes.size() - 2);
+                RC_ASSERT(judge(prompt, count, read(bytes.substr(0, kept))) ==
+                          verdict::cut);
+            }));
+    }
+
+    // After a failover the new engine starts at the wrong token, or a late
+    // answer reaches another request. The caller reads text that the engine
+    // never gave for this prompt.
+    void a_doubled_missing_or_foreign_token_is_wrong()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                auto const count = *rc::gen::inRange(2, 30);
+                auto const prompt = make_prompt("mine", count);
+                auto tokens = tokens_of(prompt, count);
+                auto const place = *rc::gen::inRange(0, count - 1);
+                auto const position = tokens.begin() + place;
+                switch (*rc::gen::inRange(0, 3))
+                {
+                case 0:
+                    tokens.insert(position, *position);
+                    break;
+                case 1:
+                    tokens.erase(position);
+                    break;
+                default:
+                    *position =
+                        tokens_of(make_prompt("other", count),
+                                  count)[static_cast<std::size_t>(place)];
+                }
+                auto const answer = read(stream_of(tokens, count));
+                RC_ASSERT(judge(prompt, count, answer) == verdict::wrong);
+            }));
+    }
+
+    void a_wrong_count_is_wrong()
+    {
+        auto const prompt = make_prompt("mine", 3);
+        auto const answer = read(stream_of(tokens_of(prompt, 3), 4));
+        CPPUNIT_ASSERT(judge(prompt, 3, answer) == verdict::wrong);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(answer_reader_test);
