--- /dev/null
+++ b/tests/router/caller.hpp
@@ -0,0 +1,60 @@
+#ifndef CAPERPATH_TESTS_ROUTER_CALLER_HPP
+#define CAPERPATH_TESTS_ROUTER_CALLER_HPP
+
+#include "stand_in/answer.hpp"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace caperpath::tests
+{
+
+/// What a caller got. `text` joins the tokens of a stream or holds the whole
+/// answer; `done` is true when the stream ended in its last event.
+struct reply
+{
+    int status{};
+    std::string outcome;
+    std::string retry_after;
+    std::string request_id;
+    nlohmann::json body;
+    std::string text;
+    std::string finish_reason;
+    bool done{false};
+    std::string stream_error;
+};
+
+struct call_options
+{
+    std::vector<std::pair<std::string, std::string>> headers{};
+    bool stream{false};
+    int max_tokens{0};            ///< 0: not given
+    std::int64_t leave_after{-1}; ///< tokens after which the caller leaves
+};
+
+/// One user message to model "asistente".
+reply chat(std::string const& router, std::string const& key,
+           std::string const& prompt, call_options const& options = {});
+
+/// Any body to the chat endpoint.
+reply post_chat(std::string const& router, std::string const& key,
+                std::string const& body);
+
+/// Any call.
+reply call(
+    std::string const& router, std::string const& key,
+    std::string const& method, std::string const& path,
+    std::string const& body = "",
+    std::vector<std::pair<std::string, std::string>> const& headers = {});
+
+/// The text that the stand-in engine answers to `prompt`, cut at `most`.
+std::string expected_text(std::string const& prompt,
+                          std::int64_t most = 1'000'000);
+
+} // namespace caperpath::tests
+
+#endif
--- /dev/null
+++ b/tests/router/site.cpp
@@ -0,0 +1,275 @@
+#include "router/site.hpp"
+
+#include <caperpath/budget/recovery.hpp>
+#include <caperpath/budget/rows.hpp>
+#include <caperpath/config/keys.hpp>
+#include <caperpath/config/store.hpp>
+#include <caperpath/platform/http_port.hpp>
+
+#include <httplib.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <thread>
+
+namespace caperpath::tests
+{
+
+namespace
+{
+
+constexpr std::size_t engine_count = 2;
+constexpr std::size_t most_rows = 10'000;
+constexpr int http_ok = 200;
+// Bounds that a passing run never reaches; they end a run that has failed.
+constexpr int most_tries = 400;
+constexpr auto pause = std::chrono::milliseconds{25};
+
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+nlohmann::json hashed(std::string const& key, char fill)
+{
+    auto const hash =
+        config::hash_key(key, std::string(config::salt_bytes, fill));
+    return {{"salt", hash.salt}, {"sha256", hash.sha256}};
+}
+
+void check(bool holds, char const* step)
+{
+    if (!holds)
+    {
+        throw std::runtime_error{step};
+    }
+}
+
+bool answers_ready(std::string const& address)
+{
+    auto const where = http::parse_endpoint(address);
+    httplib::Client client{where.host, where.port};
+    auto const answer = client.Get("/readyz");
+    return answer && answer->status == http_ok;
+}
+
+} // namespace
+
+stand_in::engine_settings site::fast_engine()
+{
+    stand_in::engine_settings settings;
+    settings.first_token = {1};
+    settings.token_time = {1};
+    settings.prefill_per_1000_tokens = {1};
+    return settings;
+}
+
+site::site(std::size_t router_count, stand_in::engine_settings engine)
+    : first_key{config::make_key({"agency"},
+                                 std::string(config::secret_bytes, 'a'))},
+      second_key{config::make_key({"technicians"},
+                                  std::string(config::secret_bytes, 'b'))}
+{
+    platform::stand_in_settings given;
+    given.writes_per_second = 10'000;
+    given.reads_per_second = 10'000;
+    this->table = std::make_unique<platform::stand_in>(given);
+    this->table_address = this->table->start();
+    this->port = platform::make_http_port({.address = this->table_address});
+    this->start_backends(engine);
+    this->write_configuration();
+    for (std::size_t i = 0; i < router_count; ++i)
+    {
+        this->start_router(i);
+    }
+}
+
+site::~site()
+{
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+    {
+        this->stop_router(i);
+    }
+}
+
+void site::start_backends(stand_in::engine_settings const& engine)
+{
+    for (std::size_t i = 0; i < engine_count; ++i)
+    {
+        auto settings = engine;
+        settings.name = "engine-" + std::to_string(i);
+        this->engines.push_back(
+            std::make_unique<stand_in::engine>(settings, clock::monotonic()));
+        this->engine_ports.push_back(this->engines.back()->start());
+    }
+    stand_in::service_settings settings;
+    settings.name = "taller-app";
+    this->orders =
+        std::make_unique<stand_in::service>(settings, clock::monotonic());
+    this->orders_port = this->orders->start();
+}
+
+nlohmann::json site::configuration()
+{
+    auto document = nlohmann::json::parse(R"({
+        "budgets": {"agency": {"policy": "overspend_first"},
+                    "technicians": {"policy": "false_refusals_first"}},
+        "models": {"asistente": {"prompt_price": 1, "completion_price": 3}},
+        "services": {"taller-app": {"calls": [
+            {"method": "POST", "path_prefix": "/orders",
+             "idempotent": false, "price": 50},
+            {"method": "GET", "path_prefix": "/",
+             "idempotent": true, "price": 1}]}},
+        "routing": {"policy": "round_robin", "request_timeout_ms": 20000}
+    })");
+    document["customers"] = {
+        {"agency",
+         {{"keys", {hashed(this->first_key, 's')}}, {"budget", "agency"}}},
+        {"technicians",
+         {{"keys", {hashed(this->second_key, 't')}},
+          {"budget", "technicians"}}}};
+    auto& servers = document["backend_servers"];
+    for (std::size_t i = 0; i < engine_count; ++i)
+    {
+        servers["engine-" + std::to_string(i)] = {
+            {"kind", "engine"},
+            {"serves", "asistente"},
+            {"address", this->engine_address(i)},
+            {"failure_domain", "sala-norte"}};
+    }
+    servers["orders-0"] = {{"kind", "plain_service"},
+                           {"serves", "taller-app"},
+                           {"address", this->service_address()},
+                           {"failure_domain", "sala-sur"}};
+    return document;
+}
+
+void site::write_configuration()
+{
+    auto const accepted = config::submit_patch(
+        this->port, {0, this->configuration(), "first", "test", {0}});
+    for (auto const& fault : accepted.faults)
+    {
+        throw std::runtime_error{fault.path + ": " + fault.detail};
+    }
+    check(accepted.status == config::patch_status::accepted, "configuration");
+    for (auto const* budget : {"agency", "technicians"})
+    {
+        auto const raised = value_or_error(
+            [&]
+            { return budget::top_up(this->port, {budget}, "first", paid); });
+        check(std::holds_alternative<token_count>(raised), "top-up");
+    }
+}
+
+void site::start_router(std::size_t index)
+{
+    router::settings settings;
+    settings.vm = "vm-" + std::to_string(index);
+    settings.failure_domain = {"sala-norte"};
+    settings.listen = "127.0.0.1:0";
+    settings.platform = this->table_address;
+    settings.config_poll = {20};
+    settings.load_poll = {50};
+    settings.settle_interval = {5};
+    settings.deferred_settle_interval = {20};
+    settings.balancer_lag = {0};
+    settings.drain_bound = {20'000};
+    this->routers.push_back(std::make_unique<router::router>(
+        settings, settings.vm + "-1", 1 + index));
+    auto const started =
+        value_or_error([&] { return this->routers.back()->start(); });
+    check(std::holds_alternative<int>(started), "start router");
+    this->router_ports.push_back(std::get<int>(started));
+    for (int i = 0; !answers_ready(this->router_address(index)); ++i)
+    {
+        check(i < most_tries, "router is not ready");
+        std::this_thread::sleep_for(pause);
+    }
+    // The view of backend servers follows the configuration within 50 ms.
+    std::this_thread::sleep_for(4 * pause);
+}
+
+router::stop_report site::stop_router(std::size_t index)
+{
+    auto& router = this->routers.at(index);
+    auto const report = router ? router->stop() : router::stop_report{};
+    router.reset();
+    return report;
+}
+
+std::string site::router_address(std::size_t index) const
+{
+    return loopback(this->router_ports.at(index));
+}
+
+std::string site::engine_address(std::size_t index) const
+{
+    return loopback(this->engine_ports.at(index));
+}
+
+std::string site::service_address() const
+{
+    return loopback(this->orders_port);
+}
+
+std::string site::platform_address() const
+{
+    return this->table_address;
+}
+
+std::string const& site::key() const
+{
+    return this->first_key;
+}
+
+std::string const& site::other_key() const
+{
+    return this->second_key;
+}
+
+platform::port const& site::store() const
+{
+    return this->port;
+}
+
+std::vector<budget::bill> site::ledger() const
+{
+    std::vector<budget::bill> all;
+    auto const rows = this->port.scan("ledger/", "", most_rows).value();
+    for (auto const& row : rows)
+    {
+        auto const bills = budget::decode_bills(row.value).value();
+        all.insert(all.end(), bills.begin(), bills.end());
+    }
+    return all;
+}
+
+bool site::wait_for_bills(std::size_t count) const
+{
+    for (int i = 0; i < most_tries; ++i)
+    {
+        std::size_t costly = 0;
+        for (auto const& bill : this->ledger())
+        {
+            costly += bill.tokens > 0 ? 1 : 0;
+        }
+        if (costly >= count)
+        {
+            return costly == count;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return false;
+}
+
+void site::post_fault(std::string const& address, nlohmann::json const& fault)
+{
+    auto const where = http::parse_endpoint(address);
+    httplib::Client client{where.host, where.port};
+    auto const answer =
+        client.Post("/faults", fault.dump(), "application/json");
+    check(answer && answer->status / 100 == 2, "post fault");
+}
+
+} // namespace caperpath::tests
--- /dev/null
+++ b/tests/router/site.hpp
@@ -0,0 +1,83 @@
+#ifndef CAPERPATH_TESTS_ROUTER_SITE_HPP
+#define CAPERPATH_TESTS_ROUTER_SITE_HPP
+
+#include "platform/stand_in.hpp"
+#include "router/router.hpp"
+#include "stand_in/engine.hpp"
+#include "stand_in/service.hpp"
+
+#include <caperpath/budget/bill.hpp>
+#include <caperpath/platform/table.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperpath::tests
+{
+
+/// A small site in one process, on free ports: the platform, two model engines,
+/// a plain service and routers, with one customer per budget policy.
+class site
+{
+public:
+    explicit site(std::size_t routers = 1,
+                  stand_in::engine_settings engine = fast_engine());
+    ~site();
+
+    site(site const&) = delete;
+    site& operator=(site const&) = delete;
+
+    /// An engine whose tokens take 1 ms, so that tests are short.
+    static stand_in::engine_settings fast_engine();
+
+    std::string router_address(std::size_t index) const;
+    std::string engine_address(std::size_t index) const;
+    std::string service_address() const;
+    std::string platform_address() const;
+
+    /// A customer's key; both budgets start with `paid` tokens.
+    static constexpr token_count paid = 20'000;
+    std::string const& key() const;       ///< pays for each bill at once
+    std::string const& other_key() const; ///< bills are settled later
+
+    /// Direct access to what the platform keeps.
+    platform::port const& store() const;
+
+    /// Every bill in the ledger, of all holders.
+    std::vector<budget::bill> ledger() const;
+
+    /// Blocks until the ledger holds `count` bills that cost something.
+    bool wait_for_bills(std::size_t count) const;
+
+    /// Ends a router by a planned stop.
+    router::stop_report stop_router(std::size_t index);
+
+    /// Posts a fault to a stand-in's fault interface.
+    void post_fault(std::string const& address, nlohmann::json const& fault);
+
+private:
+    void start_backends(stand_in::engine_settings const& engine);
+    void write_configuration();
+    void start_router(std::size_t index);
+    nlohmann::json configuration();
+
+    std::unique_ptr<platform::stand_in> table;
+    std::string table_address;
+    platform::port port;
+    std::vector<std::unique_ptr<stand_in::engine>> engines;
+    std::vector<int> engine_ports;
+    std::unique_ptr<stand_in::service> orders;
+    int orders_port{};
+    std::vector<std::unique_ptr<router::router>> routers;
+    std::vector<int> router_ports;
+    std::string first_key;
+    std::string second_key;
+};
+
+} // namespace caperpath::tests
+
+#endif
