Bound a trickled answer by test, drop a needless header

A new case sends the answer byte by byte, each within the read timeout, and shows that the whole exchange is bounded. Two linter findings in tests mended.

--- a/src/platform/http_port.cpp
+++ b/src/platform/http_port.cpp
@@ -131,8 +131,6 @@
     {
         return pool.clock.now() < deadline;
     };
-    // Left out, httplib asks for brotli and the peer packs every answer.
-    request.set_header("Accept-Encoding", "identity");
     httplib::Response response;
     auto fault = httplib::Error::Success;
     if (client->send(request, response, fault))
--- a/tests/observe/command_line_test.cpp
+++ b/tests/observe/command_line_test.cpp
@@ -23,7 +23,7 @@
 
     static std::string settings_file(std::string const& content)
     {
-        auto const file =
+        auto file =
             std::string{CAPERPATH_BINARY_DIR} + "/command_line_test.json";
         std::ofstream{file} << content;
         return file;
--- a/tests/platform/http_port_test.cpp
+++ b/tests/platform/http_port_test.cpp
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(an_error_that_says_nothing_is_unknown);
     CPPUNIT_TEST(a_foreign_refusal_is_unknown);
     CPPUNIT_TEST(a_truncated_answer_is_unknown);
+    CPPUNIT_TEST(a_trickled_answer_is_unknown);
     CPPUNIT_TEST(past_the_rate_limit_is_refused);
     CPPUNIT_TEST(an_outage_is_refused_until_it_ends);
     CPPUNIT_TEST(a_stopped_platform_is_refused);
@@ -238,9 +239,34 @@
         assert_unknown_from(broken);
     }
 
-    static void assert_unknown_from(http::server& peer)
+    // A broken peer sends its answer byte by byte, each just in time. Without a
+    // bound on the whole, a settlement would hold its caller for as long as the
+    // peer likes; here the whole answer would come after two seconds.
+    void a_trickled_answer_is_unknown()
+    {
+        http::server slow;
+        slow.Post(wire::commit_path,
+                  [](httplib::Request const&, httplib::Response& answer)
+                  {
+                      auto const whole = wire::encode_applied();
+                      answer.set_content_provider(
+                          whole.size(), "application/json",
+                          [whole](std::size_t offset, std::size_t,
+                                  httplib::DataSink& sink)
+                          {
+                              std::this_thread::sleep_for(
+                                  std::chrono::milliseconds{100});
+                              return sink.write(&whole[offset], 1);
+                          });
+                  });
+        assert_unknown_from(slow, {500});
+    }
+
+    static void assert_unknown_from(http::server& peer,
+                                    duration read_timeout = {30'000})
     {
         http_port_options options;
+        options.read_timeout = read_timeout;
         options.address =
             "127.0.0.1:" + std::to_string(peer.start("127.0.0.1:0"));
         assert_not_applied(make_http_port(options).commit(insert("a", "1")),
@@ -376,6 +402,7 @@
         auto const connected = platform.connect();
         connected.commit(insert("budget", "0"));
         std::vector<std::thread> threads;
+        threads.reserve(writers);
         for (int i = 0; i < writers; ++i)
         {
             threads.emplace_back(
