Pass clocks by reference in the stand-ins

Cause: clang-tidy named four places: a clock copied for each call, a constant that kept a return from moving, a vector grown in a test's loop.

Change: as it asks.

--- a/src/stand_in/engine.cpp
+++ b/src/stand_in/engine.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-engine::engine(engine_settings settings, clock time)
+engine::engine(engine_settings settings, clock const& time)
     : settings{std::move(settings)}, time{time}, faults{time},
       orders{this->settings.checks_fencing, this->settings.model},
       cache{this->settings.cache_capacity,
--- a/src/stand_in/engine.hpp
+++ b/src/stand_in/engine.hpp
@@ -29,7 +29,7 @@
 class engine
 {
 public:
-    engine(engine_settings settings, clock time);
+    engine(engine_settings settings, clock const& time);
     ~engine();
 
     engine(engine const&) = delete;
--- a/src/stand_in/engine_settings.cpp
+++ b/src/stand_in/engine_settings.cpp
@@ -18,7 +18,7 @@
 
 std::string read_listen(config::json_reader& reader)
 {
-    auto const text = reader.text("listen");
+    auto text = reader.text("listen");
     // Port 0 is no address to call, but one to listen on: check it as port 1.
     auto const checked =
         text.ends_with(":0") ? text.substr(0, text.size() - 1) + "1" : text;
--- a/src/stand_in/service.cpp
+++ b/src/stand_in/service.cpp
@@ -49,7 +49,7 @@
     return settings;
 }
 
-service::service(service_settings settings, clock time)
+service::service(service_settings settings, clock const& time)
     : settings{std::move(settings)}, faults{time},
       orders{this->settings.checks_fencing, ""},
       history{time, this->settings.load_lag}, executions{keys_kept}
--- a/src/stand_in/service.hpp
+++ b/src/stand_in/service.hpp
@@ -43,7 +43,7 @@
 class service
 {
 public:
-    service(service_settings settings, clock time);
+    service(service_settings settings, clock const& time);
     ~service();
 
     service(service const&) = delete;
--- a/tests/stand_in/engine_test.cpp
+++ b/tests/stand_in/engine_test.cpp
@@ -134,6 +134,7 @@
         running_engine const engine{settings};
         std::atomic<int> right{0};
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int caller = 0; caller < callers; ++caller)
         {
             threads.emplace_back(
