Stop a router on an operator's drain order

Cause: the configuration controller learns of a drain order, nothing acted on it. Change: the main loop looks every 200 ms and does the same planned stop as on SIGTERM.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -151,9 +151,10 @@
             .build());
     this->backends = controllers::spawn_backend_controller(
         this->system, {this->time, this->seed, this->given.failure_domain});
-    this->configuration.emplace(this->system, platform,
-                                controllers::config_controller_options{
-                                    this->given.config_poll, this->seed});
+    this->configuration.emplace(
+        this->system, platform,
+        controllers::config_controller_options{
+            this->given.config_poll, this->seed, {this->incarnation}});
     auto const current = this->configuration->port().current;
     this->shared.vm = this->given.vm;
     this->shared.incarnation = this->incarnation;
@@ -210,6 +211,11 @@
     return port;
 }
 
+bool router::drain_ordered() const
+{
+    return this->inside->configuration->drain_ordered();
+}
+
 stop_report router::stop()
 {
     auto& all = *this->inside;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -39,6 +39,10 @@
     /// taken or the file for spans cannot be opened.
     result<int> start();
 
+    /// True once an operator has ordered this incarnation to drain; `stop` it
+    /// then. @pre started
+    bool drain_ordered() const;
+
     /// Graceful shutdown: not ready, waits for the balancer's lag, takes no
     /// new connections, lets open answers end (up to the drain bound), settles
     /// bills and returns shares. Blocks. Call once.
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -36,6 +36,19 @@
     return stop;
 }
 
+// Returns when a signal or an operator's drain order asks for a planned stop.
+void wait_for_stop(sigset_t const& stop, router::router const& serving)
+{
+    constexpr timespec check_interval{0, 200'000'000};
+    while (sigtimedwait(&stop, nullptr, &check_interval) < 0)
+    {
+        if (serving.drain_ordered())
+        {
+            return;
+        }
+    }
+}
+
 int serve(router::settings const& settings)
 {
     auto const stop = block_stop_signals();
@@ -53,8 +66,7 @@
     std::cout << R"({"listening":")" << settings.listen.substr(0, colon) << ':'
               << std::get<int>(started) << R"(","incarnation":")" << incarnation
               << "\"}" << std::endl;
-    int caught = 0;
-    sigwait(&stop, &caught);
+    wait_for_stop(stop, serving);
     auto const left = serving.stop();
     if (!left.clean)
     {
