Claim keyed requests in the platform's table

Cause: a caller whose router died retries through another one, which knew nothing of the first try; a parts order could run twice and a verdict could vanish with the router that held it.

Ruled out: a home router by key (unreachable in just the partition that makes callers retry), leases on claims (a paused holder does not know that its lease lapsed), a second write that marks the dispatch (one more write an order, and a crash between the two writes still proves nothing).

Change: the row claim/<request> names epoch, holder and ticket. It is written before dispatch on the condition that the row is absent or not run and that the holder's row is active, so that fencing the holder refuses each late write. The answer is kept in the row, or in an object above 4 KB, before it is billed and given. A claimed row whose holder is fenced or closed becomes unknown, or is claimed by the next one with a higher epoch if the call is idempotent; the loser is not billed and its stream ends in an error. A write without an answer is resolved by the ticket; one that stays in doubt is withdrawn, since nobody runs its request.

--- a/include/caperpath/request/claim.hpp
+++ b/include/caperpath/request/claim.hpp
@@ -35,7 +35,7 @@
 
 enum class claim_verdict
 {
-    run,         ///< the claim is ours, and durable unless idempotent
+    run,         ///< the claim is ours, and durable
     replay,      ///< it ran; `answer` is what it gave
     in_progress, ///< somebody else runs it: 409 with Retry-After
     mismatch,    ///< same key, other body: 422
@@ -47,6 +47,9 @@
 {
     claim_verdict verdict{claim_verdict::undecidable};
     std::uint64_t epoch{}; ///< fencing number of our claim
+    /// Tokens that earlier runs of this request were billed: a caller left
+    /// before the end. The bill of this run is less by as much.
+    token_count billed{};
     kept_answer answer;
     duration retry_after{};
 
@@ -66,18 +69,27 @@
     std::uint64_t epoch{};
     claim_result result{claim_result::unknown};
     bool idempotent{false};
+    token_count billed{}; ///< by this run
     kept_answer answer;
 
     friend bool operator==(claim_finish const&, claim_finish const&) = default;
 };
 
+/// What became of the end of a run.
+enum class claim_end
+{
+    kept,       ///< whoever asks again finds it
+    superseded, ///< a later runner holds the claim: bill 0, end in an error
+    pending     ///< still ours; written as soon as the store takes it
+};
+
 /// What the request filters know of claims. Thread safe. Each `run` verdict is
-/// finished once. `finish` blocks (bounded) until the answer of a call that is
-/// not idempotent can be found again, and says whether it can.
+/// finished once. `finish` blocks (bounded) until the answer can be found again
+/// and says whether it can.
 struct claim_port
 {
     std::function<claim_reply(claim_request const&)> begin;
-    std::function<bool(claim_finish const&)> finish;
+    std::function<claim_end(claim_finish const&)> finish;
 };
 
 } // namespace caperpath::request
--- /dev/null
+++ b/src/controllers/claim_actor.hpp
@@ -0,0 +1,115 @@
+#ifndef CAPERPATH_CONTROLLERS_CLAIM_ACTOR_HPP
+#define CAPERPATH_CONTROLLERS_CLAIM_ACTOR_HPP
+
+#include "budget_messages.hpp"
+
+#include <caperpath/controllers/claim_controller.hpp>
+#include <caperpath/request/claim_run.hpp>
+
+#include <caf/all.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace caperpath::controllers
+{
+
+/// The result of one try to write the end of a run.
+struct end_result
+{
+    request_id request;
+    request::claim_end end{};
+    std::uint64_t version{};
+};
+
+struct withdraw_result
+{
+    std::string ticket;
+    bool done{};
+};
+
+struct delete_result
+{
+    std::vector<request::kept_claim> expired;
+    bool done{};
+};
+
+/// A claim that this router holds until its end is written.
+struct open_claim
+{
+    request::held_claim held;
+    std::optional<request::claim_finish> finish;
+    caf::response_promise waiter;
+    instant waits_until{};
+    int failures{};
+    instant retry_at{};
+    bool busy{false};
+};
+
+struct doubtful_claim
+{
+    request::held_claim held;
+    int failures{};
+    instant retry_at{};
+    bool busy{false};
+};
+
+/// The state of the actor. Every decision is made by the functions of
+/// `request/claim_run.hpp`; this repeats them until they have succeeded. Runs
+/// on the actor's thread only.
+class claim_actor
+{
+public:
+    claim_actor(caf::event_based_actor* self, request::claim_store store,
+                claim_controller_options options,
+                std::vector<caf::actor> workers);
+
+    caf::behavior behavior();
+
+private:
+    using promise = caf::response_promise;
+
+    void hold(request::held_claim const& held);
+    void doubt(request::held_claim const& held);
+    promise finish(request::claim_finish const& finish);
+    promise stop(stop_request const& request);
+    void ended(end_result const& result);
+    void withdrawn(withdraw_result const& result);
+    void deleted(delete_result const& result);
+    void tick();
+    void pump();
+    void pump_ends(instant now);
+    void pump_doubtful(instant now);
+    void pump_deletes();
+    void pump_stop(instant now);
+    void run(std::function<void()> job);
+    duration pause_after(int failures);
+    claim_report report() const;
+
+    caf::event_based_actor* self;
+    request::claim_store store;
+    claim_controller_options options;
+    std::vector<caf::actor> workers;
+    std::size_t next_worker{};
+    std::unordered_map<request_id, open_claim> open;
+    std::map<std::string, doubtful_claim> doubtful; ///< by ticket
+    std::deque<request::kept_claim> kept;           ///< in the order of ending
+    bool deleting{false};
+    std::optional<promise> stopping;
+    instant stop_until{};
+};
+
+} // namespace caperpath::controllers
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::request::begun_claim)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::request::claim_finish)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::request::claim_end)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::end_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::withdraw_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::delete_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::claim_report)
+
+#endif
--- a/src/filters/chain.hpp
+++ b/src/filters/chain.hpp
@@ -46,7 +46,8 @@
     std::size_t entered{0};
 };
 
-/// authenticate, understand, identify, limit, reserve, dispatch: for models and
+/// account, authenticate, understand, identify, limit, reserve, keep, dispatch:
+/// for models and
 /// for plain services. Thread safe.
 std::vector<filter> const& request_filters();
 
--- a/src/filters/context.cpp
+++ b/src/filters/context.cpp
@@ -2,6 +2,7 @@
 
 #include "router/chat_relay.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace caperpath::filters
@@ -20,6 +21,27 @@
     return call == nullptr || call->call.idempotent;
 }
 
+token_count context::cost_so_far() const
+{
+    bool const counts = this->state == progress::completed ||
+                        this->state == progress::abandoned;
+    if (!counts || this->replayed)
+    {
+        return 0;
+    }
+    auto const* const chat = std::get_if<request::chat_request>(&this->work);
+    if (chat == nullptr)
+    {
+        bool const ran = this->state == progress::completed;
+        return ran ? this->worst_case : 0;
+    }
+    auto const whole = request::cost(this->document->models.at(chat->model),
+                                     this->used, this->worst_case);
+    // A repeat of a chat whose caller left runs it again from the start; only
+    // what has not been billed yet is added.
+    return std::max<token_count>(0, whole - this->billed_before);
+}
+
 observe::span_builder child_span(context const& request, std::string name)
 {
     return {std::move(name), request.span->context(), *request.shared.ids,
--- a/src/filters/context.hpp
+++ b/src/filters/context.hpp
@@ -107,7 +107,11 @@
     request_id id;
     std::variant<std::monostate, request::chat_request, service_request> work;
     token_count worst_case{};
-    std::optional<std::uint64_t> claim_epoch;
+    std::optional<std::uint64_t> claim_epoch; ///< until the claim is ended
+    token_count billed_before{}; ///< for this request, by earlier runs
+    /// A later runner holds the claim: its answer counts, and its bill.
+    bool superseded{false};
+    bool keeps_answer{false};                   ///< whoever asks again gets it
     std::optional<request::kept_answer> answer; ///< of a service, or replayed
     bool replayed{false};
     std::unique_ptr<router::chat_relay> relay;
@@ -121,6 +125,11 @@
 
     /// True for work that may be sent to a backend server twice.
     bool idempotent() const;
+
+    /// Budget tokens that this run costs, as far as it has come. An answer that
+    /// was not completed costs nothing, unless the caller left: what was
+    /// generated for it until then has been used.
+    token_count cost_so_far() const;
 };
 
 /// Opens a child span of the request's span; finish it with `finish_span`.
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -60,7 +60,7 @@
     static std::vector<filter> const filters{
         account_filter(),  authenticate_filter(), understand_filter(),
         identify_filter(), limit_filter(),        reserve_filter(),
-        dispatch_filter()};
+        keep_filter(),     dispatch_filter()};
     return filters;
 }
 
--- a/src/filters/identify.cpp
+++ b/src/filters/identify.cpp
@@ -108,6 +108,8 @@
         return claim_refusal(reply);
     }
     request.claim_epoch = reply.epoch;
+    request.billed_before = reply.billed;
+    request.keeps_answer = true;
     return std::nullopt;
 }
 
@@ -135,28 +137,10 @@
     return refused;
 }
 
-request::claim_result claim_result_of(context const& request)
-{
-    if (request.state == progress::completed)
-    {
-        return request::claim_result::completed;
-    }
-    bool const not_run =
-        request.refusal && request.refusal->kind == request::outcome::not_run;
-    return not_run ? request::claim_result::not_run
-                   : request::claim_result::unknown;
-}
-
+// Reached with the claim still open when a later filter refused the request.
 void leave(context& request)
 {
-    if (!request.claim_epoch)
-    {
-        return;
-    }
-    auto const result = claim_result_of(request);
-    request.shared.claims.finish(
-        {request.id, *request.claim_epoch, result, request.idempotent(),
-         request.answer.value_or(request::kept_answer{})});
+    end_claim(request);
 }
 
 } // namespace
--- a/src/filters/reserve.cpp
+++ b/src/filters/reserve.cpp
@@ -1,7 +1,5 @@
 #include "filters/steps.hpp"
 
-#include <caperpath/request/pricing.hpp>
-
 namespace caperpath::filters
 {
 
@@ -60,33 +58,13 @@
     return refusal_of(reply);
 }
 
-// An answer that was not completed costs nothing, unless the caller left: what
-// was generated for it until then has been used.
-token_count cost_of(context const& request)
-{
-    bool const used = request.state == progress::completed ||
-                      request.state == progress::abandoned;
-    if (!used)
-    {
-        return 0;
-    }
-    auto const* chat = std::get_if<request::chat_request>(&request.work);
-    if (chat == nullptr)
-    {
-        bool const ran = request.state == progress::completed;
-        return ran ? request.worst_case : 0;
-    }
-    return request::cost(request.document->models.at(chat->model), request.used,
-                         request.worst_case);
-}
-
 void leave(context& request)
 {
     if (request.replayed)
     {
         return;
     }
-    request.cost = cost_of(request);
+    request.cost = request.cost_so_far();
     auto span = child_span(request, "settle");
     budget::bill const cost{request.id,
                             request.customer,
--- a/src/filters/steps.hpp
+++ b/src/filters/steps.hpp
@@ -26,6 +26,14 @@
 /// Sets the worst case aside; at the end bills what was used.
 filter reserve_filter();
 
+/// Ends the claim when the request has ended, before it is billed: keeps its
+/// answer for whoever asks again.
+filter keep_filter();
+
+/// What `keep` does when it is left. Idempotent; `identify` does it for a
+/// request that a later filter refused.
+void end_claim(context& request);
+
 /// Sends the request to a backend server and waits for the first token or, for
 /// a plain service, the whole answer.
 filter dispatch_filter();
--- a/src/router/chat_answer.cpp
+++ b/src/router/chat_answer.cpp
@@ -117,7 +117,7 @@
 bool chat_answer::keeps_text() const
 {
     auto const& chat = std::get<request::chat_request>(this->request.work);
-    return !chat.stream || this->request.claim_epoch.has_value();
+    return !chat.stream || this->request.keeps_answer;
 }
 
 void chat_answer::gather_whole(relay_event event, httplib::Response& response)
@@ -133,6 +133,11 @@
         return;
     }
     this->complete(event.text);
+    if (this->request.superseded)
+    {
+        write_refusal(this->request, response);
+        return;
+    }
     response.set_header("X-Request-Id", this->request.id.value);
     response.set_header("Caperpath-Outcome", "completed");
     response.set_content(
@@ -221,6 +226,11 @@
     // caller leaves before the last event.
     bool const reached = send(sink, events);
     this->complete(reason);
+    if (this->request.superseded)
+    {
+        send(sink, error_event(*this->request.refusal));
+        return true;
+    }
     if (reached)
     {
         send(sink, done_event);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -9,6 +9,7 @@
 
 #include <caperpath/controllers/backend_controller.hpp>
 #include <caperpath/controllers/budget_controller.hpp>
+#include <caperpath/controllers/claim_controller.hpp>
 #include <caperpath/controllers/config_controller.hpp>
 #include <caperpath/controllers/limit_controller.hpp>
 #include <caperpath/observe/log.hpp>
@@ -97,6 +98,7 @@
     http::server server;
     caf::actor budgets;
     caf::actor backends;
+    std::optional<controllers::claim_controller> claims;
     std::optional<controllers::config_controller> configuration;
     std::optional<load_poller> poller;
 
@@ -162,6 +164,13 @@
     this->shared.configuration = current;
     this->shared.budgets =
         controllers::make_budget_port(this->system, this->budgets);
+    controllers::claim_controller_options claiming;
+    claiming.incarnation = {this->incarnation};
+    claiming.platform = platform;
+    claiming.time = this->time;
+    claiming.seed = this->seed;
+    this->claims.emplace(this->system, claiming);
+    this->shared.claims = this->claims->port();
     this->shared.limits =
         controllers::make_limit_port(this->system, this->time);
     this->shared.backends =
@@ -227,6 +236,8 @@
     all.server.finish();
     all.poller.reset();
     all.workers.shutdown();
+    // Before the holder row is closed: after that no claim can be ended.
+    auto const unended = all.claims->stop(settle_bound);
     auto const left =
         controllers::stop_budgets(all.system, all.budgets, settle_bound);
     all.configuration.reset();
@@ -235,8 +246,10 @@
     auto const with_shares = std::count_if(
         left.budgets.begin(), left.budgets.end(),
         [](auto const& budget) { return budget.granted > budget.settled; });
+    auto const claims_left = unended.open + unended.pending + unended.doubtful;
     return {static_cast<std::int64_t>(left.unsettled_bills), with_shares,
-            left.clean};
+            static_cast<std::int64_t>(claims_left),
+            left.clean && claims_left == 0};
 }
 
 } // namespace caperpath::router
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -17,6 +17,7 @@
 {
     std::int64_t unsettled_bills{0};
     std::int64_t budgets_with_shares{0};
+    std::int64_t unended_claims{0};
     bool clean{true};
 
     friend bool operator==(stop_report const&, stop_report const&) = default;
