Prove one outcome for each keyed request and each stream

Cause: what a caller notices when a router, a service, an engine or the table fails half way had no test: a doubled order, a receipt of somebody else, a lie about "not-run", a stream with a hole in it.

The orders' path of the test site moves to /parts, since the stand-in keeps /orders for operators' orders. A router can be cut off from the platform, which is what others see of its crash.

A bill can be lost with its router between the two writes; the row tells how much.

--- a/model/claim.sh
+++ b/model/claim.sh
@@ -28,7 +28,7 @@
 }
 
 check protocol holds
-check wrong_proof holds -DWRONG_PROOF
+check wrong_proof holds -DWRONG_PROOF -DWRITES=1
 check rerun fails -DRERUN
 check late_claim fails -DLATE_CLAIM
 check blind_end fails -DBLIND_END
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -48,6 +48,53 @@
     }
 };
 
+error cut_off_error(char const* step)
+{
+    return {error_kind::unavailable, step, "table", "cut off"};
+}
+
+// Once cut off nothing passes, and nobody learns what became of it.
+platform::port severable(platform::port inner, std::atomic<bool> const& cut)
+{
+    auto outer = inner;
+    outer.commit = [inner, &cut](platform::transaction const& txn)
+    {
+        return cut.load()
+                   ? platform::commit_result{platform::commit_outcome::unknown,
+                                             {},
+                                             cut_off_error("commit")}
+                   : inner.commit(txn);
+    };
+    outer.put_object =
+        [inner, &cut](std::string const& name, std::string const& content)
+    {
+        return cut.load()
+                   ? platform::commit_result{platform::commit_outcome::unknown,
+                                             {},
+                                             cut_off_error("put object")}
+                   : inner.put_object(name, content);
+    };
+    outer.read = [inner, &cut](std::vector<std::string> const& keys)
+        -> result<std::vector<platform::row>>
+    {
+        if (cut.load())
+        {
+            return fail(cut_off_error("read"));
+        }
+        return inner.read(keys);
+    };
+    outer.get_object = [inner,
+                        &cut](std::string const& name) -> result<std::string>
+    {
+        if (cut.load())
+        {
+            return fail(cut_off_error("get object"));
+        }
+        return inner.get_object(name);
+    };
+    return outer;
+}
+
 // Counts what passes to the platform, whoever asks.
 platform::port counted(platform::port inner, observe::metrics& metrics)
 {
@@ -90,6 +137,7 @@
     observe::id_generator ids;
     std::atomic<std::int64_t> stop_at{never};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> cut{false};
     actor_config config;
     caf::actor_system system;
     http::worker_pool workers;
@@ -138,9 +186,10 @@
 
 void router::parts::connect(std::string const& address)
 {
-    auto const platform =
-        counted(platform::make_http_port({.address = this->given.platform}),
-                this->metrics);
+    auto const platform = counted(
+        severable(platform::make_http_port({.address = this->given.platform}),
+                  this->cut),
+        this->metrics);
     budget::settle_options settle;
     settle.durable_interval = this->given.settle_interval;
     settle.deferred_interval = this->given.deferred_settle_interval;
@@ -225,21 +274,30 @@
     return this->inside->configuration->drain_ordered();
 }
 
+void router::cut_off()
+{
+    this->inside->cut = true;
+    this->inside->stop_at = 0;
+}
+
 stop_report router::stop()
 {
     auto& all = *this->inside;
+    auto const bound = all.cut.load() ? duration{0} : settle_bound;
     observe::log_info({"stop", {}, {}}, "not ready from now on");
     all.stopping = true;
     std::this_thread::sleep_for(
         std::chrono::milliseconds{all.given.balancer_lag.ms});
-    all.stop_at = (all.time.now() + all.given.drain_bound).ms;
+    if (!all.cut.load())
+    {
+        all.stop_at = (all.time.now() + all.given.drain_bound).ms;
+    }
     all.server.finish();
     all.poller.reset();
     all.workers.shutdown();
     // Before the holder row is closed: after that no claim can be ended.
-    auto const unended = all.claims->stop(settle_bound);
-    auto const left =
-        controllers::stop_budgets(all.system, all.budgets, settle_bound);
+    auto const unended = all.claims->stop(bound);
+    auto const left = controllers::stop_budgets(all.system, all.budgets, bound);
     all.configuration.reset();
     caf::anon_send_exit(all.backends, caf::exit_reason::user_shutdown);
     all.shared.spans.flush();
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -49,6 +49,11 @@
     /// bills and returns shares. Blocks. Call once.
     stop_report stop();
 
+    /// Leaves the platform as a crash here would: from now on nothing of this
+    /// router reaches it. Requests that run find out by themselves, and `stop`
+    /// waits for nothing. For tests of what others do then. Thread safe.
+    void cut_off();
+
 private:
     struct parts;
     std::unique_ptr<parts> inside;
--- /dev/null
+++ b/tests/request/claim_world.cpp
@@ -0,0 +1,448 @@
+#include "request/claim_world.hpp"
+
+#include <caperpath/budget/recovery.hpp>
+
+#include <algorithm>
+
+namespace caperpath::tests
+{
+
+namespace
+{
+
+using platform::commit_outcome;
+
+constexpr char first_body[] = "one battery";
+constexpr char other_body[] = "two batteries";
+constexpr int other_body_percent = 10;
+constexpr int disturb_percent = 10;
+
+} // namespace
+
+claim_world::claim_world(world_settings const& given)
+    : given{given}, random{given.seed},
+      table{std::make_shared<platform::memory_table>()},
+      direct{platform::make_memory_port(this->table)}
+{
+    for (int i = 0; i < given.routers; ++i)
+    {
+        auto const name = "r" + std::to_string(i);
+        auto const holder = budget::bind_holder(this->direct, {name},
+                                                "10.0.0." + name, {"sala-sur"});
+        this->routers.push_back({{{name}, holder.value().version, ""}});
+    }
+    for (int i = 0; i < given.keys; ++i)
+    {
+        this->seen["key" + std::to_string(i)].idempotent = i % 2 == 1;
+    }
+}
+
+std::map<std::string, key_record> const& claim_world::records() const
+{
+    return this->seen;
+}
+
+int claim_world::crashes() const
+{
+    return this->crash_count;
+}
+
+bool claim_world::chance(int percent)
+{
+    return !this->calm && this->draw(100) < percent;
+}
+
+int claim_world::draw(int most)
+{
+    return static_cast<int>(this->random() % static_cast<unsigned>(most));
+}
+
+std::string claim_world::run()
+{
+    for (int i = 0; i < this->given.calls; ++i)
+    {
+        auto const router = this->draw(this->given.routers);
+        auto const key = "key" + std::to_string(this->draw(this->given.keys));
+        std::string const body =
+            this->draw(100) < other_body_percent ? other_body : first_body;
+        this->turns.add([this, router, key, body]
+                        { this->call(router, key, body); });
+    }
+    for (auto ids = this->turns.waiting(); !ids.empty();
+         ids = this->turns.waiting())
+    {
+        this->disturb();
+        auto const pick = this->draw(static_cast<int>(ids.size()));
+        this->turns.step(ids[static_cast<std::size_t>(pick)]);
+        ++this->time;
+        for (auto const& [key, record] : this->seen)
+        {
+            if (!record.idempotent && record.executions > 1)
+            {
+                return key + " ran twice";
+            }
+        }
+    }
+    this->settle();
+    return this->check();
+}
+
+// What happens by itself between two steps.
+void claim_world::disturb()
+{
+    if (!this->late.empty() && this->draw(100) < disturb_percent)
+    {
+        this->direct.commit(this->late.front());
+        this->late.pop_front();
+    }
+    for (auto& one : this->routers)
+    {
+        if (one.crashed && !one.fenced && this->draw(100) < disturb_percent)
+        {
+            this->fence(one);
+        }
+    }
+}
+
+void claim_world::fence(router& dead)
+{
+    auto const key = budget::holder_key(dead.self.incarnation);
+    budget::holder_row const row{
+        budget::holder_state::fenced, "10.0.0.9:1", {"sala-sur"}};
+    this->direct.commit(
+        {{{key, dead.self.holder_version}}, {{key, budget::encode(row)}}});
+    dead.fenced = true;
+}
+
+// The caller retries through other routers until it hears something.
+void claim_world::call(int router, std::string const& key,
+                       std::string const& body)
+{
+    try
+    {
+        this->serve(router, key, body);
+    }
+    catch (router_crashed const&)
+    {
+    }
+}
+
+request::claim_request claim_world::asked(std::string const& key,
+                                          std::string const& body) const
+{
+    return {{key}, body, this->seen.at(key).idempotent, {200}};
+}
+
+void claim_world::serve(int router, std::string const& key,
+                        std::string const& body)
+{
+    auto self = this->routers[static_cast<std::size_t>(router)].self;
+    self.ticket =
+        self.incarnation.value + "-" + std::to_string(++this->tickets);
+    this->pass(router);
+    auto const begun = request::begin_claim(this->store_of(router),
+                                            this->asked(key, body), self);
+    auto& record = this->seen[key];
+    switch (begun.reply.verdict)
+    {
+    case request::claim_verdict::run:
+        this->run_claimed(router, begun, key);
+        break;
+    case request::claim_verdict::replay:
+        record.answers.push_back(begun.reply.answer.body);
+        break;
+    case request::claim_verdict::unknown:
+        record.executions_at_unknown = record.executions;
+        break;
+    default:
+        break;
+    }
+    if (begun.doubtful)
+    {
+        this->withdraw(router, *begun.doubtful);
+    }
+}
+
+void claim_world::run_claimed(int router, request::begun_claim const& begun,
+                              std::string const& key)
+{
+    auto& record = this->seen[key];
+    request::claim_finish finish{{key},
+                                 begun.reply.epoch,
+                                 request::claim_result::not_run,
+                                 record.idempotent,
+                                 0,
+                                 {}};
+    bool const reached = !this->chance(this->given.lost_answer_percent);
+    this->pass(router);
+    if (reached)
+    {
+        ++record.executions;
+        finish.result = request::claim_result::completed;
+        finish.answer = {
+            200, "text/plain",
+            "run " + std::to_string(record.executions) +
+                std::string(record.executions % 2 == 0 ? 0 : 5'000, 'x')};
+        finish.billed = price - begun.reply.billed;
+        this->pass(router);
+        if (this->chance(this->given.lost_answer_percent))
+        {
+            finish.result = request::claim_result::unknown;
+            finish.billed = 0;
+        }
+        else if (record.idempotent &&
+                 this->chance(this->given.caller_leaves_percent))
+        {
+            finish.result = request::claim_result::unknown;
+            finish.billed = std::min<std::int64_t>(10, finish.billed);
+        }
+    }
+    auto const store = this->store_of(router);
+    std::uint64_t version = 0;
+    auto end = request::claim_end::pending;
+    while (end == request::claim_end::pending)
+    {
+        end = request::finish_claim(store, *begun.held, finish, version);
+        this->pass(router);
+    }
+    if (end == request::claim_end::superseded)
+    {
+        return;
+    }
+    bool const completed = finish.result == request::claim_result::completed;
+    // A crash here loses the bill, and the row alone tells what it was.
+    this->pass(router);
+    record.billed += finish.billed;
+    if (completed)
+    {
+        record.answers.push_back(finish.answer.body);
+    }
+}
+
+void claim_world::withdraw(int router, request::held_claim const& doubtful)
+{
+    auto const store = this->store_of(router);
+    while (!request::withdraw_claim(store, doubtful))
+    {
+        this->pass(router);
+    }
+}
+
+void claim_world::pass(int router)
+{
+    this->turns.pass();
+    auto& self = this->routers[static_cast<std::size_t>(router)];
+    if (!self.crashed && this->chance(this->given.crash_percent))
+    {
+        self.crashed = true;
+        ++this->crash_count;
+    }
+    if (self.crashed)
+    {
+        throw router_crashed{};
+    }
+}
+
+platform::commit_result claim_world::commit(int router,
+                                            platform::transaction const& txn)
+{
+    this->pass(router);
+    platform::commit_result const refused{
+        commit_outcome::refused,
+        {},
+        {error_kind::unavailable, "commit", "table", "injected"}};
+    platform::commit_result const unknown{
+        commit_outcome::unknown,
+        {},
+        {error_kind::timeout, "commit", "table", "injected"}};
+    if (!this->chance(this->given.store_fault_percent))
+    {
+        auto const outcome = this->direct.commit(txn);
+        this->pass(router);
+        return outcome;
+    }
+    switch (this->draw(4))
+    {
+    case 0:
+        return refused;
+    case 1:
+        return unknown;
+    case 2:
+        this->late.push_back(txn);
+        return unknown;
+    default:
+        this->direct.commit(txn);
+        return unknown;
+    }
+}
+
+request::claim_store claim_world::store_of(int router)
+{
+    auto port = this->direct;
+    port.commit = [this, router](platform::transaction const& txn)
+    {
+        return this->commit(router, txn);
+    };
+    port.read = [this, router](std::vector<std::string> const& keys)
+        -> result<std::vector<platform::row>>
+    {
+        this->pass(router);
+        if (this->chance(this->given.store_fault_percent))
+        {
+            return fail({error_kind::unavailable, "read", "table", "injected"});
+        }
+        return this->direct.read(keys);
+    };
+    port.put_object =
+        [this, router](std::string const& name, std::string const& content)
+    {
+        this->pass(router);
+        if (this->chance(this->given.store_fault_percent))
+        {
+            return platform::commit_result{};
+        }
+        return this->direct.put_object(name, content);
+    };
+    auto const now = [this]
+    {
+        return instant{this->time};
+    };
+    return {std::move(port),
+            {},
+            clock{now},
+            clock{now},
+            [this, router](duration span)
+            {
+                this->time += span.ms;
+                this->pass(router);
+            },
+            [this]
+            {
+                return this->random();
+            }};
+}
+
+// The faults end, the late writes land, and the dead are known to be dead.
+void claim_world::settle()
+{
+    this->calm = true;
+    while (!this->late.empty())
+    {
+        this->direct.commit(this->late.front());
+        this->late.pop_front();
+    }
+    for (auto& one : this->routers)
+    {
+        if (one.crashed && !one.fenced)
+        {
+            this->fence(one);
+        }
+    }
+}
+
+std::string claim_world::check()
+{
+    for (auto& [key, record] : this->seen)
+    {
+        auto const rows =
+            this->direct.read({request::claim_key({key})}).value();
+        if (!rows.empty())
+        {
+            auto const row = request::decode_claim(rows[0].value).value();
+            record.owed = row.billed;
+            record.kept = row.state == request::claim_state::done;
+        }
+        auto const fault = this->check_key(key, record);
+        if (!fault.empty())
+        {
+            return key + ": " + fault;
+        }
+    }
+    return "";
+}
+
+std::string claim_world::check_key(std::string const& key,
+                                   key_record const& record)
+{
+    if (!record.idempotent && record.executions > 1)
+    {
+        return "ran twice";
+    }
+    for (auto const& answer : record.answers)
+    {
+        if (answer != record.answers.front())
+        {
+            return "two callers got different answers";
+        }
+    }
+    if (record.owed > price || record.billed > record.owed)
+    {
+        return "billed more than once";
+    }
+    if (record.billed != record.owed && this->crash_count == 0)
+    {
+        return "a bill vanished though no router died";
+    }
+    bool const answered = !record.answers.empty();
+    if (answered && !record.kept)
+    {
+        return "answered and not kept";
+    }
+    if (record.kept && record.owed != price)
+    {
+        return "kept and not billed";
+    }
+    bool const ran_after = record.executions_at_unknown >= 0 &&
+                           record.executions != record.executions_at_unknown;
+    if (!record.idempotent && ran_after)
+    {
+        return "ran after its caller had heard that nobody knows";
+    }
+    // Nobody waits for a runner that does not exist.
+    auto const holder =
+        budget::bind_holder(this->direct, {"last"}, "10.0.0.8:1", {"mapo"});
+    request::claimant const self{
+        {"last"}, holder.value().version, "last-" + key};
+    auto const now = [this]
+    {
+        return instant{this->time};
+    };
+    request::claim_store const store{this->direct,
+                                     {},
+                                     clock{now},
+                                     clock{now},
+                                     [this](duration span)
+                                     { this->time += span.ms; },
+                                     []
+                                     {
+                                         return 0U;
+                                     }};
+    auto const row = this->direct.read({request::claim_key({key})}).value();
+    auto const body =
+        row.empty()
+            ? std::string{first_body}
+            : request::decode_claim(row.front().value).value().body_hash;
+    auto const last =
+        request::begin_claim(store, this->asked(key, body), self).reply;
+    if (last.verdict == request::claim_verdict::in_progress ||
+        last.verdict == request::claim_verdict::undecidable)
+    {
+        return "a repeat waits for a runner that does not exist";
+    }
+    if (record.kept != (last.verdict == request::claim_verdict::replay))
+    {
+        return "an answer was kept and is not found again";
+    }
+    if (answered && last.answer.body != record.answers.front())
+    {
+        return "a repeat gets another answer";
+    }
+    bool const reruns = last.verdict == request::claim_verdict::run;
+    if (reruns && !record.idempotent && record.executions > 0)
+    {
+        return "would run a second time";
+    }
+    return "";
+}
+
+} // namespace caperpath::tests
--- a/tests/router/caller.cpp
+++ b/tests/router/caller.cpp
@@ -7,6 +7,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <chrono>
 
 namespace caperpath::tests
 {
@@ -14,8 +15,6 @@
 namespace
 {
 
-constexpr int longest_read_seconds = 30;
-
 httplib::Request
 request_of(std::string const& key, std::string const& method,
            std::string const& path, std::string const& body,
@@ -34,11 +33,11 @@
     return request;
 }
 
-httplib::Client client_for(std::string const& address)
+httplib::Client client_for(std::string const& address, int timeout_ms)
 {
     auto const where = http::parse_endpoint(address);
     httplib::Client client{where.host, where.port};
-    client.set_read_timeout(longest_read_seconds);
+    client.set_read_timeout(std::chrono::milliseconds{timeout_ms});
     return client;
 }
 
@@ -49,6 +48,7 @@
     got.outcome = response.get_header_value("Caperpath-Outcome");
     got.retry_after = response.get_header_value("Retry-After");
     got.request_id = response.get_header_value("X-Request-Id");
+    got.raw = response.body;
     got.body = nlohmann::json::parse(response.body, nullptr, false);
     return got;
 }
@@ -81,7 +81,7 @@
 }
 
 reply stream(std::string const& router, httplib::Request request,
-             std::int64_t leave_after)
+             call_options const& options)
 {
     reply got;
     request::sse_splitter splitter;
@@ -94,9 +94,9 @@
             take_event(got, event);
             ++tokens;
         }
-        return leave_after < 0 || tokens < leave_after;
+        return options.leave_after < 0 || tokens < options.leave_after;
     };
-    auto client = client_for(router);
+    auto client = client_for(router, options.timeout_ms);
     httplib::Response response;
     auto error = httplib::Error::Success;
     client.send(request, response, error);
@@ -124,7 +124,7 @@
     if (!options.stream)
     {
         auto got = call(router, key, "POST", "/v1/chat/completions",
-                        body.dump(), options.headers);
+                        body.dump(), options.headers, options.timeout_ms);
         if (got.status == 200)
         {
             auto const& choice = got.body["choices"][0];
@@ -137,7 +137,7 @@
     return stream(router,
                   request_of(key, "POST", "/v1/chat/completions", body.dump(),
                              options.headers),
-                  options.leave_after);
+                  options);
 }
 
 reply post_chat(std::string const& router, std::string const& key,
@@ -149,14 +149,23 @@
 reply call(std::string const& router, std::string const& key,
            std::string const& method, std::string const& path,
            std::string const& body,
-           std::vector<std::pair<std::string, std::string>> const& headers)
+           std::vector<std::pair<std::string, std::string>> const& headers,
+           int timeout_ms)
 {
-    auto client = client_for(router);
+    auto client = client_for(router, timeout_ms);
     auto request = request_of(key, method, path, body, headers);
     httplib::Response response;
     auto error = httplib::Error::Success;
-    client.send(request, response, error);
-    return reply_of(response);
+    bool const answered = client.send(request, response, error);
+    return answered ? reply_of(response) : reply{};
+}
+
+reply order(std::string const& router, std::string const& key,
+            std::string const& idempotency_key, std::string const& body,
+            int timeout_ms)
+{
+    return call(router, key, "POST", "/services/taller-app/parts", body,
+                {{"Idempotency-Key", idempotency_key}}, timeout_ms);
 }
 
 std::string expected_text(std::string const& prompt, std::int64_t most)
--- a/tests/router/caller.hpp
+++ b/tests/router/caller.hpp
@@ -22,6 +22,7 @@
     std::string retry_after;
     std::string request_id;
     nlohmann::json body;
+    std::string raw; ///< the body's bytes, when it is not a stream
     std::string text;
     std::string finish_reason;
     bool done{false};
@@ -34,6 +35,7 @@
     bool stream{false};
     int max_tokens{0};            ///< 0: not given
     std::int64_t leave_after{-1}; ///< tokens after which the caller leaves
+    int timeout_ms{30'000};       ///< after which the caller gives up: status 0
 };
 
 /// One user message to model "asistente".
@@ -45,11 +47,16 @@
                 std::string const& body);
 
 /// Any call.
-reply call(
-    std::string const& router, std::string const& key,
-    std::string const& method, std::string const& path,
-    std::string const& body = "",
-    std::vector<std::pair<std::string, std::string>> const& headers = {});
+reply call(std::string const& router, std::string const& key,
+           std::string const& method, std::string const& path,
+           std::string const& body = "",
+           std::vector<std::pair<std::string, std::string>> const& headers = {},
+           int timeout_ms = 30'000);
+
+/// An order of parts, which may not run twice, with an idempotency key.
+reply order(std::string const& router, std::string const& key,
+            std::string const& idempotency_key,
+            std::string const& body = "one battery", int timeout_ms = 30'000);
 
 /// The text that the stand-in engine answers to `prompt`, cut at `most`.
 std::string expected_text(std::string const& prompt,
--- a/tests/router/site.cpp
+++ b/tests/router/site.cpp
@@ -64,9 +64,11 @@
     return settings;
 }
 
-site::site(std::size_t router_count, stand_in::engine_settings engine)
-    : first_key{config::make_key({"agency"},
-                                 std::string(config::secret_bytes, 'a'))},
+site::site(std::size_t router_count, stand_in::engine_settings engine,
+           duration request_timeout)
+    : request_timeout{request_timeout},
+      first_key{
+          config::make_key({"agency"}, std::string(config::secret_bytes, 'a'))},
       second_key{config::make_key({"technicians"},
                                   std::string(config::secret_bytes, 'b'))}
 {
@@ -86,6 +88,16 @@
 
 site::~site()
 {
+    // A silent stand-in would keep a router's stop waiting.
+    if (!this->service_stopped)
+    {
+        clear_faults(this->service_address());
+    }
+    clear_faults(this->table_address);
+    for (std::size_t i = 0; i < this->engines.size(); ++i)
+    {
+        clear_faults(this->engine_address(i));
+    }
     for (std::size_t i = 0; i < this->routers.size(); ++i)
     {
         this->stop_router(i);
@@ -116,7 +128,7 @@
                     "technicians": {"policy": "false_refusals_first"}},
         "models": {"asistente": {"prompt_price": 1, "completion_price": 3}},
         "services": {"taller-app": {"calls": [
-            {"method": "POST", "path_prefix": "/orders",
+            {"method": "POST", "path_prefix": "/parts",
              "idempotent": false, "price": 50},
             {"method": "GET", "path_prefix": "/",
              "idempotent": true, "price": 1}]}},
@@ -128,6 +140,7 @@
         {"technicians",
          {{"keys", {hashed(this->second_key, 't')}},
           {"budget", "technicians"}}}};
+    document["routing"]["request_timeout_ms"] = this->request_timeout.ms;
     auto& servers = document["backend_servers"];
     for (std::size_t i = 0; i < engine_count; ++i)
     {
@@ -263,6 +276,75 @@
     return false;
 }
 
+void site::crash_router(std::size_t index)
+{
+    this->routers.at(index)->cut_off();
+}
+
+void site::prove_dead(std::size_t index)
+{
+    auto const name = "vm-" + std::to_string(index) + "-1";
+    auto const taken = value_or_error(
+        [&]
+        {
+            return budget::recover(
+                this->port, {{name}, budget::proof_kind::absent_after_listed});
+        });
+    check(taken.index() == 0, "recover");
+}
+
+nlohmann::json site::get(std::string const& address, char const* path)
+{
+    auto const where = http::parse_endpoint(address);
+    httplib::Client client{where.host, where.port};
+    auto const answer = client.Get(path);
+    check(answer && answer->status == http_ok, path);
+    return nlohmann::json::parse(answer->body);
+}
+
+std::int64_t site::executions(std::string const& id) const
+{
+    return get(this->service_address(), "/executions").value(id, 0);
+}
+
+std::int64_t site::executions() const
+{
+    std::int64_t sum = 0;
+    for (auto const& count : get(this->service_address(), "/executions"))
+    {
+        sum += count.get<std::int64_t>();
+    }
+    return sum;
+}
+
+nlohmann::json site::engine_stats(std::size_t index) const
+{
+    return get(this->engine_address(index), "/stats");
+}
+
+void site::stop_service()
+{
+    this->orders->stop();
+    this->service_stopped = true;
+}
+
+void site::order_engine(std::size_t index, std::string const& order)
+{
+    auto const where = http::parse_endpoint(this->engine_address(index));
+    httplib::Client client{where.host, where.port};
+    nlohmann::json const body{{"fencing", 1}, {"order", order}};
+    auto const answer = client.Post("/orders", body.dump(), "application/json");
+    check(answer && answer->status == http_ok, "order engine");
+}
+
+void site::clear_faults(std::string const& address)
+{
+    auto const where = http::parse_endpoint(address);
+    httplib::Client client{where.host, where.port};
+    auto const answer = client.Delete("/faults");
+    check(answer && answer->status / 100 == 2, "clear faults");
+}
+
 void site::post_fault(std::string const& address, nlohmann::json const& fault)
 {
     auto const where = http::parse_endpoint(address);
--- a/tests/router/site.hpp
+++ b/tests/router/site.hpp
@@ -25,7 +25,8 @@
 {
 public:
     explicit site(std::size_t routers = 1,
-                  stand_in::engine_settings engine = fast_engine());
+                  stand_in::engine_settings engine = fast_engine(),
+                  duration request_timeout = {20'000});
     ~site();
 
     site(site const&) = delete;
@@ -56,10 +57,33 @@
     /// Ends a router by a planned stop.
     router::stop_report stop_router(std::size_t index);
 
+    /// Nothing of this router reaches the platform from now on; others know
+    /// that it is dead once `prove_dead` was called.
+    void crash_router(std::size_t index);
+    void prove_dead(std::size_t index);
+
+    /// How often the service ran the request with this id, or any.
+    std::int64_t executions(std::string const& id) const;
+    std::int64_t executions() const;
+
+    /// An engine's own counts, as its `/stats` gives them.
+    nlohmann::json engine_stats(std::size_t index) const;
+
+    /// Ends the service for good: connections to it are refused.
+    void stop_service();
+
+    /// Orders an engine to leave or to stay.
+    void order_engine(std::size_t index, std::string const& order);
+
+    /// Ends the faults of a stand-in.
+    static void clear_faults(std::string const& address);
+
     /// Posts a fault to a stand-in's fault interface.
-    void post_fault(std::string const& address, nlohmann::json const& fault);
+    static void post_fault(std::string const& address,
+                           nlohmann::json const& fault);
 
 private:
+    static nlohmann::json get(std::string const& address, char const* path);
     void start_backends(stand_in::engine_settings const& engine);
     void write_configuration();
     void start_router(std::size_t index);
@@ -72,8 +96,10 @@
     std::vector<int> engine_ports;
     std::unique_ptr<stand_in::service> orders;
     int orders_port{};
+    bool service_stopped{false};
     std::vector<std::unique_ptr<router::router>> routers;
     std::vector<int> router_ports;
+    duration request_timeout;
     std::string first_key;
     std::string second_key;
 };
--- /dev/null
+++ b/tests/router/stream_test.cpp
@@ -0,0 +1,174 @@
+#include "router/caller.hpp"
+#include "router/site.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+using namespace caperpath;
+using namespace caperpath::tests;
+
+class stream_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stream_test);
+    CPPUNIT_TEST(a_broken_engine_costs_the_caller_no_token);
+    CPPUNIT_TEST(a_stream_that_cannot_go_on_ends_in_an_error);
+    CPPUNIT_TEST(a_caller_who_leaves_is_cancelled_and_billed);
+    CPPUNIT_TEST(a_leaving_engine_gets_no_new_work);
+    CPPUNIT_TEST(a_passed_deadline_is_told);
+    CPPUNIT_TEST_SUITE_END();
+
+    static token_count total(site const& here)
+    {
+        token_count sum = 0;
+        for (auto const& bill : here.ledger())
+        {
+            sum += bill.tokens;
+        }
+        return sum;
+    }
+
+    // An engine sends a chunk of another request, sends one twice, leaves one
+    // out, breaks the connection or goes silent on it. A family would read
+    // somebody else's repair plan, or a plan with a hole in it.
+    void a_broken_engine_costs_the_caller_no_token()
+    {
+        for (std::string const kind : {"wrong_id", "repeat_chunk", "skip_chunk",
+                                       "cut", "silent", "error", "outage"})
+        {
+            site here;
+            std::string const prompt = "what does E4 mean [tokens=40]";
+            for (std::size_t i = 0; i < 2; ++i)
+            {
+                nlohmann::json fault{{"kind", kind}, {"count", 1}};
+                if (kind != "error" && kind != "outage")
+                {
+                    fault["after_tokens"] = 12;
+                }
+                site::post_fault(here.engine_address(i), fault);
+            }
+            auto const got = chat(here.router_address(0), here.key(), prompt,
+                                  {.stream = true});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(kind, expected_text(prompt), got.text);
+            CPPUNIT_ASSERT_MESSAGE(kind, got.done);
+            CPPUNIT_ASSERT_MESSAGE(kind, here.wait_for_bills(1));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                kind, stand_in::prompt_tokens(prompt + "\n") + 3 * 40,
+                total(here));
+        }
+    }
+
+    // Every engine breaks every stream. The caller has part of an answer and
+    // must not take it for the whole one.
+    void a_stream_that_cannot_go_on_ends_in_an_error()
+    {
+        site here;
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            site::post_fault(here.engine_address(i),
+                             {{"kind", "cut"}, {"after_tokens", 2}});
+        }
+        auto const got = chat(here.router_address(0), here.key(),
+                              "long plan [tokens=100]", {.stream = true});
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT(!got.done);
+        CPPUNIT_ASSERT_EQUAL(std::string{"backend_failed"}, got.stream_error);
+        auto const whole = expected_text("long plan [tokens=100]");
+        CPPUNIT_ASSERT_EQUAL(whole.substr(0, got.text.size()), got.text);
+    }
+
+    // A caller closes the window after a few tokens. Generated on to the end,
+    // the answer would take an engine's slot and the customer's tokens.
+    void a_caller_who_leaves_is_cancelled_and_billed()
+    {
+        auto engine = site::fast_engine();
+        engine.token_time = {5};
+        site here{1, engine};
+        chat(here.router_address(0), here.key(), "all of it [tokens=800]",
+             {.stream = true, .leave_after = 10});
+        CPPUNIT_ASSERT(here.wait_for_bills(1));
+        auto const bill = here.ledger().at(0);
+        CPPUNIT_ASSERT(bill.completion_tokens >= 9);
+        CPPUNIT_ASSERT(bill.completion_tokens < 800);
+        int cancelled = 0;
+        for (int tries = 0; tries < 100 && cancelled == 0; ++tries)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+            for (std::size_t i = 0; i < 2; ++i)
+            {
+                cancelled += here.engine_stats(i)["cancelled"].get<int>();
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(1, cancelled);
+    }
+
+    // An operator takes an engine out. Streams on it end whole; whatever it
+    // still got after that would be cut off when it goes.
+    void a_leaving_engine_gets_no_new_work()
+    {
+        auto engine = site::fast_engine();
+        engine.token_time = {5};
+        site here{1, engine};
+        std::string const prompt = "a long plan [tokens=120]";
+        std::vector<std::future<reply>> streams;
+        for (int i = 0; i < 4; ++i)
+        {
+            streams.push_back(std::async(std::launch::async,
+                                         [&]
+                                         {
+                                             return chat(here.router_address(0),
+                                                         here.key(), prompt,
+                                                         {.stream = true});
+                                         }));
+        }
+        auto const runs = [&here]
+        {
+            return here.engine_stats(0)["runs"].size();
+        };
+        for (int tries = 0; tries < 400 && runs() < 2; ++tries)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{5});
+        }
+        here.order_engine(0, "leave");
+        auto const before = runs();
+        for (int i = 0; i < 6; ++i)
+        {
+            auto const got = chat(here.router_address(0), here.other_key(),
+                                  "short [tokens=3]");
+            CPPUNIT_ASSERT_EQUAL(200, got.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, runs());
+        for (auto& stream : streams)
+        {
+            auto const got = stream.get();
+            CPPUNIT_ASSERT(got.done);
+            CPPUNIT_ASSERT_EQUAL(expected_text(prompt), got.text);
+        }
+    }
+
+    // Engines and the service take the request and say nothing. The caller
+    // hears when its time is over, not when a connection happens to break.
+    void a_passed_deadline_is_told()
+    {
+        site here{1, site::fast_engine(), {600}};
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            site::post_fault(here.engine_address(i),
+                             {{"kind", "silent"}, {"count", 1'000}});
+        }
+        site::post_fault(here.service_address(),
+                         {{"kind", "silent"}, {"count", 1}});
+        auto const late = chat(here.router_address(0), here.key(), "hello");
+        CPPUNIT_ASSERT_EQUAL(504, late.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, late.outcome);
+        auto const ordered = order(here.router_address(0), here.key(), "late");
+        CPPUNIT_ASSERT_EQUAL(504, ordered.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, ordered.outcome);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, here.executions());
+        CPPUNIT_ASSERT(here.ledger().empty() || total(here) == 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
