Mend what the linter says of the new tests

Cause: clang-tidy found copies and moves that cannot happen in the test world and the site, and a copied event in the relay.

Change: as it proposes; no behaviour changes.

--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -73,7 +73,7 @@
             }
         }
         auto event = this->open->wait(this->next_bound());
-        auto ended = event                ? this->take(std::move(*event))
+        auto ended = event                ? this->take(*event)
                      : this->time_is_up() ? std::nullopt
                                           : this->retry_after_silence();
         if (ended)
@@ -156,7 +156,7 @@
         false};
 }
 
-std::optional<relay_event> chat_relay::take(http::exchange_event event)
+std::optional<relay_event> chat_relay::take(http::exchange_event const& event)
 {
     switch (event.what)
     {
--- a/src/router/chat_relay.hpp
+++ b/src/router/chat_relay.hpp
@@ -58,7 +58,7 @@
 
 private:
     std::optional<relay_event> begin_attempt();
-    std::optional<relay_event> take(http::exchange_event event);
+    std::optional<relay_event> take(http::exchange_event const& event);
     std::optional<relay_event> take_head(http::exchange_event const& head);
     std::optional<relay_event> take_data(std::string const& data);
     std::optional<relay_event> take_chunk(std::string const& chunk);
--- a/tests/request/claim_world.cpp
+++ b/tests/request/claim_world.cpp
@@ -247,17 +247,17 @@
                                             platform::transaction const& txn)
 {
     this->pass(router);
-    platform::commit_result const refused{
+    platform::commit_result refused{
         commit_outcome::refused,
         {},
         {error_kind::unavailable, "commit", "table", "injected"}};
-    platform::commit_result const unknown{
+    platform::commit_result unknown{
         commit_outcome::unknown,
         {},
         {error_kind::timeout, "commit", "table", "injected"}};
     if (!this->chance(this->given.store_fault_percent))
     {
-        auto const outcome = this->direct.commit(txn);
+        auto outcome = this->direct.commit(txn);
         this->pass(router);
         return outcome;
     }
@@ -352,10 +352,10 @@
             record.owed = row.billed;
             record.kept = row.state == request::claim_state::done;
         }
-        auto const fault = this->check_key(key, record);
+        auto fault = this->check_key(key, record);
         if (!fault.empty())
         {
-            return key + ": " + fault;
+            return fault.insert(0, key + ": ");
         }
     }
     return "";
--- a/tests/router/site.cpp
+++ b/tests/router/site.cpp
@@ -64,7 +64,7 @@
     return settings;
 }
 
-site::site(std::size_t router_count, stand_in::engine_settings engine,
+site::site(std::size_t router_count, stand_in::engine_settings const& engine,
            duration request_timeout)
     : request_timeout{request_timeout},
       first_key{
--- a/tests/router/site.hpp
+++ b/tests/router/site.hpp
@@ -25,7 +25,7 @@
 {
 public:
     explicit site(std::size_t routers = 1,
-                  stand_in::engine_settings engine = fast_engine(),
+                  stand_in::engine_settings const& engine = fast_engine(),
                   duration request_timeout = {20'000});
     ~site();
 
--- a/tests/router/stream_test.cpp
+++ b/tests/router/stream_test.cpp
@@ -113,6 +113,7 @@
         site here{1, engine};
         std::string const prompt = "a long plan [tokens=120]";
         std::vector<std::future<reply>> streams;
+        streams.reserve(4);
         for (int i = 0; i < 4; ++i)
         {
             streams.push_back(std::async(std::launch::async,
