Split the platform's wrappers and the checks of the test world from long files

Change: platform_access.hpp holds both wrappers, claim_world_check.cpp the conditions; no behaviour changes.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -6,6 +6,7 @@
 #include "http/worker_pool.hpp"
 #include "router/front.hpp"
 #include "router/load_poller.hpp"
+#include "router/platform_access.hpp"
 
 #include <caperpath/controllers/backend_controller.hpp>
 #include <caperpath/controllers/budget_controller.hpp>
@@ -48,72 +49,6 @@
     }
 };
 
-error cut_off_error(char const* step)
-{
-    return {error_kind::unavailable, step, "table", "cut off"};
-}
-
-// Once cut off nothing passes, and nobody learns what became of it.
-platform::port severable(platform::port inner, std::atomic<bool> const& cut)
-{
-    auto outer = inner;
-    outer.commit = [inner, &cut](platform::transaction const& txn)
-    {
-        return cut.load()
-                   ? platform::commit_result{platform::commit_outcome::unknown,
-                                             {},
-                                             cut_off_error("commit")}
-                   : inner.commit(txn);
-    };
-    outer.put_object =
-        [inner, &cut](std::string const& name, std::string const& content)
-    {
-        return cut.load()
-                   ? platform::commit_result{platform::commit_outcome::unknown,
-                                             {},
-                                             cut_off_error("put object")}
-                   : inner.put_object(name, content);
-    };
-    outer.read = [inner, &cut](std::vector<std::string> const& keys)
-        -> result<std::vector<platform::row>>
-    {
-        if (cut.load())
-        {
-            return fail(cut_off_error("read"));
-        }
-        return inner.read(keys);
-    };
-    outer.get_object = [inner,
-                        &cut](std::string const& name) -> result<std::string>
-    {
-        if (cut.load())
-        {
-            return fail(cut_off_error("get object"));
-        }
-        return inner.get_object(name);
-    };
-    return outer;
-}
-
-// Counts what passes to the platform, whoever asks.
-platform::port counted(platform::port inner, observe::metrics& metrics)
-{
-    auto counting = inner;
-    counting.commit = [inner, &metrics](platform::transaction const& txn)
-    {
-        auto outcome = inner.commit(txn);
-        metrics.table_write(outcome.outcome);
-        return outcome;
-    };
-    counting.read = [inner, &metrics](std::vector<std::string> const& keys)
-    {
-        auto rows = inner.read(keys);
-        metrics.table_read(static_cast<bool>(rows));
-        return rows;
-    };
-    return counting;
-}
-
 } // namespace
 
 struct router::parts
--- a/tests/request/claim_world.hpp
+++ b/tests/request/claim_world.hpp
@@ -48,6 +48,7 @@
 {
 public:
     static constexpr std::int64_t price = 100;
+    static constexpr char first_body[] = "one battery";
 
     explicit claim_world(world_settings const& given);
 
@@ -86,6 +87,7 @@
     void settle();
     std::string check();
     std::string check_key(std::string const& key, key_record const& record);
+    std::string check_repeat(std::string const& key, key_record const& record);
     request::claim_request asked(std::string const& key,
                                  std::string const& body) const;
 
