Spawn the claim workers with an argument

Cause: UBSan stops router.stream and router.claim: CAF 0.17 binds a reference to a null tuple when a function actor without arguments is spawned.

Change: the worker gets its number, as the budget's workers do.

--- a/src/controllers/claim_controller.cpp
+++ b/src/controllers/claim_controller.cpp
@@ -28,8 +28,10 @@
     return std::chrono::milliseconds{span.ms};
 }
 
-/// A worker spends its life in blocking calls; each has its own thread.
-caf::behavior worker_behavior()
+/// A worker spends its life in blocking calls; each has its own thread. CAF
+/// reads a null pointer when a function without arguments is spawned, so the
+/// worker gets its number.
+caf::behavior worker_behavior(std::size_t)
 {
     return {[](table_job const& job)
             {
@@ -173,7 +175,7 @@
         std::vector<caf::actor> workers;
         for (std::size_t i = 0; i < this->options.workers; ++i)
         {
-            workers.push_back(system.spawn<caf::detached>(worker_behavior));
+            workers.push_back(system.spawn<caf::detached>(worker_behavior, i));
         }
         auto const gate = std::make_shared<worker_gate>(workers);
         this->store = store_of(this->options,
