Make log, spans and load clean for the linter

Cause: clang-tidy 14 cannot read std::source_location in this standard library and stops at log.hpp, so no file that logs could be linted. Change: a place of the source of our own with the compiler's built-ins; report rows by streams instead of printf casts; smaller findings.

--- a/include/caperpath/observe/log.hpp
+++ b/include/caperpath/observe/log.hpp
@@ -3,7 +3,6 @@
 
 #include <caperpath/base/error.hpp>
 
-#include <source_location>
 #include <string>
 #include <string_view>
 
@@ -19,6 +18,21 @@
     std::string_view peer{};    ///< address or name of the other side
 };
 
+/// A place in the source. `std::source_location` would do, but clang-tidy 14
+/// cannot read it in this standard library. Immutable value.
+struct code_place
+{
+    char const* file{};
+    int line{};
+
+    /// As a default argument: the place of the call.
+    static constexpr code_place current(char const* file = __builtin_FILE(),
+                                        int line = __builtin_LINE())
+    {
+        return {file, line};
+    }
+};
+
 /// Sends the log to standard error: VMs have no disk. Call once in `main`,
 /// before any other thread starts. @pre `program` outlives the process.
 void start_log(char const* program);
@@ -36,15 +50,15 @@
 
 /// Thread safe. Each writes one line at its severity.
 void log_info(log_context const& context, std::string_view detail,
-              std::source_location at = std::source_location::current());
+              code_place at = code_place::current());
 void log_warning(log_context const& context, std::string_view detail,
-                 std::source_location at = std::source_location::current());
+                 code_place at = code_place::current());
 void log_error(log_context const& context, std::string_view detail,
-               std::source_location at = std::source_location::current());
+               code_place at = code_place::current());
 
 /// Thread safe. A warning with the error's own step, peer, kind and detail.
 void log_fault(std::string_view request, error const& fault,
-               std::source_location at = std::source_location::current());
+               code_place at = code_place::current());
 
 } // namespace caperpath::observe
 
--- a/include/caperpath/observe/span_sink.hpp
+++ b/include/caperpath/observe/span_sink.hpp
@@ -64,7 +64,7 @@
 };
 
 /// A sink that keeps spans in `buffer`. @pre `buffer` is not null.
-span_sink make_memory_sink(std::shared_ptr<span_buffer> buffer);
+span_sink make_memory_sink(std::shared_ptr<span_buffer> const& buffer);
 
 /// A sink that drops everything without counting, for when tracing is off.
 span_sink make_null_sink();
--- a/src/load/planner.cpp
+++ b/src/load/planner.cpp
@@ -16,6 +16,7 @@
 by_weight(std::vector<Item> const& items)
 {
     std::vector<double> weights;
+    weights.reserve(items.size());
     for (auto const& one : items)
     {
         weights.push_back(static_cast<double>(one.weight));
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -2,7 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
+#include <iomanip>
+#include <sstream>
 
 namespace caperpath::load
 {
@@ -12,6 +13,10 @@
 
 using nlohmann::json;
 
+constexpr int name_width = 24;
+constexpr int cell_width = 10;
+constexpr std::int64_t ms_per_second = 1'000;
+
 json to_object(percentiles const& read)
 {
     return {{"count", read.count},
@@ -48,34 +53,44 @@
     return found == sums.endings.end() ? 0 : found->second;
 }
 
-template <class... Values>
-std::string format(char const* pattern, Values... values)
+// The first cell to the left, the others to the right of their columns.
+std::string table_row(std::vector<std::string> const& cells)
 {
-    char text[256];
-    std::snprintf(text, sizeof text, pattern, values...);
-    return text;
+    std::ostringstream line;
+    line << std::left << std::setw(name_width) << cells.front() << std::right;
+    for (std::size_t i = 1; i < cells.size(); ++i)
+    {
+        line << ' ' << std::setw(cell_width) << cells[i];
+    }
+    line << '\n';
+    return line.str();
 }
 
 std::string totals_row(std::string const& name, totals const& sums)
 {
     auto const count = [&](ending kind)
     {
-        return static_cast<long long>(count_of(sums, kind));
+        return std::to_string(count_of(sums, kind));
     };
-    return format(
-        "%-24.24s %8lld %9lld %7lld %5lld %5lld %10lld %9lld %9lld\n",
-        name.c_str(), static_cast<long long>(sums.requests),
-        count(ending::completed), count(ending::refused), count(ending::cut),
-        count(ending::wrong), count(ending::unanswered),
-        static_cast<long long>(sums.attempts),
-        static_cast<long long>(sums.prompt_tokens + sums.completion_tokens));
+    return table_row(
+        {name, std::to_string(sums.requests), count(ending::completed),
+         count(ending::refused), count(ending::cut), count(ending::wrong),
+         count(ending::unanswered), std::to_string(sums.attempts),
+         std::to_string(sums.prompt_tokens + sums.completion_tokens)});
+}
+
+std::string one_decimal(double number)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << number;
+    return text.str();
 }
 
 std::string latency_row(char const* name, percentiles const& read)
 {
-    return format("%-24s %8lld %9.1f %9.1f %9.1f %9.1f\n", name,
-                  static_cast<long long>(read.count), read.p50_ms, read.p95_ms,
-                  read.p99_ms, read.max_ms);
+    return table_row({name, std::to_string(read.count),
+                      one_decimal(read.p50_ms), one_decimal(read.p95_ms),
+                      one_decimal(read.p99_ms), one_decimal(read.max_ms)});
 }
 
 std::string counts_line(char const* title,
@@ -135,16 +150,14 @@
 
 std::string to_table(results const& read)
 {
-    auto text = format("%-24s %8s %9s %7s %5s %5s %10s %9s %9s\n", "customer",
-                       "requests", "completed", "refused", "cut", "wrong",
-                       "unanswered", "attempts", "tokens");
+    auto text = table_row({"customer", "requests", "completed", "refused",
+                           "cut", "wrong", "unanswered", "attempts", "tokens"});
     for (auto const& [name, sums] : read.customers)
     {
         text += totals_row(name, sums);
     }
-    text += totals_row("all", read.all);
-    text += format("\n%-24s %8s %9s %9s %9s %9s\n", "milliseconds", "count",
-                   "p50", "p95", "p99", "max");
+    text += totals_row("all", read.all) + "\n";
+    text += table_row({"milliseconds", "count", "p50", "p95", "p99", "max"});
     text += latency_row("first token", read.first_token);
     text += latency_row("token gap", read.token_gap);
     text += latency_row("short answer", read.whole);
@@ -158,12 +171,13 @@
 
 std::string progress_line(results const& read, duration elapsed)
 {
-    return format("%llds ended=%lld completed=%lld refused=%lld wrong=%lld\n",
-                  static_cast<long long>(elapsed.ms / 1'000),
-                  static_cast<long long>(read.all.requests),
-                  static_cast<long long>(count_of(read.all, ending::completed)),
-                  static_cast<long long>(count_of(read.all, ending::refused)),
-                  static_cast<long long>(count_of(read.all, ending::wrong)));
+    std::ostringstream line;
+    line << elapsed.ms / ms_per_second << "s";
+    line << " ended=" << read.all.requests;
+    line << " completed=" << count_of(read.all, ending::completed);
+    line << " refused=" << count_of(read.all, ending::refused);
+    line << " wrong=" << count_of(read.all, ending::wrong) << '\n';
+    return line.str();
 }
 
 } // namespace caperpath::load
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -62,10 +62,9 @@
 }
 
 void write(google::LogSeverity severity, log_context const& context,
-           std::string_view detail, std::source_location const& at)
+           std::string_view detail, code_place at)
 {
-    google::LogMessage message{at.file_name(), static_cast<int>(at.line()),
-                               severity};
+    google::LogMessage message{at.file, at.line, severity};
     message.stream() << format_line(context, detail);
 }
 
@@ -135,25 +134,24 @@
 }
 
 void log_info(log_context const& context, std::string_view detail,
-              std::source_location at)
+              code_place at)
 {
     write(google::GLOG_INFO, context, detail, at);
 }
 
 void log_warning(log_context const& context, std::string_view detail,
-                 std::source_location at)
+                 code_place at)
 {
     write(google::GLOG_WARNING, context, detail, at);
 }
 
 void log_error(log_context const& context, std::string_view detail,
-               std::source_location at)
+               code_place at)
 {
     write(google::GLOG_ERROR, context, detail, at);
 }
 
-void log_fault(std::string_view request, error const& fault,
-               std::source_location at)
+void log_fault(std::string_view request, error const& fault, code_place at)
 {
     auto const detail =
         std::string{to_string(fault.kind)} + ": " + fault.detail;
--- a/src/observe/span_sink.cpp
+++ b/src/observe/span_sink.cpp
@@ -146,7 +146,7 @@
     return this->drop_count;
 }
 
-span_sink make_memory_sink(std::shared_ptr<span_buffer> buffer)
+span_sink make_memory_sink(std::shared_ptr<span_buffer> const& buffer)
 {
     return {[buffer](span value) { buffer->add(std::move(value)); },
             [buffer] { return buffer->dropped(); },
--- a/tests/load/answer_reader_test.cpp
+++ b/tests/load/answer_reader_test.cpp
@@ -25,6 +25,7 @@
 std::vector<std::string> tokens_of(std::string const& prompt, int count)
 {
     std::vector<std::string> tokens;
+    tokens.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
     {
         tokens.push_back(stand_in::answer_token(prompt + "\n", i));
--- a/tests/load/run_test.cpp
+++ b/tests/load/run_test.cpp
@@ -20,7 +20,7 @@
 {
     std::ifstream input{CAPERPATH_SOURCE_DIR "/examples/load.json"};
     std::vector<config::fault> faults;
-    auto const read = read_scenario(nlohmann::json::parse(input), faults);
+    auto read = read_scenario(nlohmann::json::parse(input), faults);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, faults.size());
     return read;
 }
