Split the platform's long files

The codec now stands in requests and answers, the connections and their one exchange apart from the port's mapping of outcomes, the stand-in's VM history and its answers apart from its routes. No behaviour changes; the module's tests pass unchanged.

--- a/src/platform/http_port.cpp
+++ b/src/platform/http_port.cpp
@@ -2,15 +2,13 @@
 
 #include <caperpath/platform/wire.hpp>
 
-#include "http/server.hpp"
+#include "platform/exchange.hpp"
 
 #include <csignal>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <utility>
 #include <variant>
-#include <vector>
 
 namespace caperpath::platform
 {
@@ -22,129 +20,6 @@
 constexpr int ok_status = 200;
 constexpr char json_type[] = "application/json";
 
-enum class exchange_state
-{
-    unsent,  ///< no connection was made, so nothing can have arrived
-    lost,    ///< sent in part or whole, and no whole answer came back
-    answered ///< `status` and `body` are whole
-};
-
-struct exchange
-{
-    exchange_state state{exchange_state::unsent};
-    int status{};
-    std::string body;
-    std::string detail; ///< why there is no answer
-};
-
-struct idle_connection
-{
-    std::unique_ptr<httplib::Client> client;
-    instant since;
-};
-
-// Keeps idle connections, the last used on top.
-class connection_pool
-{
-public:
-    explicit connection_pool(http_port_options options)
-        : options{std::move(options)}
-    {
-    }
-
-    std::unique_ptr<httplib::Client> take()
-    {
-        std::lock_guard const lock{this->mutex};
-        auto const now = this->clock.now();
-        while (!this->idle.empty())
-        {
-            auto last = std::move(this->idle.back());
-            this->idle.pop_back();
-            if (now - last.since <= this->options.max_idle)
-            {
-                return std::move(last.client);
-            }
-        }
-        return this->make();
-    }
-
-    // @pre the last exchange of `client` had a whole answer.
-    void give_back(std::unique_ptr<httplib::Client> client)
-    {
-        std::lock_guard const lock{this->mutex};
-        if (this->idle.size() < this->options.max_idle_connections)
-        {
-            this->idle.push_back({std::move(client), this->clock.now()});
-        }
-    }
-
-    // One exchange failed, so whatever broke it (a restart of the platform,
-    // something on the way that lost track) broke its neighbours too. Without
-    // this each of them would cost one more call its full timeout.
-    void drop_idle()
-    {
-        std::lock_guard const lock{this->mutex};
-        this->idle.clear();
-    }
-
-    http_port_options const options;
-    caperpath::clock const clock{caperpath::clock::monotonic()};
-
-private:
-    std::unique_ptr<httplib::Client> make() const
-    {
-        auto const peer = http::parse_endpoint(this->options.address);
-        auto client = std::make_unique<httplib::Client>(peer.host, peer.port);
-        using std::chrono::milliseconds;
-        client->set_connection_timeout(
-            milliseconds{this->options.connect_timeout.ms});
-        client->set_read_timeout(milliseconds{this->options.read_timeout.ms});
-        client->set_write_timeout(milliseconds{this->options.read_timeout.ms});
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
-        client->set_url_encode(false);
-        // A redirect or an answer to a challenge would send a write twice.
-        client->set_follow_location(false);
-        return client;
-    }
-
-    std::mutex mutex;
-    std::vector<idle_connection> idle;
-};
-
-// httplib reports these two before it has written a byte. It looks once at a
-// kept connection, reconnects when that one is closed, writes the request once
-// and never again; everything else may have reached the platform.
-bool never_sent(httplib::Error fault)
-{
-    return fault == httplib::Error::Connection ||
-           fault == httplib::Error::ConnectionTimeout;
-}
-
-exchange send(connection_pool& pool, httplib::Request request)
-{
-    auto client = pool.take();
-    auto const deadline = pool.clock.now() + pool.options.read_timeout;
-    // The read timeout starts anew with each piece; a peer that trickles its
-    // answer would hold the caller without end.
-    request.progress = [&pool, deadline](std::uint64_t, std::uint64_t)
-    {
-        return pool.clock.now() < deadline;
-    };
-    httplib::Response response;
-    auto fault = httplib::Error::Success;
-    if (client->send(request, response, fault))
-    {
-        pool.give_back(std::move(client));
-        return {exchange_state::answered, response.status,
-                std::move(response.body), ""};
-    }
-    pool.drop_idle();
-    auto const state =
-        never_sent(fault) ? exchange_state::unsent : exchange_state::lost;
-    return {state, 0, "", "http exchange: " + httplib::to_string(fault)};
-}
-
 httplib::Request make_request(char const* method, std::string path)
 {
     httplib::Request request;
@@ -198,8 +73,8 @@
 commit_result write(connection_pool& pool, char const* step,
                     httplib::Request request)
 {
-    auto const& peer = pool.options.address;
-    auto const done = send(pool, std::move(request));
+    auto const& peer = pool.peer();
+    auto const done = pool.send(std::move(request));
     if (done.state == exchange_state::answered && done.status == ok_status &&
         wire::is_applied(done.body))
     {
@@ -225,7 +100,7 @@
     {
         return {commit_outcome::refused,
                 {},
-                {fault->kind, step, pool.options.address, fault->detail}};
+                {fault->kind, step, pool.peer(), fault->detail}};
     }
     return write(pool, step,
                  make_request("POST", wire::commit_path,
@@ -235,8 +110,8 @@
 result<std::string> query(connection_pool& pool, char const* step,
                           httplib::Request request)
 {
-    auto const& peer = pool.options.address;
-    auto done = send(pool, std::move(request));
+    auto const& peer = pool.peer();
+    auto done = pool.send(std::move(request));
     if (done.state == exchange_state::answered && done.status == ok_status)
     {
         return std::move(done.body);
@@ -272,7 +147,7 @@
         return answer.error();
     }
     return placed(value_or_error([&] { return decode(*answer); }), step,
-                  pool.options.address);
+                  pool.peer());
 }
 
 // A query whose body and answer are JSON.
@@ -280,7 +155,7 @@
 auto query_json(connection_pool& pool, char const* step, char const* path,
                 Encode encode, Decode decode) -> decltype(decode(std::string{}))
 {
-    auto body = placed(value_or_error(encode), step, pool.options.address);
+    auto body = placed(value_or_error(encode), step, pool.peer());
     if (!body)
     {
         return body.error();
--- a/src/platform/stand_in.cpp
+++ b/src/platform/stand_in.cpp
@@ -3,16 +3,16 @@
 #include "http/cut_connection.hpp"
 #include "http/fault_plan.hpp"
 #include "http/server.hpp"
+#include "platform/stand_in_answer.hpp"
 #include "platform/token_bucket.hpp"
+#include "platform/vm_history.hpp"
 
 #include <caperpath/platform/memory_table.hpp>
 #include <caperpath/platform/wire.hpp>
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <condition_variable>
-#include <map>
 #include <mutex>
 #include <utility>
 
@@ -25,7 +25,6 @@
 using httplib::Request;
 using httplib::Response;
 
-constexpr char json_type[] = "application/json";
 constexpr char any_object[] = R"(/objects/([\s\S]+))";
 constexpr char any_vm[] = R"(/vms/([^/]+))";
 constexpr duration silence{60'000};
@@ -50,97 +49,6 @@
     std::int64_t refused_by_rate{};
 };
 
-// The VM list over time, so that it can be shown as it was.
-class vm_history
-{
-public:
-    explicit vm_history(std::vector<listed_vm> vms) : first{std::move(vms)}
-    {
-    }
-
-    void change(instant now, std::vector<listed_vm> vms)
-    {
-        this->changes[now] = std::move(vms);
-    }
-
-    std::vector<listed_vm> at(instant when) const
-    {
-        auto const next = this->changes.upper_bound(when);
-        return next == this->changes.begin() ? this->first
-                                             : std::prev(next)->second;
-    }
-
-private:
-    std::vector<listed_vm> first;
-    std::map<instant, std::vector<listed_vm>> changes;
-};
-
-void refuse(Response& response, int status, wire::refusal const& why)
-{
-    response.status = status;
-    response.set_content(wire::encode(why), json_type);
-}
-
-int status_of(error_kind kind)
-{
-    switch (kind)
-    {
-    case error_kind::not_found:
-        return 404;
-    case error_kind::conflict:
-        return 409;
-    case error_kind::refused:
-        return 429;
-    case error_kind::unavailable:
-        return 503;
-    case error_kind::invalid:
-    case error_kind::timeout:
-    case error_kind::internal:
-        break;
-    }
-    return 400;
-}
-
-void refuse(Response& response, error_kind kind, std::string detail)
-{
-    refuse(response, status_of(kind), {kind, std::move(detail), {}});
-}
-
-void refuse(Response& response, std::vector<config::fault> const& faults)
-{
-    std::string detail;
-    for (auto const& fault : faults)
-    {
-        detail += fault.path + ": " + fault.detail + "\n";
-    }
-    refuse(response, error_kind::invalid, detail);
-}
-
-void answer(Response& response, commit_result const& outcome)
-{
-    if (outcome.outcome == commit_outcome::applied)
-    {
-        response.set_content(wire::encode_applied(), json_type);
-        return;
-    }
-    refuse(response, status_of(outcome.fault.kind),
-           {outcome.fault.kind, outcome.fault.detail, outcome.failed});
-}
-
-// Calls `use` with what `decode` gives, or answers that the body is wrong.
-template <class Decode, class Use>
-void with_body(Request const& request, Response& response, Decode decode,
-               Use use)
-{
-    auto decoded = value_or_error([&] { return decode(request.body); });
-    if (auto const* fault = std::get_if<error>(&decoded))
-    {
-        refuse(response, error_kind::invalid, fault->detail);
-        return;
-    }
-    use(std::get<0>(decoded));
-}
-
 } // namespace
 
 class stand_in::implementation
@@ -389,21 +297,11 @@
                    });
     }
 
-    // Changes the list without `name`, and with `added` if there is one.
     bool change_vms(std::string const& name,
                     std::optional<listed_vm> const& added)
     {
         std::lock_guard const lock{this->mutex};
-        auto const at = this->now.now();
-        auto changed = this->vms.at(at);
-        auto const removed = std::erase_if(changed, [&](auto const& listed)
-                                           { return listed.vm == name; });
-        if (added)
-        {
-            changed.push_back(*added);
-        }
-        this->vms.change(at, std::move(changed));
-        return removed > 0;
+        return this->vms.change(this->now.now(), name, added);
     }
 
     void upsert(listed_vm const& changed, Response& out)
--- /dev/null
+++ b/src/platform/stand_in_answer.cpp
@@ -0,0 +1,66 @@
+#include "platform/stand_in_answer.hpp"
+
+#include <utility>
+
+namespace caperpath::platform
+{
+
+namespace
+{
+
+void refuse(httplib::Response& response, int status, wire::refusal const& why)
+{
+    response.status = status;
+    response.set_content(wire::encode(why), json_type);
+}
+
+int status_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::not_found:
+        return 404;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::refused:
+        return 429;
+    case error_kind::unavailable:
+        return 503;
+    case error_kind::invalid:
+    case error_kind::timeout:
+    case error_kind::internal:
+        break;
+    }
+    return 400;
+}
+
+} // namespace
+
+void refuse(httplib::Response& response, error_kind kind, std::string detail)
+{
+    refuse(response, status_of(kind), {kind, std::move(detail), {}});
+}
+
+void refuse(httplib::Response& response,
+            std::vector<config::fault> const& faults)
+{
+    std::string detail;
+    for (auto const& fault : faults)
+    {
+        detail += fault.path + ": " + fault.detail + "\n";
+    }
+    refuse(response, error_kind::invalid, detail);
+}
+
+void answer(httplib::Response& response, commit_result const& outcome)
+{
+    if (outcome.outcome == commit_outcome::applied)
+    {
+        response.set_content(wire::encode_applied(), json_type);
+        return;
+    }
+    refuse(response, status_of(outcome.fault.kind),
+           {outcome.fault.kind, outcome.fault.detail, outcome.failed});
+}
+
+} // namespace caperpath::platform
--- /dev/null
+++ b/src/platform/stand_in_answer.hpp
@@ -0,0 +1,46 @@
+#ifndef CAPERPATH_SRC_PLATFORM_STAND_IN_ANSWER_HPP
+#define CAPERPATH_SRC_PLATFORM_STAND_IN_ANSWER_HPP
+
+#include <caperpath/config/json_reader.hpp>
+#include <caperpath/platform/table.hpp>
+#include <caperpath/platform/wire.hpp>
+
+#include <httplib.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The stand-in's answers over HTTP. All functions are thread safe.
+namespace caperpath::platform
+{
+
+constexpr char json_type[] = "application/json";
+
+/// Says that nothing took effect, with the status that goes with `kind`.
+void refuse(httplib::Response& response, error_kind kind, std::string detail);
+
+/// Names every fault of a body.
+void refuse(httplib::Response& response,
+            std::vector<config::fault> const& faults);
+
+/// @pre `outcome` is applied or refused.
+void answer(httplib::Response& response, commit_result const& outcome);
+
+/// Calls `use` with what `decode` gives, or answers that the body is wrong.
+template <class Decode, class Use>
+void with_body(httplib::Request const& request, httplib::Response& response,
+               Decode decode, Use use)
+{
+    auto decoded = value_or_error([&] { return decode(request.body); });
+    if (auto const* fault = std::get_if<error>(&decoded))
+    {
+        refuse(response, error_kind::invalid, fault->detail);
+        return;
+    }
+    use(std::get<0>(decoded));
+}
+
+} // namespace caperpath::platform
+
+#endif
--- a/src/platform/wire_json.hpp
+++ b/src/platform/wire_json.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERPATH_SRC_PLATFORM_WIRE_JSON_HPP
 #define CAPERPATH_SRC_PLATFORM_WIRE_JSON_HPP
 
+#include <caperpath/base/error.hpp>
 #include <caperpath/config/json_reader.hpp>
 #include <caperpath/platform/table.hpp>
 
@@ -17,6 +18,33 @@
 listed_vm read_vm(nlohmann::json const& value, std::string const& path,
                   std::vector<config::fault>& faults);
 
+/// A row's version, which fits a signed 64-bit number. Thread safe.
+std::uint64_t read_version(config::json_reader& reader);
+
+/// Parses `body` and reads it with `read`; fails as `invalid` with the path of
+/// the first fault. Thread safe.
+template <class Value>
+result<Value> decode(std::string const& body,
+                     Value (*read)(nlohmann::json const&,
+                                   std::vector<config::fault>&))
+{
+    auto const value = nlohmann::json::parse(body, nullptr, false);
+    if (value.is_discarded())
+    {
+        return fail(
+            {error_kind::invalid, "decode", "", "the body is not JSON"});
+    }
+    std::vector<config::fault> faults;
+    auto decoded = read(value, faults);
+    if (!faults.empty())
+    {
+        auto const& first = faults.front();
+        return fail({error_kind::invalid, "decode", "",
+                     first.path + ": " + first.detail});
+    }
+    return decoded;
+}
+
 } // namespace caperpath::platform::wire
 
 #endif
