--- a/src/ctl/config_verbs.cpp
+++ b/src/ctl/config_verbs.cpp
@@ -162,7 +162,7 @@
                          {"author", one.author},
                          {"name", one.name},
                          {"patch_id", one.patch_id}});
-        table.push_back({std::to_string(one.version), std::to_string(one.at.ms),
+        table.push_back({std::to_string(one.version), date_text(one.at),
                          one.author, one.name, one.patch_id});
     }
     print(run, {{"versions", value}}, table);
