--- /dev/null
+++ b/scripts/fleet/verdict.py
@@ -0,0 +1,119 @@
+"""Holds what callers were told against the ledger and the services."""
+
+from collections import Counter
+
+from load import LARGEST_RESERVE
+from fleet import RUNS_OUT
+
+OUT_OF_BUDGET = 402
+
+
+def is_order(record):
+    return record["kind"] == "order"
+
+
+def is_false_refusal(record, left_before_top_up):
+    """A refusal of a customer whose budget would have covered the request."""
+    if record["ending"] != "refused":
+        return False
+    out = (record["status"] == OUT_OF_BUDGET and
+           record["customer"] == RUNS_OUT and record["phase"] == "first")
+    return not out or left_before_top_up >= LARGEST_RESERVE
+
+
+class Verdict:
+    """`records` of all phases, the ledger and the counted orders at the end."""
+
+    def __init__(self, records, ledger, runs, left_before_top_up):
+        self.records = records
+        self.ledger = ledger
+        self.runs = runs
+        self.left = left_before_top_up
+        self.broken = []
+        for budget in ledger.paid:
+            if ledger.spent[budget] > ledger.paid[budget]:
+                self.broken.append(f"{budget} spent {ledger.spent[budget]} of "
+                                   f"{ledger.paid[budget]} paid tokens")
+        self.doubled = self.find(self.is_doubled, "was run or billed twice")
+        self.lost = self.find(self.is_lost, "was told completed and is in no "
+                                            "bill, or never ran")
+        self.denied = self.find(self.is_denied, "was told not-run and ran")
+        self.misbilled = self.find(self.is_misbilled,
+                                   "was billed other tokens than it got")
+        self.wrong = self.find(lambda one: one["ending"] == "wrong",
+                               "got a wrong answer")
+        self.cut = self.find(lambda one: one["ending"] == "cut",
+                             "never got its whole answer")
+        self.cut_by_stop = self.find(
+            lambda one: one["phase"] != "kill" and one["cut_attempts"] > 0,
+            "was cut off although no router died")
+
+    def find(self, holds, complaint):
+        """Counts by customer; each one is a broken promise."""
+        found = [one for one in self.records if holds(one)]
+        for one in found:
+            self.broken.append(f"{one['customer']}: {one['kind']} {one['key']} "
+                               f"(id {one['request_id'] or 'none'}, phase "
+                               f"{one['phase']}) {complaint}")
+        return Counter(one["customer"] for one in found)
+
+    def bills(self, record):
+        return self.ledger.by_request.get(record["request_id"], [])
+
+    def is_doubled(self, record):
+        return (self.runs[record["request_id"]] > 1 or
+                len(self.bills(record)) > 1)
+
+    def is_lost(self, record):
+        if record["outcome"] != "completed":
+            return False
+        never_ran = is_order(record) and self.runs[record["request_id"]] == 0
+        return never_ran or not self.bills(record)
+
+    def is_denied(self, record):
+        if record["outcome"] != "not-run" or not record["request_id"]:
+            return False
+        billed = sum(bill["tokens"] for bill in self.bills(record))
+        return billed > 0 or self.runs[record["request_id"]] > 0
+
+    def is_misbilled(self, record):
+        if is_order(record) or record["ending"] != "completed":
+            return False
+        return any((bill["prompt_tokens"], bill["completion_tokens"]) !=
+                   (record["prompt_tokens"], record["completion_tokens"])
+                   for bill in self.bills(record))
+
+    def rows(self):
+        names = sorted({one["customer"] for one in self.records})
+        return [self.row(name) for name in names]
+
+    def row(self, name):
+        mine = [one for one in self.records if one["customer"] == name]
+        endings = Counter(one["ending"] for one in mine)
+        billed, paid = self.ledger.spent[name], self.ledger.paid[name]
+        return {
+            "customer": name, "requests": len(mine),
+            "completed": endings["completed"], "refused": endings["refused"],
+            "unanswered": endings["unanswered"], "billed": billed, "paid": paid,
+            "held": self.ledger.held[name], "overspend": max(0, billed - paid),
+            "false refusals": sum(is_false_refusal(one, self.left)
+                                  for one in mine),
+            "told unknown": sum(one["outcome"] == "unknown" for one in mine),
+            "doubled": self.doubled[name],
+            "lost": self.lost[name] + self.wrong[name] + self.cut[name]}
+
+    def refusals(self):
+        """Why requests were refused in the end: (customer, code): count."""
+        return Counter((one["customer"], f"{one['status']} {one['code']}")
+                       for one in self.records if one["ending"] == "refused")
+
+
+def to_table(rows):
+    heads = list(rows[0])
+    cells = [heads] + [[str(value) for value in row.values()] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(heads))]
+    return "\n".join(
+        "  ".join([line[0].ljust(widths[0])] +
+                  [cell.rjust(width)
+                   for cell, width in zip(line[1:], widths[1:])])
+        for line in cells)
--- a/src/load/answer_reader.cpp
+++ b/src/load/answer_reader.cpp
@@ -116,6 +116,8 @@
     if (member(body, "error").is_object())
     {
         this->read.error_code = code_of(body);
+        this->read.error_outcome =
+            text_of(member(member(body, "error"), "outcome"));
         return;
     }
     read_usage(body, this->read);
--- a/src/load/answer_reader.hpp
+++ b/src/load/answer_reader.hpp
@@ -18,8 +18,9 @@
 {
     std::string text;
     std::string finish_reason;
-    bool done{false}; ///< the last event, or a whole body, came
-    std::string error_code;
+    bool done{false};          ///< the last event, or a whole body, came
+    std::string error_code;    ///< of an error event in the stream
+    std::string error_outcome; ///< as told in that event
     std::int64_t prompt_tokens{};
     std::int64_t completion_tokens{};
     std::int64_t first_token_us{-1};
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -162,6 +162,8 @@
         got.answer = streamed ? reader.answer()
                               : read_whole(body, this->watch.elapsed_us());
         got.code = got.answer.error_code;
+        // The head of a stream is sent before its outcome is known.
+        got.outcome = got.answer.error_outcome;
     }
     got.end = judge_chat(planned, got);
     return got;
