Bind a port once, never compress an answer

Cause: cpp-httplib listens with SO_REUSEPORT, so a second process binds the same port without an error; binding is the proof by which a new router takes back its predecessor's shares.

Ruled out: a content type with a charset, which cpp-httplib does not compress, because clients would see another content type.

Change: SO_REUSEADDR alone; bodies are given through a provider, which the library leaves as they are.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,6 +51,16 @@
     {
         return new connection_queue(max_threads);
     };
+    // cpp-httplib sets SO_REUSEPORT by default: two processes could listen on
+    // one port, each getting some of the callers, and neither would notice. A
+    // router that has bound its address takes that as proof that the process
+    // before it is dead, and takes back that one's share of the budgets.
+    this->set_socket_options(
+        [](socket_t socket)
+        {
+            int const on = 1;
+            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        });
     this->set_payload_max_length(options.max_body_bytes);
     this->set_read_timeout(to_chrono(options.read_timeout));
     this->set_write_timeout(to_chrono(options.write_timeout));
@@ -117,6 +127,21 @@
     this->acceptor.join();
 }
 
+void set_body(httplib::Response& response, std::string body,
+              std::string const& content_type)
+{
+    if (body.empty())
+    {
+        response.set_content("", content_type);
+        return;
+    }
+    auto const kept = std::make_shared<std::string const>(std::move(body));
+    response.set_content_provider(
+        kept->size(), content_type,
+        [kept](std::size_t offset, std::size_t length, httplib::DataSink& sink)
+        { return sink.write(kept->data() + offset, length); });
+}
+
 endpoint parse_endpoint(std::string const& address)
 {
     auto const colon = address.rfind(':');
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -55,6 +55,12 @@
     std::thread acceptor;
 };
 
+/// Sets a whole body. cpp-httplib would compress JSON for any caller that
+/// accepts it, at up to 1 ms a kilobyte; a body from a provider it leaves
+/// alone. Thread safe.
+void set_body(httplib::Response& response, std::string body,
+              std::string const& content_type);
+
 /// Host and port of a checked "IP:port".
 struct endpoint
 {
--- a/src/router/chat_answer.cpp
+++ b/src/router/chat_answer.cpp
@@ -1,5 +1,7 @@
 #include "router/chat_answer.hpp"
 
+#include "http/server.hpp"
+
 #include <httplib.h>
 
 #include <utility>
@@ -101,7 +103,7 @@
     this->chain.leave();
     if (!kept || !chat.stream)
     {
-        response.set_content(this->request.answer->body, json_type);
+        http::set_body(response, this->request.answer->body, json_type);
         return;
     }
     auto events = role_event(this->identity) +
@@ -111,7 +113,7 @@
     {
         events += usage_event(this->identity, kept->used);
     }
-    response.set_content(events + done_event, "text/event-stream");
+    http::set_body(response, events + done_event, "text/event-stream");
 }
 
 bool chat_answer::keeps_text() const
@@ -135,7 +137,8 @@
     this->complete(event.text);
     response.set_header("X-Request-Id", this->request.id.value);
     response.set_header("Caperpath-Outcome", "completed");
-    response.set_content(
+    http::set_body(
+        response,
         completion_json(this->identity, {this->request.chat_text, event.text,
                                          this->request.used}),
         json_type);
@@ -268,7 +271,7 @@
             (refusal.retry_after.ms + ms_per_second - 1) / ms_per_second;
         response.set_header("Retry-After", std::to_string(seconds));
     }
-    response.set_content(error_json(refusal), json_type);
+    http::set_body(response, error_json(refusal), json_type);
 }
 
 } // namespace caperpath::router
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -68,7 +68,8 @@
     response.status = request.answer->status;
     response.set_header("X-Request-Id", request.id.value);
     response.set_header("Caperpath-Outcome", "completed");
-    response.set_content(request.answer->body, request.answer->content_type);
+    http::set_body(response, request.answer->body,
+                   request.answer->content_type);
 }
 
 void answer_models(filters::services const& shared,
@@ -86,13 +87,13 @@
         write_refusal(request, response);
         return;
     }
-    response.set_content(models_json(*request.document), json_type);
+    http::set_body(response, models_json(*request.document), json_type);
 }
 
 // Errors that the HTTP library answers by itself get the usual error object.
 void describe_error(httplib::Request const&, httplib::Response& response)
 {
-    if (!response.body.empty())
+    if (response.has_header("Content-Type"))
     {
         return;
     }
@@ -124,7 +125,7 @@
     }
     response.set_header("Caperpath-Outcome",
                         std::string{request::to_string(refusal.kind)});
-    response.set_content(error_json(refusal), json_type);
+    http::set_body(response, error_json(refusal), json_type);
 }
 
 std::string what_of(std::exception_ptr const& thrown)
@@ -159,7 +160,7 @@
     response.status = refusal.status;
     response.set_header("Caperpath-Outcome",
                         std::string{request::to_string(refusal.kind)});
-    response.set_content(error_json(refusal), json_type);
+    http::set_body(response, error_json(refusal), json_type);
 }
 
 void register_status(http::server& server, filters::services const& shared,
@@ -167,21 +168,22 @@
 {
     server.Get("/healthz",
                [pages](httplib::Request const&, httplib::Response& response)
-               { response.set_content(pages.health(), json_type); });
+               { http::set_body(response, pages.health(), json_type); });
     server.Get("/readyz",
                [pages](httplib::Request const&, httplib::Response& response)
                {
                    bool const ready = pages.ready();
                    response.status = ready ? http_ok : http_unavailable;
-                   response.set_content(ready ? "{\"ready\":true}"
-                                              : "{\"ready\":false}",
-                                        json_type);
+                   http::set_body(response,
+                                  ready ? "{\"ready\":true}"
+                                        : "{\"ready\":false}",
+                                  json_type);
                });
     server.Get("/metrics",
                [&shared](httplib::Request const&, httplib::Response& response)
                {
-                   response.set_content(shared.metrics->render(),
-                                        "text/plain; version=0.0.4");
+                   http::set_body(response, shared.metrics->render(),
+                                  "text/plain; version=0.0.4");
                });
 }
 
