--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -59,8 +59,12 @@
 
 result<version_pointer> read_current(platform::port const& port)
 {
-    BOOST_LEAF_AUTO(answer, read_poll(port, {}));
-    return answer.current;
+    auto answer = read_poll(port, {});
+    if (!answer)
+    {
+        return answer.error();
+    }
+    return answer->current;
 }
 
 platform::commit_result order_drain(platform::port const& port,
--- a/tests/config/store_test.cpp
+++ b/tests/config/store_test.cpp
@@ -187,12 +187,12 @@
                         accepted.emplace(id, now);
                     }
                 }
-                for (auto const& [id, version] : accepted)
+                for (auto const& one : accepted)
                 {
                     auto const loaded = value_or_error(
-                        [&] { return load_version(truth, version); });
-                    RC_ASSERT(
-                        std::get<document>(loaded).budgets.contains({id}));
+                        [&] { return load_version(truth, one.second); });
+                    RC_ASSERT(std::get<document>(loaded).budgets.contains(
+                        {one.first}));
                 }
             }));
     }
