--- a/scripts/fleet/demo.py
+++ b/scripts/fleet/demo.py
@@ -110,6 +110,12 @@
         say("\nno promise was broken")
 
 
+def streamed_id(records):
+    """A request whose tree is worth a look: a repeated one if there is any."""
+    streams = [one for one in records if one["kind"] == "stream"]
+    return max(streams, key=lambda one: one["attempts"])["request_id"]
+
+
 def keep(site, killed_domain):
     replace(site, KILLED, killed_domain)
     say(json.dumps({
@@ -131,8 +137,10 @@
         killed_domain = site.routers[KILLED][1]
         verdict = play_all(site)
         show(verdict)
-        say(f"took {time.monotonic() - started:.0f} s, files in "
-            f"{folder.relative_to(ROOT)}")
+        shown = folder.relative_to(ROOT)
+        say(f"took {time.monotonic() - started:.0f} s, files in {shown}; the "
+            "way of one request:\n  build/release/caperpath-trace --spans "
+            f"{shown}/*.spans -- {streamed_id(verdict.records)}")
         if keep_up:
             keep(site, killed_domain)
     return EXIT_BROKEN if verdict.broken else 0
--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -15,7 +15,7 @@
 # name: (policy, paid tokens, site)
 BUDGETS = {
     "taller-xela": ("false_refusals_first", 4_000_000, "ruedaviva"),
-    "familia-lopez": ("false_refusals_first", 30_000, "ruedaviva"),
+    "familia-lopez": ("false_refusals_first", 6_000, "ruedaviva"),
     "agency-hangang": ("overspend_first", 4_000_000, "guild"),
 }
 RUNS_OUT = "familia-lopez"
@@ -96,7 +96,7 @@
             "name": "demo",
             "models": {"asistente": price, "guide-llm": price},
             "services": {
-                "taller-app": {"calls": [order | {"path_prefix": "/orders"}]},
+                "taller-app": {"calls": [order | {"path_prefix": "/parts"}]},
                 "asset-svc": {"calls": [order | {"path_prefix": "/verdicts"}]}},
             "backend_servers": servers,
             "routing": {"policy": "least_outstanding"}}
@@ -125,8 +125,9 @@
                   "address": router.address, "failure_domain": failure_domain,
                   "state": "live"}
         self.check(call("POST", self.platform, "/vms", listed), "list " + vm)
-        self.wait_until(lambda: call("GET", router.address, "/readyz")[0] == 200,
-                        f"{vm} is not ready, see {vm}.log")
+        self.wait_until(
+            lambda: call("GET", router.address, "/readyz")[0] == 200,
+            f"{vm} is not ready, see {vm}.log")
 
     def stop_router(self, vm):
         """A planned stop: drained, ended by itself, then destroyed."""
@@ -149,7 +150,8 @@
     def wait_until_settled(self):
         """Blocks until no router holds a bill that is not in the ledger."""
         def settled():
-            health = [call("GET", one, "/healthz")[1] for one in self.addresses()]
+            health = [call("GET", address, "/healthz")[1]
+                      for address in self.addresses()]
             return all(one and one["unsettled_bills"] == 0 for one in health)
         self.wait_until(settled, "bills were not settled in time")
 
--- a/scripts/fleet/ledger.py
+++ b/scripts/fleet/ledger.py
@@ -47,6 +47,6 @@
     for address in addresses:
         status, counted = call("GET", address, "/executions")
         if status != 200:
-            raise Failure(f"the service at {address} cannot be asked ({status})")
+            raise Failure(f"the service at {address} says {status}")
         runs.update(counted)
     return runs
--- a/scripts/fleet/load.py
+++ b/scripts/fleet/load.py
@@ -28,7 +28,7 @@
 TRAFFIC = [
     chat("taller-xela", "stream", "asistente", 20, 100, 6),
     chat("taller-xela", "short", "asistente", 1, 8, 3),
-    order("taller-xela", "taller-app", "/orders", 2),
+    order("taller-xela", "taller-app", "/parts", 2),
     chat(RUNS_OUT, "short", "asistente", 5, 20, 4),
     chat("agency-hangang", "stream", "guide-llm", 20, 100, 4),
     chat("agency-hangang", "short", "guide-llm", 1, 8, 3),
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -92,7 +92,8 @@
 def call(method, address, path, body=None, timeout=5):
     """One HTTP call; returns the status and the decoded JSON, or None."""
     data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data, method=method)
+    request = urllib.request.Request(f"http://{address}{path}", data,
+                                     method=method)
     request.add_header("Content-Type", "application/json")
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
--- a/scripts/fleet/verdict.py
+++ b/scripts/fleet/verdict.py
@@ -1,11 +1,12 @@
 """Holds what callers were told against the ledger and the services."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from load import LARGEST_RESERVE
 from fleet import RUNS_OUT
 
 OUT_OF_BUDGET = 402
+SHOWN_IDS = 3
 
 
 def is_order(record):
@@ -34,35 +35,42 @@
             if ledger.spent[budget] > ledger.paid[budget]:
                 self.broken.append(f"{budget} spent {ledger.spent[budget]} of "
                                    f"{ledger.paid[budget]} paid tokens")
-        self.doubled = self.find(self.is_doubled, "was run or billed twice")
-        self.lost = self.find(self.is_lost, "was told completed and is in no "
-                                            "bill, or never ran")
-        self.denied = self.find(self.is_denied, "was told not-run and ran")
+        self.doubled = (self.find(self.ran_twice, "an order ran twice") +
+                        self.find(self.billed_twice, "billed twice"))
+        self.lost = self.find(self.is_lost, "told completed, in no bill or "
+                                            "never ran")
+        self.denied = self.find(self.is_denied, "told not-run and ran")
         self.misbilled = self.find(self.is_misbilled,
-                                   "was billed other tokens than it got")
+                                   "billed other tokens than it got")
         self.wrong = self.find(lambda one: one["ending"] == "wrong",
                                "got a wrong answer")
         self.cut = self.find(lambda one: one["ending"] == "cut",
                              "never got its whole answer")
         self.cut_by_stop = self.find(
             lambda one: one["phase"] != "kill" and one["cut_attempts"] > 0,
-            "was cut off although no router died")
+            "cut off although no router died")
 
     def find(self, holds, complaint):
         """Counts by customer; each one is a broken promise."""
         found = [one for one in self.records if holds(one)]
+        groups = defaultdict(list)
         for one in found:
-            self.broken.append(f"{one['customer']}: {one['kind']} {one['key']} "
-                               f"(id {one['request_id'] or 'none'}, phase "
-                               f"{one['phase']}) {complaint}")
+            group = one["customer"], one["kind"], one["phase"]
+            groups[group].append(one["request_id"] or one["key"])
+        for (customer, kind, phase), ids in groups.items():
+            self.broken.append(
+                f"{len(ids)} x {customer}, {kind}, phase {phase}: {complaint} "
+                f"({', '.join(ids[:SHOWN_IDS])})")
         return Counter(one["customer"] for one in found)
 
     def bills(self, record):
         return self.ledger.by_request.get(record["request_id"], [])
 
-    def is_doubled(self, record):
-        return (self.runs[record["request_id"]] > 1 or
-                len(self.bills(record)) > 1)
+    def ran_twice(self, record):
+        return self.runs[record["request_id"]] > 1
+
+    def billed_twice(self, record):
+        return len(self.bills(record)) > 1
 
     def is_lost(self, record):
         if record["outcome"] != "completed":
--- a/tests/load/run_test.cpp
+++ b/tests/load/run_test.cpp
@@ -42,7 +42,7 @@
     fake_router(int status, std::string const& outcome)
     {
         this->server.Post(
-            "/services/taller-app/orders",
+            "/services/taller-app/parts",
             [this, status, outcome](httplib::Request const& request,
                                     httplib::Response& response)
             {
