--- /dev/null
+++ b/bench/budget_fleet_run.hpp
@@ -0,0 +1,504 @@
+#ifndef CAPERPATH_BENCH_BUDGET_FLEET_RUN_HPP
+#define CAPERPATH_BENCH_BUDGET_FLEET_RUN_HPP
+
+#include "budget_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperpath::bench
+{
+
+namespace fleet_times
+{
+
+constexpr duration one_way{1};
+constexpr duration call_timeout{250};
+constexpr duration tick{20};
+constexpr duration admission_wait{2'000};
+constexpr duration recovery_delay{35'000}; ///< list lag and the next check
+constexpr duration drain{60'000};          ///< after the last arrival
+constexpr std::int64_t reads_of_recovery = 6;
+
+} // namespace fleet_times
+
+inline fleet::fleet(settings chosen, config::budget_policy policy,
+                    std::vector<request> const& traffic,
+                    std::vector<token_count> paid)
+    : chosen{std::move(chosen)}, policy{policy}, plan{plan_of(this->chosen)},
+      traffic{traffic}, truth{paid}, random{this->chosen.seed + 1},
+      table{std::make_shared<platform::memory_table>()},
+      direct{platform::make_memory_port(this->table)}
+{
+    this->settle.durable_interval = {this->chosen.durable_ms};
+    this->settle.deferred_interval = {this->chosen.deferred_ms};
+    for (std::size_t i = 0; i < paid.size(); ++i)
+    {
+        (void)budget::top_up(this->direct, {"b" + std::to_string(i)}, "first",
+                             paid[i]);
+    }
+    for (int vm = 0; vm < this->chosen.vms; ++vm)
+    {
+        this->routers.push_back(this->make_router(vm));
+    }
+    this->first = this->routers.front();
+}
+
+inline fleet::router_ptr fleet::make_router(int vm)
+{
+    auto made = std::make_shared<router>();
+    auto const name = "r" + std::to_string(++this->incarnations);
+    made->holder = budget::bind_holder(this->direct, {name},
+                                       "10.0.0.1:" + std::to_string(vm), {"d"})
+                       .value();
+    this->sums.writes += 1;
+    this->sums.rows += 1;
+    return made;
+}
+
+inline bool fleet::is_paused(router_ptr const& at) const
+{
+    return at == this->first && within(this->loop.now(), this->plan.paused_from,
+                                       this->plan.paused_to);
+}
+
+inline bool fleet::reaches_store(router_ptr const& at) const
+{
+    auto const now = this->loop.now();
+    auto const cut = at == this->first &&
+                     within(now, this->plan.cut_from, this->plan.cut_to);
+    return !cut && !within(now, this->plan.down_from, this->plan.down_to);
+}
+
+/// The balancer's choice: the VM itself, or the next one that is ready.
+inline fleet::router_ptr fleet::pick(int vm) const
+{
+    auto const count = this->routers.size();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        auto const& one =
+            this->routers[(static_cast<std::size_t>(vm) + i) % count];
+        if (!one->dead && !one->unready && !this->is_paused(one))
+        {
+            return one;
+        }
+    }
+    return this->routers[static_cast<std::size_t>(vm)];
+}
+
+inline void fleet::arrive(std::size_t number)
+{
+    auto const& wanted = this->traffic[number];
+    this->truth.came(this->sums, wanted.customer);
+    auto const at = this->pick(wanted.vm);
+    budget_id const budget{"b" + std::to_string(wanted.customer)};
+    auto const made = budget::make_share(budget, this->policy,
+                                         budget::sizing_for(this->policy));
+    auto& share = at->shares.try_emplace(budget, made).first->second;
+    auto const id = "q" + std::to_string(number);
+    this->open[id] = {number, wanted.vm, this->loop.now(), {}};
+    auto step = budget::reserve(
+        std::move(share),
+        {{id}, budget, this->policy, wanted.worst, fleet_times::admission_wait},
+        this->loop.now());
+    share = std::move(step.state);
+    if (!step.reply)
+    {
+        this->pump_budget(at, budget);
+        return;
+    }
+    if (step.reply->verdict == budget::reserve_verdict::admitted)
+    {
+        this->admit(at, number);
+        return;
+    }
+    this->refuse(at, number, *step.reply);
+}
+
+inline void fleet::admit(router_ptr const& at, std::size_t number)
+{
+    auto const& wanted = this->traffic[number];
+    auto const& entry = this->open.at("q" + std::to_string(number));
+    this->sums.waited_ms += (this->loop.now() - entry.since).ms;
+    this->truth.admitted(this->sums, wanted.customer, wanted.worst);
+    this->loop.after(wanted.runs,
+                     [this, at, number] { this->finish(at, number); });
+}
+
+inline void fleet::refuse(router_ptr const& at, std::size_t number,
+                          budget::reserve_reply const& reply)
+{
+    auto const& wanted = this->traffic[number];
+    this->open.erase("q" + std::to_string(number));
+    this->truth.refused(this->sums, wanted.customer, wanted.worst);
+    // Its readiness check says that it cannot decide: the balancer moves on.
+    at->unready |= reply.verdict == budget::reserve_verdict::undecidable &&
+                   !this->reaches_store(at);
+}
+
+inline void fleet::finish(router_ptr const& at, std::size_t number)
+{
+    auto const id = "q" + std::to_string(number);
+    auto const& wanted = this->traffic[number];
+    if (at->dead)
+    {
+        if (this->open.erase(id) > 0)
+        {
+            this->truth.lost(this->sums, wanted.customer, wanted.worst);
+        }
+        return;
+    }
+    if (this->is_paused(at))
+    {
+        this->loop.after(this->plan.paused_to - this->loop.now(),
+                         [this, at, number] { this->finish(at, number); });
+        return;
+    }
+    budget_id const budget{"b" + std::to_string(wanted.customer)};
+    auto& share = at->shares.at(budget);
+    auto step = budget::finish(
+        std::move(share),
+        {{{id}, {"c"}, budget, wanted.cost}, this->policy, wanted.worst},
+        this->loop.now());
+    share = std::move(step.state);
+    at->settlement =
+        budget::queue_bill(std::move(at->settlement), std::move(step.cost),
+                           this->policy, this->settle, this->loop.now());
+    this->open.at(id).finished = this->loop.now();
+    this->truth.finished(this->sums, wanted.customer, wanted.worst,
+                         wanted.cost);
+    if (this->policy == config::budget_policy::false_refusals_first)
+    {
+        this->end_answer(number);
+    }
+    this->pump_settlement(at);
+}
+
+inline void fleet::end_answer(std::size_t number)
+{
+    auto const found = this->open.find("q" + std::to_string(number));
+    if (found == this->open.end())
+    {
+        return;
+    }
+    auto const waited = (this->loop.now() - found->second.finished).ms;
+    this->sums.bill_waits += 1;
+    this->sums.bill_wait_ms += waited;
+    this->sums.bill_wait_most_ms =
+        std::max(this->sums.bill_wait_most_ms, waited);
+    this->open.erase(found);
+}
+
+inline void fleet::call(router_ptr const& at, platform::transaction txn,
+                        std::function<void(platform::commit_result)> done)
+{
+    using fleet_times::one_way;
+    this->sums.writes += 1;
+    this->sums.rows += static_cast<std::int64_t>(txn.writes.size());
+    if (!this->reaches_store(at))
+    {
+        auto const refused =
+            platform::commit_result{platform::commit_outcome::refused, {}, {}};
+        this->loop.after(one_way, [done, refused] { done(refused); });
+        return;
+    }
+    std::uniform_int_distribution<int> percent{0, 99};
+    auto const is_lost = percent(this->random) < this->plan.lost_percent;
+    this->loop.after(
+        one_way,
+        [this, txn = std::move(txn), done = std::move(done), is_lost]
+        {
+            auto outcome = this->table->commit(txn);
+            this->sums.refused_writes +=
+                outcome.outcome == platform::commit_outcome::refused ? 1 : 0;
+            auto const back = is_lost ? fleet_times::call_timeout : one_way;
+            if (is_lost)
+            {
+                outcome = {};
+            }
+            this->loop.after(back, [done, outcome] { done(outcome); });
+        });
+}
+
+/// One read, whatever the number of budgets.
+inline void fleet::look(router_ptr const& at,
+                        std::vector<budget_id> const& budgets)
+{
+    this->sums.reads += 1;
+    auto const failed = !this->reaches_store(at);
+    this->loop.after(fleet_times::one_way * 2,
+                     [this, at, budgets, failed]
+                     {
+                         for (auto const& budget : budgets)
+                         {
+                             this->take_look(at, budget, failed);
+                         }
+                     });
+}
+
+inline void fleet::take_look(router_ptr const& at, budget_id const& budget,
+                             bool failed)
+{
+    auto& share = at->shares.at(budget);
+    auto const now = this->loop.now();
+    if (failed)
+    {
+        share = budget::look_failed(std::move(share), now);
+        return;
+    }
+    auto const rows = this->table->read(budget::look_keys(share, at->holder));
+    share = budget::looked(std::move(share), at->holder, rows, now);
+    at->unready = false;
+    this->pump_budget(at, budget);
+}
+
+inline void fleet::pump_budget(router_ptr const& at, budget_id const& budget)
+{
+    if (this->step_budget(at, budget))
+    {
+        this->look(at, {budget});
+    }
+}
+
+/// True when a look is due.
+inline bool fleet::step_budget(router_ptr const& at, budget_id const& budget)
+{
+    if (at->dead || this->is_paused(at))
+    {
+        return false;
+    }
+    auto& share = at->shares.at(budget);
+    auto answers = budget::answer_waiting(std::move(share), this->loop.now());
+    share = std::move(answers.state);
+    for (auto const& one : answers.answers)
+    {
+        auto const number = this->open.at(one.request.value).number;
+        if (one.reply.verdict == budget::reserve_verdict::admitted)
+        {
+            this->admit(at, number);
+            continue;
+        }
+        this->refuse(at, number, one.reply);
+    }
+    auto step =
+        budget::next_step(std::move(share), at->holder, this->loop.now());
+    share = std::move(step.state);
+    if (step.kind == budget::step_kind::write)
+    {
+        this->call(at, std::move(step.txn),
+                   [this, at, budget](platform::commit_result const& outcome)
+                   {
+                       auto& share = at->shares.at(budget);
+                       share = budget::wrote(std::move(share), at->holder,
+                                             outcome, this->loop.now());
+                       this->pump_budget(at, budget);
+                   });
+    }
+    return step.kind == budget::step_kind::look;
+}
+
+inline void fleet::pump_settlement(router_ptr const& at)
+{
+    if (at->dead || this->is_paused(at))
+    {
+        return;
+    }
+    auto step = budget::next_batch(std::move(at->settlement), at->holder,
+                                   this->settle, this->loop.now());
+    at->settlement = std::move(step.state);
+    if (!step.txn)
+    {
+        return;
+    }
+    this->call(
+        at, std::move(*step.txn),
+        [this, at](platform::commit_result const& outcome)
+        {
+            if (at->dead)
+            {
+                return;
+            }
+            auto done =
+                budget::batch_written(std::move(at->settlement), at->holder,
+                                      outcome, this->loop.now());
+            at->settlement = std::move(done.state);
+            for (auto const& one : done.durable)
+            {
+                auto& share = at->shares.at(one.budget);
+                share = budget::settled(std::move(share), one.tokens);
+                this->end_answer(std::stoull(one.request.value.substr(1)));
+            }
+            this->pump_settlement(at);
+        });
+}
+
+inline void fleet::tick(int vm)
+{
+    auto const at = this->routers[static_cast<std::size_t>(vm)];
+    std::vector<budget_id> looks;
+    for (auto const& [budget, share] : at->shares)
+    {
+        if (this->step_budget(at, budget))
+        {
+            looks.push_back(budget);
+        }
+    }
+    if (!looks.empty())
+    {
+        this->look(at, looks);
+    }
+    this->pump_settlement(at);
+    this->loop.after(fleet_times::tick, [this, vm] { this->tick(vm); });
+}
+
+inline void fleet::count_stranded(token_count change)
+{
+    if (this->stranded_now == 0)
+    {
+        this->stranded_since = this->loop.now();
+    }
+    this->stranded_now += change;
+    this->sums.stranded = std::max(this->sums.stranded, this->stranded_now);
+    if (this->stranded_now == 0)
+    {
+        this->sums.stranded_ms += (this->loop.now() - this->stranded_since).ms;
+    }
+}
+
+inline void fleet::die(int vm, bool replace)
+{
+    auto const at = this->routers[static_cast<std::size_t>(vm)];
+    at->dead = true;
+    token_count left = 0;
+    for (auto const& [budget, share] : at->shares)
+    {
+        left += share.share.granted - share.settled;
+        for (auto const& one : share.waiting)
+        {
+            this->open.erase(one.request.value);
+            this->sums.lost_with_router += 1;
+        }
+    }
+    // Answers that ended before the bill are gone from `open` already; the
+    // others end with their router, at once for the omniscient ledger.
+    for (auto const& [budget, share] : at->shares)
+    {
+        for (auto const& [id, worst] : share.open)
+        {
+            auto const number = this->open.at(id.value).number;
+            this->open.erase(id.value);
+            this->truth.lost(this->sums, this->traffic[number].customer, worst);
+        }
+    }
+    std::vector<budget::bill> unsettled = at->settlement.batch;
+    for (auto const& one : at->settlement.pending)
+    {
+        unsettled.push_back(one.cost);
+    }
+    for (auto const& one : unsettled)
+    {
+        auto const found = this->open.find(one.request.value);
+        if (found != this->open.end())
+        {
+            auto const& wanted = this->traffic[found->second.number];
+            this->truth.unanswered(this->sums, wanted.customer, wanted.cost);
+            this->open.erase(found);
+        }
+    }
+    this->count_stranded(left);
+    this->loop.after(fleet_times::recovery_delay,
+                     [this, at, left]
+                     {
+                         this->recover(at);
+                         this->count_stranded(-left);
+                     });
+    if (replace)
+    {
+        this->routers[static_cast<std::size_t>(vm)] = this->make_router(vm);
+    }
+}
+
+inline void fleet::recover(router_ptr const& dead)
+{
+    budget::death_proof const proof{dead->holder.incarnation,
+                                    budget::proof_kind::absent_after_listed};
+    auto const report = budget::recover(this->direct, proof).value();
+    auto const shares = static_cast<std::int64_t>(report.size());
+    this->sums.writes += shares + 2;
+    this->sums.rows += shares * 2 + 2;
+    this->sums.reads += shares + fleet_times::reads_of_recovery;
+    for (auto const& one : report)
+    {
+        this->sums.held += one.held;
+    }
+}
+
+inline void fleet::schedule_faults()
+{
+    if (this->plan.dies.ms > 0)
+    {
+        this->loop.after(this->plan.dies - instant{},
+                         [this] { this->die(0, false); });
+    }
+    for (int vm = 0; this->plan.replaced.ms > 0 && vm < this->chosen.vms; ++vm)
+    {
+        auto const at = this->plan.replaced + this->plan.replace_step * vm;
+        this->loop.after(at - instant{}, [this, vm] { this->die(vm, true); });
+    }
+    if (this->plan.topped_up.ms > 0)
+    {
+        this->loop.after(this->plan.topped_up - instant{},
+                         [this]
+                         {
+                             for (int i = 0; i < this->chosen.customers; ++i)
+                             {
+                                 auto const tokens =
+                                     this->truth.paid[omniscient::index(i)] /
+                                     10;
+                                 (void)budget::top_up(this->direct,
+                                                      {"b" + std::to_string(i)},
+                                                      "second", tokens);
+                                 this->truth.topped_up(i, tokens);
+                             }
+                         });
+    }
+}
+
+inline figures fleet::run()
+{
+    this->schedule_faults();
+    for (int vm = 0; vm < this->chosen.vms; ++vm)
+    {
+        this->tick(vm);
+    }
+    for (std::size_t i = 0; i < this->traffic.size(); ++i)
+    {
+        this->loop.run_until(this->traffic[i].at);
+        this->arrive(i);
+    }
+    this->loop.run_until(this->loop.now() + fleet_times::drain);
+    return this->sum_up();
+}
+
+inline figures fleet::sum_up()
+{
+    for (int i = 0; i < this->chosen.customers; ++i)
+    {
+        budget_id const budget{"b" + std::to_string(i)};
+        auto const found = this->table->read({budget::budget_key(budget)});
+        auto const row = budget::decode_budget(found.front().value).value();
+        token_count in_shares = 0;
+        for (auto const& share :
+             this->table->scan("share/" + budget.value + "/", "", 1'000'000))
+        {
+            in_shares += budget::decode_share(share.value).value().granted;
+        }
+        this->sums.ledger_is_sound &=
+            row.granted <= row.paid && in_shares + row.retired == row.granted;
+    }
+    return this->sums;
+}
+
+} // namespace caperpath::bench
+
+#endif
--- a/include/caperpath/budget/settlement.hpp
+++ b/include/caperpath/budget/settlement.hpp
@@ -17,7 +17,7 @@
 struct settle_options
 {
     duration durable_interval{100};    ///< somebody waits: overspend_first
-    duration deferred_interval{2'000}; ///< nobody waits: false_refusals_first
+    duration deferred_interval{3'000}; ///< nobody waits: false_refusals_first
     std::size_t batch{100};            ///< bills in one write, at most
 
     friend bool operator==(settle_options const&,
--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -38,6 +38,16 @@
     friend bool operator==(seen_budget const&, seen_budget const&) = default;
 };
 
+/// What a whole wait could not bring together.
+struct fruitless_wait
+{
+    token_count amount{};
+    std::uint64_t budget_version{};
+
+    friend bool operator==(fruitless_wait const&,
+                           fruitless_wait const&) = default;
+};
+
 /// A reservation that waits for a draw.
 struct waiting_reservation
 {
@@ -85,11 +95,16 @@
     std::unordered_map<request_id, token_count> open;
     std::vector<waiting_reservation> waiting;
 
+    /// While the budget row stands as it did then, waiting for as much again is
+    /// of no use.
+    std::optional<fruitless_wait> fruitless;
+
     rate_meter rate;
     token_count last_amount{}; ///< of the latest reservation
     bool busy{false};          ///< a step is under way
     bool closing{false};       ///< returns everything, admits nothing
     int failures{};            ///< of the store, in a row
+    int conflicts{};           ///< with writes of other routers, in a row
     std::optional<instant> down_since;
     instant retry_at{};
 
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -19,6 +19,7 @@
     instant since{};
     token_count gathered{}; ///< since `since`
     double per_second{};
+    int samples{};
 
     friend bool operator==(rate_meter const&, rate_meter const&) = default;
 };
@@ -37,7 +38,7 @@
     duration fresh{50};               ///< a row seen this long ago may be used
     duration look_interval{1'000};    ///< of a holder of idle tokens
     duration near_end_look{200};      ///< the same near the end of the budget
-    duration waiting_look{50};        ///< while a reservation waits
+    duration waiting_look{100};       ///< while a reservation waits
     duration store_down_after{2'000}; ///< no admission under overspend_first
                                       ///< after so long without the store
 
@@ -67,6 +68,15 @@
 token_count draw_size(budget_row const& row, sizing const& sizes, bool newcomer,
                       token_count need, token_count free, token_count ahead);
 
+/// Pause after `conflicts` in a row with other writers of a row: none after the
+/// first when somebody waits, then up to twice as long each time, spread by
+/// `salt`, so that hundreds of routers do not keep refusing each other. Thread
+/// safe.
+duration conflict_pause(int conflicts, bool somebody_waits, std::size_t salt);
+
+/// A part in [0, 1) that differs from salt to salt. Thread safe.
+double spread_of(std::size_t salt);
+
 /// Doubling pause after `failures` in a row, with a jitter that depends on
 /// `salt`, so that routers do not return to a recovering store together.
 /// Thread safe.
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -59,6 +59,12 @@
     return amount > state.seen->row.paid - state.seen->row.retired - used;
 }
 
+bool waited_in_vain(share_state const& state, token_count amount)
+{
+    return state.fruitless && amount >= state.fruitless->amount &&
+           state.seen->version == state.fruitless->budget_version;
+}
+
 reserve_reply undecidable(share_state const& state, instant now)
 {
     return {reserve_verdict::undecidable,
@@ -75,14 +81,15 @@
 }
 
 /// The reply to a reservation that does not fit now, if it is time for one.
-std::optional<reserve_reply> refuse(share_state const& state,
+std::optional<reserve_reply> refuse(share_state& state,
                                     waiting_reservation const& one, instant now)
 {
     if (state.fenced || state.closing)
     {
         return undecidable(state, now);
     }
-    if (seen_since(state, one.since) && beyond_everything(state, one.amount))
+    if (seen_since(state, one.since) && (beyond_everything(state, one.amount) ||
+                                         waited_in_vain(state, one.amount)))
     {
         return exhausted(state);
     }
@@ -95,7 +102,12 @@
     auto const covered =
         reachable &&
         one.amount <= free_tokens(state) + ungranted(state.seen->row);
-    return reachable && !covered ? exhausted(state) : undecidable(state, now);
+    if (!reachable || covered)
+    {
+        return undecidable(state, now);
+    }
+    state.fruitless = fruitless_wait{one.amount, state.seen->version};
+    return exhausted(state);
 }
 
 } // namespace
@@ -177,7 +189,8 @@
     }
     // A row seen just now decides as well as one that would be read again.
     if (seen_since(state, now - state.sizes.near_end_look) &&
-        beyond_everything(state, request.amount))
+        (beyond_everything(state, request.amount) ||
+         waited_in_vain(state, request.amount)))
     {
         auto const reply = exhausted(state);
         return {std::move(state), reply};
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+std::size_t salt_of(share_state const& state, holder_view const& holder,
+                    instant now)
+{
+    return std::hash<budget_id>{}(state.budget) +
+           std::hash<incarnation_id>{}(holder.incarnation) +
+           static_cast<std::size_t>(now.ms);
+}
+
 void store_failed(share_state& state, instant now)
 {
     state.failures += 1;
@@ -207,6 +215,7 @@
     case commit_outcome::applied:
         store_reached(state);
         take_effect(state, *planned, now);
+        state.conflicts = 0;
         return state;
     case commit_outcome::refused:
         if (outcome.failed.empty())
@@ -216,6 +225,10 @@
         }
         store_reached(state);
         take_rows(state, holder, outcome.failed, now);
+        state.conflicts += 1;
+        state.retry_at =
+            now + conflict_pause(state.conflicts, !state.waiting.empty(),
+                                 salt_of(state, holder, now));
         return state;
     case commit_outcome::unknown:
         store_failed(state, now);
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -1,6 +1,7 @@
 #include "share_rules.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace caperpath::budget
@@ -10,6 +11,8 @@
 {
 
 constexpr std::int64_t ms_per_second = 1'000;
+constexpr double lowest_level = 0.25;
+constexpr double level_range = 0.25;
 constexpr int surplus_factor =
     4; ///< idle beyond this many fair parts goes back
 
@@ -47,10 +50,16 @@
     return std::max(static_cast<token_count>(traffic), 2 * state.last_amount);
 }
 
-bool is_low(share_state const& state)
+/// Routers that started together must not all refill at once, so each draws at
+/// a level of its own, between a quarter and half of what it aims at.
+bool is_low(share_state const& state, holder_view const& holder)
 {
+    auto const salt = std::hash<incarnation_id>{}(holder.incarnation) +
+                      static_cast<std::size_t>(state.share_version);
+    auto const level = lowest_level + level_range * spread_of(salt);
+    auto const ahead = static_cast<double>(tokens_ahead(state));
     return state.last_amount > 0 &&
-           free_tokens(state) < tokens_ahead(state) / 2;
+           static_cast<double>(free_tokens(state)) < ahead * level;
 }
 
 bool is_newcomer(share_state const& state)
@@ -225,24 +234,26 @@
 }
 
 /// True when a draw would be tried if the row were fresh.
-bool may_draw(share_state const& state)
+bool may_draw(share_state const& state, holder_view const& holder)
 {
     auto const promising = !state.seen || ungranted(state.seen->row) > 0;
     return promising && !state.closing &&
-           (!state.waiting.empty() || is_low(state));
+           (!state.waiting.empty() || is_low(state, holder));
 }
 
-bool look_is_due(share_state const& state, instant now)
+bool look_is_due(share_state const& state, holder_view const& holder,
+                 instant now)
 {
     if (!state.seen || state.look_first)
     {
-        return is_interested(state) || may_draw(state);
+        return is_interested(state) || may_draw(state, holder);
     }
     if (is_fresh(state, now))
     {
         return false;
     }
-    if (may_draw(state) && (!state.waiting.empty() || refill(state) > 0))
+    if (may_draw(state, holder) &&
+        (!state.waiting.empty() || refill(state) > 0))
     {
         return true;
     }
@@ -291,7 +302,7 @@
     {
         return touch_step(std::move(state), holder);
     }
-    auto const more = is_low(state) ? refill(state) : 0;
+    auto const more = is_low(state, holder) ? refill(state) : 0;
     return more > 0 ? move_step(std::move(state), holder, more, 0)
                     : no_step(std::move(state));
 }
@@ -307,7 +318,7 @@
         return no_step(std::move(state));
     }
     state.rate = metered(state.rate, 0, now);
-    if (look_is_due(state, now))
+    if (look_is_due(state, holder, now))
     {
         return look_step(std::move(state));
     }
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -11,11 +11,18 @@
 
 constexpr double smoothing_ms = 10'000;
 constexpr duration shortest_sample{500};
+constexpr int first_samples = 20;
 constexpr duration overspend_first_horizon{20'000};
 constexpr duration false_refusals_first_horizon{60'000};
 constexpr std::int64_t first_pause_ms = 50;
 constexpr std::int64_t longest_pause_ms = 2'000;
 constexpr int most_doublings = 6;
+constexpr std::int64_t first_conflict_ms = 8;
+constexpr std::int64_t longest_waited_pause_ms = 200;
+constexpr std::int64_t longest_refill_pause_ms = 1'000;
+constexpr std::size_t golden_ratio = 0x9E3779B97F4A7C15;
+constexpr int mixing_shift = 32;
+constexpr double two_to_32 = 4'294'967'296.0;
 
 } // namespace
 
@@ -26,7 +33,11 @@
     {
         auto const ms = static_cast<double>(span.ms);
         auto const sample = static_cast<double>(meter.gathered) * 1'000 / ms;
-        auto const weight = 1 - std::exp(-ms / smoothing_ms);
+        meter.samples = std::min(meter.samples + 1, first_samples);
+        // The first samples count in full: a router that has just started would
+        // otherwise draw again and again while the figure climbs.
+        auto const weight =
+            std::max(1.0 / meter.samples, 1 - std::exp(-ms / smoothing_ms));
         meter.per_second += weight * (sample - meter.per_second);
         meter.gathered = 0;
         meter.since = now;
@@ -88,11 +99,32 @@
 {
     auto const doublings = std::clamp(failures - 1, 0, most_doublings);
     auto const pause = std::min(longest_pause_ms, first_pause_ms << doublings);
+    auto const part = spread_of(salt + static_cast<std::size_t>(failures));
     // Between half and all of the pause.
-    auto const spread = static_cast<std::size_t>(pause / 2 + 1);
-    auto const mixed = (salt + static_cast<std::size_t>(failures)) *
-                       std::size_t{0x9E3779B97F4A7C15};
-    return {pause / 2 + static_cast<std::int64_t>((mixed >> 32) % spread)};
+    return {pause / 2 +
+            static_cast<std::int64_t>(static_cast<double>(pause / 2) * part)};
+}
+
+double spread_of(std::size_t salt)
+{
+    auto mixed = salt * golden_ratio;
+    mixed ^= mixed >> mixing_shift;
+    mixed *= golden_ratio;
+    return static_cast<double>(mixed >> mixing_shift) / two_to_32;
+}
+
+duration conflict_pause(int conflicts, bool somebody_waits, std::size_t salt)
+{
+    if (conflicts <= 1 && somebody_waits)
+    {
+        return {0};
+    }
+    auto const longest =
+        somebody_waits ? longest_waited_pause_ms : longest_refill_pause_ms;
+    auto const doublings = std::clamp(conflicts, 0, most_doublings);
+    auto const range = std::min(longest, first_conflict_ms << doublings);
+    auto const part = spread_of(salt + static_cast<std::size_t>(conflicts));
+    return {static_cast<std::int64_t>(static_cast<double>(range) * part)};
 }
 
 } // namespace caperpath::budget
