Recover dead routers' shares, accept only routing policies that exist

Cause: the functions that take back a dead holder's share were called by nobody, so each crash left its share stranded for good. And the configuration accepted three routing policies that the router does not have; it would have routed by least_outstanding without a word, and an experiment would compare nothing.

Ruled out: recovery after a lease has lapsed, because a paused holder does not know and goes on spending; recovery of any incarnation that the platform's list lacks, because a router that has just started is not in the lagging list yet.

Change: a recovery round (pure of actors) that recovers what had this process's own address, and what the list has shown once and lacked for list_lag; an actor that runs it at jittered intervals.

Conclusion: a crashed router's share comes back when its death is proved.

--- a/include/caperpath/config/codec.hpp
+++ b/include/caperpath/config/codec.hpp
@@ -15,9 +15,8 @@
 {
 
 /// The routing policies that a document may name.
-inline constexpr std::array<std::string_view, 7> routing_policies{
-    "random",          "round_robin",     "least_outstanding", "power_of_two",
-    "consistent_hash", "prefix_affinity", "expected_time"};
+inline constexpr std::array<std::string_view, 4> routing_policies{
+    "random", "round_robin", "least_outstanding", "power_of_two"};
 
 /// Longest name of a customer, budget, model, service, backend server or
 /// failure domain, in bytes.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -11,6 +11,7 @@
 #include <caperpath/controllers/budget_controller.hpp>
 #include <caperpath/controllers/config_controller.hpp>
 #include <caperpath/controllers/limit_controller.hpp>
+#include <caperpath/controllers/recovery_controller.hpp>
 #include <caperpath/observe/log.hpp>
 #include <caperpath/platform/http_port.hpp>
 
@@ -97,6 +98,7 @@
     http::server server;
     caf::actor budgets;
     caf::actor backends;
+    caf::actor recovery;
     std::optional<controllers::config_controller> configuration;
     std::optional<load_poller> poller;
 
@@ -231,6 +233,7 @@
         controllers::stop_budgets(all.system, all.budgets, settle_bound);
     all.configuration.reset();
     caf::anon_send_exit(all.backends, caf::exit_reason::user_shutdown);
+    caf::anon_send_exit(all.recovery, caf::exit_reason::user_shutdown);
     all.shared.spans.flush();
     auto const with_shares = std::count_if(
         left.budgets.begin(), left.budgets.end(),
--- /dev/null
+++ b/tests/routing/policy_test.cpp
@@ -0,0 +1,132 @@
+#include <caperpath/config/codec.hpp>
+#include <caperpath/routing/limits.hpp>
+#include <caperpath/routing/policy.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace caperpath;
+using namespace caperpath::routing;
+
+class policy_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(policy_test);
+    CPPUNIT_TEST(every_configured_name_is_a_policy);
+    CPPUNIT_TEST(every_policy_chooses_a_usable_server);
+    CPPUNIT_TEST(least_outstanding_takes_a_least_loaded_one);
+    CPPUNIT_TEST(a_failing_server_is_set_aside_and_probed);
+    CPPUNIT_TEST(limits_hold_and_refill);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::vector<backend_view> draw_servers()
+    {
+        auto const loads =
+            *rc::gen::nonEmpty(rc::gen::container<std::vector<std::int64_t>>(
+                rc::gen::inRange<std::int64_t>(0, 50)));
+        std::vector<backend_view> servers(loads.size());
+        for (std::size_t i = 0; i < loads.size(); ++i)
+        {
+            servers[i].outstanding = loads[i];
+        }
+        return servers;
+    }
+
+    static std::vector<backend_view const*>
+    pointers(std::vector<backend_view> const& servers)
+    {
+        std::vector<backend_view const*> all;
+        for (auto const& server : servers)
+        {
+            all.push_back(&server);
+        }
+        return all;
+    }
+
+    static choice_input draw_input()
+    {
+        return {{0},
+                *rc::gen::arbitrary<std::uint64_t>(),
+                *rc::gen::arbitrary<std::uint64_t>(),
+                {"here"}};
+    }
+
+    // An operator patches in a policy that the router does not have. It would
+    // quietly route by another one, and the experiment would compare nothing.
+    void every_configured_name_is_a_policy()
+    {
+        for (auto const name : config::routing_policies)
+        {
+            CPPUNIT_ASSERT(find_policy(name).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(config::routing_policies.size(),
+                             policy_names().size());
+    }
+
+    void every_policy_chooses_a_usable_server()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                auto const servers = draw_servers();
+                auto const input = draw_input();
+                for (auto const& name : policy_names())
+                {
+                    auto const choose = *find_policy(name);
+                    RC_ASSERT(choose(pointers(servers), input) <
+                              servers.size());
+                }
+            }));
+    }
+
+    void least_outstanding_takes_a_least_loaded_one()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                auto const servers = draw_servers();
+                auto const chosen =
+                    least_outstanding(pointers(servers), draw_input());
+                for (auto const& server : servers)
+                {
+                    RC_ASSERT(servers[chosen].outstanding <=
+                              server.outstanding);
+                }
+            }));
+    }
+
+    // An engine answers every request with an error at once, so it always has
+    // the fewest open requests and would attract all of them.
+    void a_failing_server_is_set_aside_and_probed()
+    {
+        backend_view server;
+        instant const now{1'000};
+        server = failed(failed(server, now), now);
+        CPPUNIT_ASSERT(usable(server, now));
+        server = failed(server, now);
+        CPPUNIT_ASSERT(!usable(server, now));
+        CPPUNIT_ASSERT(usable(server, now + duration{500}));
+        server = failed(server, now);
+        CPPUNIT_ASSERT(!usable(server, now + duration{999}));
+        CPPUNIT_ASSERT(usable(succeeded(server), now));
+    }
+
+    void limits_hold_and_refill()
+    {
+        limits const bounds{2, 1'000};
+        limit_state state;
+        auto decision = admit(state, bounds, 600, {0});
+        CPPUNIT_ASSERT(decision.verdict == limit_verdict::admitted);
+        decision = admit(decision.state, bounds, 600, {0});
+        CPPUNIT_ASSERT(decision.verdict == limit_verdict::too_fast);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{201}, decision.retry_after.ms);
+        decision = admit(decision.state, bounds, 600, {201});
+        CPPUNIT_ASSERT(decision.verdict == limit_verdict::admitted);
+        decision = admit(decision.state, bounds, 1, {5'000});
+        CPPUNIT_ASSERT(decision.verdict == limit_verdict::too_many_open);
+        state = released(decision.state, bounds, 0);
+        CPPUNIT_ASSERT(admit(state, bounds, 1, {5'000}).verdict ==
+                       limit_verdict::admitted);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(policy_test);
