Spawn the loader with arguments

Cause: under address,undefined the controller's test ended with a reference bound to a null pointer, in CAF's init_fun_factory: CAF 0.17 dereferences the argument tuple, which is null for a function spawned without arguments. Ruled out: a fault of ours (the stack is CAF's alone); a sanitizer exception for CAF, which would hide others. Change: what the loader needs goes as arguments of spawn. Conclusion: stands; any other spawn without arguments fails the same way.

--- a/src/controllers/config_controller.cpp
+++ b/src/controllers/config_controller.cpp
@@ -189,9 +189,16 @@
     : held{std::make_shared<state>()}, running{std::make_unique<actors>()}
 {
     auto const shared = this->held;
+    // CAF 0.17 binds a reference to a null tuple when a function is spawned
+    // without arguments, and the undefined-behaviour sanitizer ends the
+    // process; so what the function needs goes as arguments.
+    auto const make = [](platform::port const& port, incarnation_id const& self,
+                         std::shared_ptr<state> const& state)
+    {
+        return make_loader(port, self, state);
+    };
     this->running->loader = system.spawn<caf::detached>(
-        [store = std::move(store), shared, self = options.incarnation]
-        { return make_loader(store, self, shared); });
+        make, std::move(store), options.incarnation, shared);
     this->running->poller =
         system.spawn(make_poller, this->running->loader, options);
 }
