--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -6,6 +6,8 @@
 #include "config/sha256.hpp"
 #include "config/store_rows.hpp"
 
+#include <variant>
+
 namespace caperpath::config
 {
 
@@ -59,12 +61,12 @@
 
 result<version_pointer> read_current(platform::port const& port)
 {
-    auto answer = read_poll(port, {});
-    if (!answer)
+    auto const answer = value_or_error([&] { return read_poll(port, {}); });
+    if (auto const* problem = std::get_if<error>(&answer))
     {
-        return answer.error();
+        return fail(*problem);
     }
-    return answer->current;
+    return std::get<poll_answer>(answer).current;
 }
 
 platform::commit_result order_drain(platform::port const& port,
@@ -107,7 +109,12 @@
 
 result<document> load_current(platform::port const& port)
 {
-    BOOST_LEAF_AUTO(pointer, read_current(port));
+    auto const answer = value_or_error([&] { return read_current(port); });
+    if (auto const* problem = std::get_if<error>(&answer))
+    {
+        return fail(*problem);
+    }
+    auto const& pointer = std::get<version_pointer>(answer);
     if (pointer.version == 0)
     {
         return fail({error_kind::not_found, "load configuration", "table",
--- a/tests/config/store_test.cpp
+++ b/tests/config/store_test.cpp
@@ -102,6 +102,7 @@
     {
         auto const table = std::make_shared<platform::memory_table>();
         std::vector<std::thread> threads;
+        threads.reserve(operators);
         std::vector<std::map<std::string, std::uint64_t>> accepted(operators);
         for (int who = 0; who < operators; ++who)
         {
