Hold back less of a dead router's share, and do not refuse while tokens return

Change: a share row names how many tokens may be answered for without a bill, some seconds of traffic; finish says whether the answer may end. The rule on fruitless waits counts only when the budget row has not changed for 5 s. Pauses after conflicts start shorter.

--- a/bench/budget_fleet_run.hpp
+++ b/bench/budget_fleet_run.hpp
@@ -167,7 +167,7 @@
     this->open.at(id).finished = this->loop.now();
     this->truth.finished(this->sums, wanted.customer, wanted.worst,
                          wanted.cost);
-    if (this->policy == config::budget_policy::false_refusals_first)
+    if (step.may_end)
     {
         this->end_answer(number);
     }
--- a/include/caperpath/budget/rows.hpp
+++ b/include/caperpath/budget/rows.hpp
@@ -35,7 +35,7 @@
 {
     token_count granted{};
     /// The most that the holder may have answered for without a bill in the
-    /// ledger; held back when the holder dies.
+    /// ledger; held back when it dies.
     token_count exposed{};
 
     friend bool operator==(share_row const&, share_row const&) = default;
--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -43,6 +43,7 @@
 {
     token_count amount{};
     std::uint64_t budget_version{};
+    instant since{};
 
     friend bool operator==(fruitless_wait const&,
                            fruitless_wait const&) = default;
@@ -95,8 +96,8 @@
     std::unordered_map<request_id, token_count> open;
     std::vector<waiting_reservation> waiting;
 
-    /// While the budget row stands as it did then, waiting for as much again is
-    /// of no use.
+    /// When the budget row has not changed for long, waiting for as much again
+    /// is of no use.
     std::optional<fruitless_wait> fruitless;
 
     rate_meter rate;
@@ -137,6 +138,9 @@
 {
     share_state state;
     bool accepted{};
+    /// The answer may end before the bill is durable: false_refusals_first,
+    /// and what the recovery of this router would hold back covers it.
+    bool may_end{};
     bill cost; ///< at most what had been reserved
 };
 finish_step finish(share_state state, finish_request const& request,
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -31,7 +31,9 @@
 /// How large shares are and how often rows are looked at. Immutable value.
 struct sizing
 {
-    duration horizon{}; ///< a draw covers this much of the router's traffic
+    duration horizon{};  ///< a draw covers this much of the router's traffic
+    duration exposure{}; ///< bills of this much traffic may be unsettled while
+                         ///< their answers end
     std::int64_t end_divisor{2};      ///< no draw ahead takes more than the
                                       ///< remainder / (end_divisor * holders)
     std::int64_t near_end_part{50};   ///< near the end: ungranted < paid / this
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr duration ask_again{1'000};
+/// While other routers give tokens back the row changes more often than this.
+constexpr duration unchanged_for{5'000};
 
 bool is_known(share_state const& state, request_id const& request)
 {
@@ -62,7 +64,8 @@
 bool waited_in_vain(share_state const& state, token_count amount)
 {
     return state.fruitless && amount >= state.fruitless->amount &&
-           state.seen->version == state.fruitless->budget_version;
+           state.seen->version == state.fruitless->budget_version &&
+           state.seen->at - state.fruitless->since >= unchanged_for;
 }
 
 reserve_reply undecidable(share_state const& state, instant now)
@@ -80,6 +83,17 @@
             elsewhere > 0 ? ask_again : duration{0}};
 }
 
+void note_fruitless(share_state& state, token_count amount, instant now)
+{
+    auto const version = state.seen->version;
+    if (state.fruitless && state.fruitless->budget_version == version)
+    {
+        state.fruitless->amount = std::min(state.fruitless->amount, amount);
+        return;
+    }
+    state.fruitless = fruitless_wait{amount, version, now};
+}
+
 /// The reply to a reservation that does not fit now, if it is time for one.
 std::optional<reserve_reply> refuse(share_state& state,
                                     waiting_reservation const& one, instant now)
@@ -106,7 +120,7 @@
     {
         return undecidable(state, now);
     }
-    state.fruitless = fruitless_wait{one.amount, state.seen->version};
+    note_fruitless(state, one.amount, now);
     return exhausted(state);
 }
 
@@ -158,11 +172,10 @@
     {
         return free;
     }
-    // An answer may end before its bill is durable. If this router died then,
-    // the recovery would give the tokens out again and the customer would use
-    // them twice. It holds back `exposed`, so no more may be open than that.
-    auto const open = state.unsettled + state.reserved;
-    return std::clamp<token_count>(usable(state).exposed - open, 0, free);
+    // With so many bills unsettled the answer to new work could not end.
+    auto const open =
+        state.unsettled > 0 && state.unsettled >= usable(state).exposed;
+    return open ? 0 : free;
 }
 
 reserve_step reserve(share_state state, reserve_request const& request,
@@ -206,7 +219,7 @@
     auto const found = state.open.find(request.cost.request);
     if (found == state.open.end())
     {
-        return {std::move(state), false, request.cost};
+        return {std::move(state), false, false, request.cost};
     }
     auto const reserved = found->second;
     auto cost = request.cost;
@@ -217,7 +230,14 @@
     state.reserved -= reserved;
     state.unsettled += cost.tokens;
     state.rate = metered(state.rate, cost.tokens - reserved, now);
-    return {std::move(state), true, std::move(cost)};
+    // An answer may end before its bill is durable. If this router died then,
+    // the recovery would give the tokens out again and the customer would use
+    // them twice. It holds back `exposed`, so no more may be unsettled than
+    // that.
+    auto const may_end =
+        request.policy == config::budget_policy::false_refusals_first &&
+        state.unsettled <= usable(state).exposed;
+    return {std::move(state), true, may_end, std::move(cost)};
 }
 
 share_state cancel(share_state state, request_id const& request)
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::int64_t ms_per_second = 1'000;
+constexpr token_count fewest_exposed = 4; ///< requests
 constexpr double lowest_level = 0.25;
 constexpr double level_range = 0.25;
 constexpr int surplus_factor =
@@ -100,14 +101,24 @@
     return amount >= least ? amount : 0;
 }
 
+/// What a recovery would have to hold back: bills of some seconds of traffic.
 token_count exposure(share_state const& state, token_count granted)
 {
-    return state.policy == config::budget_policy::overspend_first ? 0 : granted;
+    if (state.sizes.exposure == duration{0})
+    {
+        return 0;
+    }
+    auto const traffic = state.rate.per_second *
+                         static_cast<double>(state.sizes.exposure.ms) /
+                         ms_per_second;
+    auto const least = fewest_exposed * state.last_amount;
+    return std::clamp<token_count>(static_cast<token_count>(traffic),
+                                   std::min(least, granted), granted);
 }
 
 bool exposure_is_low(share_state const& state)
 {
-    return state.share.exposed < exposure(state, state.share.granted);
+    return state.share.exposed < exposure(state, state.share.granted) / 2;
 }
 
 platform::condition holder_is(holder_view const& holder)
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -14,10 +14,11 @@
 constexpr int first_samples = 20;
 constexpr duration overspend_first_horizon{20'000};
 constexpr duration false_refusals_first_horizon{60'000};
+constexpr duration false_refusals_first_exposure{20'000};
 constexpr std::int64_t first_pause_ms = 50;
 constexpr std::int64_t longest_pause_ms = 2'000;
 constexpr int most_doublings = 6;
-constexpr std::int64_t first_conflict_ms = 8;
+constexpr std::int64_t first_conflict_ms = 2;
 constexpr std::int64_t longest_waited_pause_ms = 200;
 constexpr std::int64_t longest_refill_pause_ms = 1'000;
 constexpr std::size_t golden_ratio = 0x9E3779B97F4A7C15;
@@ -49,9 +50,13 @@
 sizing sizing_for(config::budget_policy policy)
 {
     sizing sizes;
-    sizes.horizon = policy == config::budget_policy::overspend_first
-                        ? overspend_first_horizon
-                        : false_refusals_first_horizon;
+    if (policy == config::budget_policy::overspend_first)
+    {
+        sizes.horizon = overspend_first_horizon;
+        return sizes;
+    }
+    sizes.horizon = false_refusals_first_horizon;
+    sizes.exposure = false_refusals_first_exposure;
     return sizes;
 }
 
--- a/src/controllers/budget_actor.cpp
+++ b/src/controllers/budget_actor.cpp
@@ -116,8 +116,9 @@
         promise.deliver(bill_state::durable);
         return promise;
     }
-    auto const hopeless = this->settlement.fenced;
-    if (must_be_durable(request.policy) && !hopeless)
+    auto const may_end =
+        step.may_end || (!step.accepted && !must_be_durable(request.policy));
+    if (!may_end && !this->settlement.fenced)
     {
         open->second.push_back({promise, now + this->options.durable_wait});
     }
--- a/tests/budget/world.hpp
+++ b/tests/budget/world.hpp
@@ -130,8 +130,7 @@
         share = std::move(again.state);
         fate.open = false;
         fate.cost = cost;
-        fate.answered =
-            fate.policy == config::budget_policy::false_refusals_first;
+        fate.answered = step.may_end;
     }
 
     /// One step for every budget of the router and one batch.
