--- a/bench/budget.cpp
+++ b/bench/budget.cpp
@@ -1,4 +1,5 @@
 #include "budget_baselines.hpp"
+#include "budget_fleet_faults.hpp"
 #include "budget_fleet_run.hpp"
 
 #include <CLI/CLI.hpp>
--- a/bench/budget_traffic.hpp
+++ b/bench/budget_traffic.hpp
@@ -21,7 +21,7 @@
     int vms{9};
     int customers{10};
     double rate{36}; ///< requests a second at each VM
-    int seconds{1'800};
+    int seconds{3'600};
     int durable_ms{100};
     int deferred_ms{3'000};
     double paid_part{0.8}; ///< of what the whole traffic would cost
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -40,7 +40,7 @@
     duration fresh{50};               ///< a row seen this long ago may be used
     duration look_interval{1'000};    ///< of a holder of idle tokens
     duration near_end_look{200};      ///< the same near the end of the budget
-    duration waiting_look{100};       ///< while a reservation waits
+    duration waiting_look{50};        ///< while a reservation waits
     duration store_down_after{2'000}; ///< no admission under overspend_first
                                       ///< after so long without the store
 
--- a/include/caperpath/controllers/budget_controller.hpp
+++ b/include/caperpath/controllers/budget_controller.hpp
@@ -96,7 +96,8 @@
 
 /// The functions that request filters call, from any thread. `system` must
 /// outlive the port.
-budget::port make_budget_port(caf::actor_system& system, caf::actor controller);
+budget::port make_budget_port(caf::actor_system& system,
+                              caf::actor const& controller);
 
 /// What the controller holds now. Thread safe; blocks.
 budget_report report_budgets(caf::actor_system& system,
--- a/src/budget/recovery.cpp
+++ b/src/budget/recovery.cpp
@@ -36,7 +36,7 @@
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
         BOOST_LEAF_AUTO(rows, port.read({key}));
-        auto const found = find_row(rows, key);
+        auto found = find_row(rows, key);
         if (found.version == 0)
         {
             return fail({error_kind::not_found, "move holder", "table", key});
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -147,7 +147,7 @@
         txn.writes.push_back({key, value});
     }
     state.busy = true;
-    state.planned = std::move(planned);
+    state.planned = planned;
     return {std::move(state), step_kind::write, std::move(txn)};
 }
 
@@ -177,8 +177,7 @@
     auto share = state.share;
     share.granted += tokens;
     share.exposed = exposure(state, share.granted);
-    return write_step(std::move(state), holder,
-                      {share, std::move(budget), false});
+    return write_step(std::move(state), holder, {share, budget, false});
 }
 
 table_step want_step(share_state state, holder_view const& holder,
@@ -187,8 +186,7 @@
     auto budget = state.seen->row;
     budget.wanted = unmet;
     state.wanting = unmet;
-    return write_step(std::move(state), holder,
-                      {std::nullopt, std::move(budget), false});
+    return write_step(std::move(state), holder, {std::nullopt, budget, false});
 }
 
 /// Writes the share row for its own sake: it settles a floor, or raises what is
@@ -211,8 +209,7 @@
     budget.granted -= state.share.granted - state.settled;
     budget.retired += state.settled;
     budget.holders -= 1;
-    return write_step(std::move(state), holder,
-                      {std::nullopt, std::move(budget), true});
+    return write_step(std::move(state), holder, {std::nullopt, budget, true});
 }
 
 bool can_retire(share_state const& state)
--- a/src/controllers/budget_actor.cpp
+++ b/src/controllers/budget_actor.cpp
@@ -13,7 +13,6 @@
 {
 
 using budget::bill_state;
-using budget::reserve_verdict;
 
 /// A worker spends its life in blocking calls; each has its own thread.
 caf::behavior worker_behavior()
--- a/src/controllers/budget_controller.cpp
+++ b/src/controllers/budget_controller.cpp
@@ -141,7 +141,8 @@
     return system.spawn(start, std::move(options));
 }
 
-budget::port make_budget_port(caf::actor_system& system, caf::actor controller)
+budget::port make_budget_port(caf::actor_system& system,
+                              caf::actor const& controller)
 {
     budget::port made;
     made.reserve = [&system, controller](budget::reserve_request const& request)
