--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -31,14 +31,16 @@
 /// How large shares are and how often rows are looked at. Immutable value.
 struct sizing
 {
-    duration horizon{}; ///< a draw covers this much of the router's traffic
+    duration horizon{};  ///< a draw covers this much of the router's traffic
+    duration exposure{}; ///< bills of this much traffic may be unsettled while
+                         ///< their answers end
     std::int64_t end_divisor{2};      ///< no draw ahead takes more than the
                                       ///< remainder / (end_divisor * holders)
     std::int64_t near_end_part{50};   ///< near the end: ungranted < paid / this
     duration fresh{50};               ///< a row seen this long ago may be used
     duration look_interval{1'000};    ///< of a holder of idle tokens
     duration near_end_look{200};      ///< the same near the end of the budget
-    duration waiting_look{100};       ///< while a reservation waits
+    duration waiting_look{50};        ///< while a reservation waits
     duration store_down_after{2'000}; ///< no admission under overspend_first
                                       ///< after so long without the store
 
