--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -49,7 +49,7 @@
 };
 
 // Counts what passes to the platform, whoever asks.
-platform::port counted(platform::port inner, observe::metrics& metrics)
+platform::port counted(platform::port const& inner, observe::metrics& metrics)
 {
     auto counting = inner;
     counting.commit = [inner, &metrics](platform::transaction const& txn)
--- a/src/routing/policy.cpp
+++ b/src/routing/policy.cpp
@@ -92,6 +92,7 @@
 std::vector<std::string> policy_names()
 {
     std::vector<std::string> names;
+    names.reserve(policies.size());
     for (auto const& known : policies)
     {
         names.emplace_back(known.name);
