End the demo's fleet on Ctrl-C however it was started

Cause: a shell starts background jobs with SIGINT ignored; Python keeps that and the demo ran on. A second Ctrl-C while the fleet is ended left processes. Change: handlers for SIGINT and SIGTERM are set at the start and ignored while processes are ended.

--- a/scripts/fleet/demo.py
+++ b/scripts/fleet/demo.py
@@ -147,8 +147,10 @@
 
 
 def main():
-    # SIGTERM ends the fleet as Ctrl-C does.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # SIGTERM ends the fleet as Ctrl-C does. A shell starts background jobs
+    # with Ctrl-C ignored; without a handler of our own the fleet would stay.
+    for stop in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(stop, signal.default_int_handler)
     folder = ROOT / "build" / "demo"
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -83,6 +83,9 @@
     def end_all(self):
         """Ends in reverse order of the start: routers before the platform.
         What was started last has the least depending on it."""
+        # A second Ctrl-C in here would leave the rest of them running.
+        for stop in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(stop, signal.SIG_IGN)
         for name in reversed(list(self.running)):
             if self.running[name].handle.poll() is None:
                 self.stop(name)
