--- a/include/caperpath/budget/recovery.hpp
+++ b/include/caperpath/budget/recovery.hpp
@@ -95,6 +95,20 @@
 result<std::vector<recovered_share>> recover(platform::port const& port,
                                              death_proof const& proof);
 
+/// One round of looking for dead holders.
+struct sweep_report
+{
+    death_watch watch; ///< for the next round
+    std::vector<recovered_share> recovered;
+};
+
+/// Records which holders the platform's list shows, and recovers those that it
+/// has shown and has left out for `list_lag`, as well as those that somebody
+/// has fenced and not finished. Thread safe; blocks. On an error the next round
+/// goes on where this one stopped.
+result<sweep_report> sweep(platform::port const& port, death_watch watch,
+                           duration list_lag, instant now);
+
 /// Marks a holder that left nothing behind as closed. Error `conflict` when it
 /// still has a share row. Thread safe; blocks.
 result<void> close_holder(platform::port const& port,
--- a/include/caperpath/controllers/budget_controller.hpp
+++ b/include/caperpath/controllers/budget_controller.hpp
@@ -29,8 +29,10 @@
     budget::settle_options settle;
     /// Replace the sizes of a budget's policy when set.
     std::optional<budget::sizing> sizes;
-    std::size_t workers{4};       ///< threads that call the platform
-    duration tick{10};            ///< how often time is looked at
+    std::size_t workers{4};          ///< threads that call the platform
+    duration tick{10};               ///< how often time is looked at
+    duration sweep_interval{10'000}; ///< between looks for dead holders
+    duration list_lag{30'000}; ///< how long a VM must be missing from the list
     duration durable_wait{2'000}; ///< the longest that `finish` blocks
 };
 
@@ -50,6 +52,8 @@
     budget_options_builder& with_workers(std::size_t count);
     budget_options_builder& with_tick(duration tick);
     budget_options_builder& with_durable_wait(duration wait);
+    /// @pre `list_lag` is longer than the platform's list can lag.
+    budget_options_builder& with_sweep(duration interval, duration list_lag);
 
     budget_options build() const;
 
--- a/src/controllers/budget_actor.cpp
+++ b/src/controllers/budget_actor.cpp
@@ -56,6 +56,7 @@
         [this](write_result const& result) { this->wrote(result); },
         [this](batch_result const& result) { this->settled(result); },
         [this](close_result const& result) { this->closed(result); },
+        [this](sweep_result const& result) { this->swept(result); },
     };
 }
 
--- a/src/controllers/budget_actor.hpp
+++ b/src/controllers/budget_actor.hpp
@@ -45,6 +45,7 @@
     void wrote(write_result const& result);
     void settled(batch_result const& result);
     void closed(close_result const& result);
+    void swept(sweep_result const& result);
 
     void tick();
     void pump();
@@ -56,6 +57,7 @@
     void release_all_waiters();
     void note_store(bool reached);
     void bind();
+    void pump_sweep();
     void look(std::vector<budget_id> budgets);
     void run(std::function<void()> job);
     void end();
@@ -77,6 +79,9 @@
     std::unordered_map<request_id, promise> reserving;
     /// Bills that are not durable, and who waits for each.
     std::unordered_map<request_id, std::vector<finish_waiter>> unsettled;
+    budget::death_watch watch;
+    bool sweeping{false};
+    std::optional<instant> sweep_at;
     std::optional<promise> stopping;
     instant stop_until{};
     bool close_sent{false};
--- a/src/controllers/budget_controller.cpp
+++ b/src/controllers/budget_controller.cpp
@@ -130,6 +130,14 @@
     return *this;
 }
 
+budget_options_builder& budget_options_builder::with_sweep(duration interval,
+                                                           duration list_lag)
+{
+    this->options.sweep_interval = interval;
+    this->options.list_lag = list_lag;
+    return *this;
+}
+
 budget_options budget_options_builder::build() const
 {
     return this->options;
--- a/src/controllers/budget_messages.hpp
+++ b/src/controllers/budget_messages.hpp
@@ -55,6 +55,12 @@
     bool closed{};
 };
 
+/// Empty when the round failed.
+struct sweep_result
+{
+    std::optional<budget::sweep_report> report;
+};
+
 struct cancel_request
 {
     budget_id budget;
@@ -83,6 +89,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::write_result)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::batch_result)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::close_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::sweep_result)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::cancel_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::report_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(caperpath::controllers::stop_request)
--- a/src/controllers/budget_pump.cpp
+++ b/src/controllers/budget_pump.cpp
@@ -17,6 +17,23 @@
 /// Three keys a budget; a read takes at most 100 keys.
 constexpr std::size_t budgets_in_one_look = 33;
 
+/// Whoever had this process's address before it is dead; its shares come back
+/// at once and do not wait for the platform's list.
+result<budget::holder_view> bind_and_recover(budget_options const& options)
+{
+    auto const& port = options.platform;
+    BOOST_LEAF_AUTO(holder, budget::bind_holder(port, options.incarnation,
+                                                options.address,
+                                                options.failure_domain));
+    BOOST_LEAF_AUTO(proofs, budget::prove_by_binding(port, options.incarnation,
+                                                     options.address));
+    for (auto const& proof : proofs)
+    {
+        BOOST_LEAF_CHECK(budget::recover(port, proof));
+    }
+    return holder;
+}
+
 } // namespace
 
 /// Hands a blocking call to a worker. A call that hangs keeps only its own
@@ -40,13 +57,8 @@
     this->run(
         [own, options = this->options]
         {
-            auto both = value_or_error(
-                [&options]
-                {
-                    return budget::bind_holder(
-                        options.platform, options.incarnation, options.address,
-                        options.failure_domain);
-                });
+            auto both = value_or_error([&options]
+                                       { return bind_and_recover(options); });
             bind_result result;
             if (auto* const holder = std::get_if<budget::holder_view>(&both))
             {
@@ -138,9 +150,61 @@
               { caf::anon_send(own, batch_result{commit(txn)}); });
 }
 
+/// Every router looks for dead holders, so that no duty has to be handed over;
+/// the first look comes at a time of its own, since routers start together.
+void budget_actor::pump_sweep()
+{
+    auto const now = this->options.clock.now();
+    if (!this->sweep_at)
+    {
+        auto const salt =
+            std::hash<incarnation_id>{}(this->options.incarnation);
+        auto const part = budget::spread_of(salt);
+        auto const ms = static_cast<double>(this->options.sweep_interval.ms);
+        this->sweep_at = now + duration{static_cast<std::int64_t>(ms * part)};
+    }
+    if (this->sweeping || this->stopping || now < *this->sweep_at)
+    {
+        return;
+    }
+    this->sweeping = true;
+    this->sweep_at = now + this->options.sweep_interval;
+    auto const own = caf::actor_cast<caf::actor>(this->self);
+    this->run(
+        [own, now, watch = this->watch, platform = this->options.platform,
+         list_lag = this->options.list_lag]
+        {
+            auto both = value_or_error(
+                [&] { return budget::sweep(platform, watch, list_lag, now); });
+            sweep_result result;
+            if (auto* const report = std::get_if<budget::sweep_report>(&both))
+            {
+                result.report = std::move(*report);
+            }
+            caf::anon_send(own, std::move(result));
+        });
+}
+
+void budget_actor::swept(sweep_result const& result)
+{
+    this->sweeping = false;
+    if (!result.report)
+    {
+        return;
+    }
+    this->watch = result.report->watch;
+    for (auto const& one : result.report->recovered)
+    {
+        LOG(WARNING) << "recovered a share of budget " << one.budget.value
+                     << ": granted " << one.granted << ", settled " << one.spent
+                     << ", returned " << one.returned << ", held " << one.held;
+    }
+}
+
 void budget_actor::pump()
 {
     this->bind();
+    this->pump_sweep();
     this->pump_settlement();
     this->pump_budgets();
     this->pump_close();
--- a/tests/budget/share_test.cpp
+++ b/tests/budget/share_test.cpp
@@ -216,6 +216,7 @@
     CPPUNIT_TEST(no_story_overspends_or_bills_twice);
     CPPUNIT_TEST(a_late_return_is_not_spent_again);
     CPPUNIT_TEST(a_dead_routers_first_draw_is_refused);
+    CPPUNIT_TEST(only_a_listed_and_missing_router_is_recovered);
     CPPUNIT_TEST(the_last_tokens_come_together);
     CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +318,47 @@
                              audit_of(*all.table, budgets[0]).row.granted);
     }
 
+    // A new router is not in the platform's lagging list yet, and a running one
+    // is missing from one answer of a list that lags. Taken for dead, they
+    // would lose their shares while they spend them.
+    void only_a_listed_and_missing_router_is_recovered()
+    {
+        constexpr duration lag{30'000};
+        world all;
+        all.add_router();
+        all.add_router();
+        auto const list_of = [](std::string const& name)
+        {
+            return std::vector<platform::listed_vm>{
+                {"vm", name, "10.0.0.9:1", "sala-sur", "live"}};
+        };
+        auto const is_active = [&all](std::string const& name)
+        {
+            auto const rows = all.table->read({holder_key({name})});
+            return decode_holder(rows.at(0).value).value().state ==
+                   holder_state::active;
+        };
+        death_watch watch;
+        auto const look = [&all, &watch, lag](duration later)
+        {
+            all.now = all.now + later;
+            watch = sweep(all.direct, watch, lag, all.now).value().watch;
+        };
+        all.table->set_vms(list_of("r1"));
+        look(lag);
+        look(lag * 10);
+        CPPUNIT_ASSERT(is_active("r1") && is_active("r2"));
+        all.table->set_vms({});
+        look({1'000});
+        all.table->set_vms(list_of("r1"));
+        look(lag);
+        all.table->set_vms({});
+        look({1'000});
+        CPPUNIT_ASSERT(is_active("r1"));
+        look(lag);
+        CPPUNIT_ASSERT(!is_active("r1") && is_active("r2"));
+    }
+
     // The last tokens lie in pieces at nine routers, and a request needs more
     // than any of them holds. Without the pieces coming together its caller
     // would be told that a budget with enough tokens is used up.
