Keep one search for dead routers, with its times in the settings

Cause: two searches for dead holders came together, one in the budget actor and one of its own actor, doing the same; and the demo could not wait for the 30 s that the platform's list is allowed to lag.

Dropped spans reach /metrics.

--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -30,7 +30,8 @@
     return {"vm": vm, "failure_domain": failure_domain,
             "listen": "127.0.0.1:0", "platform": platform,
             "spans_file": str(folder / f"{vm}.spans"),
-            "config_poll_ms": 250, "balancer_lag_ms": 500}
+            "config_poll_ms": 250, "balancer_lag_ms": 500,
+            "recovery_interval_ms": 500, "vm_list_lag_ms": 3000}
 
 
 class Site:
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -182,6 +182,7 @@
     server.Get("/metrics",
                [&shared](httplib::Request const&, httplib::Response& response)
                {
+                   shared.metrics->spans_dropped(shared.spans.dropped());
                    http::set_body(response, shared.metrics->render(),
                                   "text/plain; version=0.0.4");
                });
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -11,7 +11,6 @@
 #include <caperpath/controllers/budget_controller.hpp>
 #include <caperpath/controllers/config_controller.hpp>
 #include <caperpath/controllers/limit_controller.hpp>
-#include <caperpath/controllers/recovery_controller.hpp>
 #include <caperpath/observe/log.hpp>
 #include <caperpath/platform/http_port.hpp>
 
@@ -98,7 +97,6 @@
     http::server server;
     caf::actor budgets;
     caf::actor backends;
-    caf::actor recovery;
     std::optional<controllers::config_controller> configuration;
     std::optional<load_poller> poller;
 
@@ -150,6 +148,7 @@
             .with_address(address)
             .with_failure_domain(this->given.failure_domain)
             .with_settle(settle)
+            .with_sweep(this->given.recovery_interval, this->given.vm_list_lag)
             .build());
     this->backends = controllers::spawn_backend_controller(
         this->system, {this->time, this->seed, this->given.failure_domain});
@@ -233,7 +232,6 @@
         controllers::stop_budgets(all.system, all.budgets, settle_bound);
     all.configuration.reset();
     caf::anon_send_exit(all.backends, caf::exit_reason::user_shutdown);
-    caf::anon_send_exit(all.recovery, caf::exit_reason::user_shutdown);
     all.shared.spans.flush();
     auto const with_shares = std::count_if(
         left.budgets.begin(), left.budgets.end(),
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -45,6 +45,9 @@
     read.deferred_settle_interval =
         read_ms(reader, "deferred_settle_interval_ms", 1,
                 read.deferred_settle_interval);
+    read.recovery_interval =
+        read_ms(reader, "recovery_interval_ms", 100, read.recovery_interval);
+    read.vm_list_lag = read_ms(reader, "vm_list_lag_ms", 0, read.vm_list_lag);
     read.balancer_lag =
         read_ms(reader, "balancer_lag_ms", 0, read.balancer_lag);
     read.drain_bound = read_ms(reader, "drain_bound_ms", 0, read.drain_bound);
--- a/src/router/settings.hpp
+++ b/src/router/settings.hpp
@@ -28,6 +28,11 @@
     duration settle_interval{100};
     /// The same while nobody waits.
     duration deferred_settle_interval{2'000};
+    /// Between two looks for dead routers whose shares can be taken back.
+    duration recovery_interval{10'000};
+    /// How long a VM must be missing from the platform's list to count as
+    /// destroyed; longer than that list can lag.
+    duration vm_list_lag{30'000};
     /// How long the balancer goes on sending new callers after `/readyz` has
     /// said no.
     duration balancer_lag{2'000};
--- a/tests/budget/recovery_round_test.cpp
+++ b/tests/budget/sweep_test.cpp
@@ -1,6 +1,6 @@
 #include "budget/audit.hpp"
 
-#include <caperpath/budget/recovery_round.hpp>
+#include <caperpath/budget/recovery.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -33,10 +33,9 @@
               {share_key(name, dead), encode(share_row{400, 0})}}});
     }
 
-    recovery_round round(recovery_memory memory, std::int64_t at)
+    sweep_report look(death_watch const& watch, std::int64_t at)
     {
-        return run_recovery_round(this->port, this->options, std::move(memory),
-                                  {at});
+        return sweep(this->port, watch, lag, {at}).value();
     }
 
     token_count granted() const
@@ -47,7 +46,6 @@
     std::shared_ptr<platform::memory_table> table{
         std::make_shared<platform::memory_table>()};
     platform::port port{platform::make_memory_port(this->table)};
-    recovery_options options{{"vm-2-b"}, "10.0.0.2:900", lag};
 };
 
 platform::listed_vm const listed_dead{"vm-1", dead.value, "10.0.0.1:900",
@@ -55,9 +53,9 @@
 
 } // namespace
 
-class recovery_round_test : public CppUnit::TestFixture
+class sweep_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(recovery_round_test);
+    CPPUNIT_TEST_SUITE(sweep_test);
     CPPUNIT_TEST(a_vm_that_vanished_from_the_list_gives_its_share_back);
     CPPUNIT_TEST(a_vm_that_was_never_listed_keeps_its_share);
     CPPUNIT_TEST(a_flickering_list_takes_nothing);
@@ -70,11 +68,11 @@
     {
         world here;
         here.table->set_vms({listed_dead});
-        auto memory = here.round({}, 0).memory;
+        auto watch = here.look({}, 0).watch;
         here.table->set_vms({});
-        memory = here.round(memory, 100).memory;
+        watch = here.look(watch, 100).watch;
         CPPUNIT_ASSERT_EQUAL(token_count{400}, here.granted());
-        auto const last = here.round(memory, 100 + lag.ms);
+        auto const last = here.look(watch, 100 + lag.ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last.recovered.size());
         CPPUNIT_ASSERT_EQUAL(token_count{0}, here.granted());
     }
@@ -84,12 +82,12 @@
     void a_vm_that_was_never_listed_keeps_its_share()
     {
         world here;
-        recovery_memory memory;
+        death_watch watch;
         for (std::int64_t at = 0; at < 100 * lag.ms; at += lag.ms)
         {
-            auto const round = here.round(memory, at);
-            CPPUNIT_ASSERT(round.recovered.empty());
-            memory = round.memory;
+            auto const report = here.look(watch, at);
+            CPPUNIT_ASSERT(report.recovered.empty());
+            watch = report.watch;
         }
         CPPUNIT_ASSERT_EQUAL(token_count{400}, here.granted());
     }
@@ -99,15 +97,15 @@
     void a_flickering_list_takes_nothing()
     {
         world here;
-        recovery_memory memory;
+        death_watch watch;
         for (int i = 0; i < 20; ++i)
         {
             bool const shown = i % 2 == 0;
             here.table->set_vms(shown ? std::vector{listed_dead}
                                       : std::vector<platform::listed_vm>{});
-            auto const round = here.round(memory, i * lag.ms * 3 / 4);
-            CPPUNIT_ASSERT(round.recovered.empty());
-            memory = round.memory;
+            auto const report = here.look(watch, i * lag.ms * 3 / 4);
+            CPPUNIT_ASSERT(report.recovered.empty());
+            watch = report.watch;
         }
         CPPUNIT_ASSERT_EQUAL(token_count{400}, here.granted());
     }
@@ -117,11 +115,12 @@
     void a_restarted_process_takes_back_its_own()
     {
         world here;
-        here.options.address = "10.0.0.1:900";
-        auto const round = here.round({}, 0);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, round.recovered.size());
+        auto const proofs =
+            prove_by_binding(here.port, {"vm-1-b"}, "10.0.0.1:900").value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, proofs.size());
+        CPPUNIT_ASSERT(recover(here.port, proofs.at(0)));
         CPPUNIT_ASSERT_EQUAL(token_count{0}, here.granted());
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(recovery_round_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(sweep_test);
