--- a/tests/router/caller.hpp
+++ b/tests/router/caller.hpp
@@ -3,6 +3,8 @@
 
 #include "stand_in/answer.hpp"
 
+#include <caperpath/base/clock.hpp>
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 
@@ -22,10 +24,12 @@
     std::string retry_after;
     std::string request_id;
     nlohmann::json body;
+    std::string raw; ///< the body's bytes, when it is not a stream
     std::string text;
     std::string finish_reason;
     bool done{false};
     std::string stream_error;
+    std::vector<instant> token_times; ///< monotonic, of a stream
 };
 
 struct call_options
@@ -34,6 +38,7 @@
     bool stream{false};
     int max_tokens{0};            ///< 0: not given
     std::int64_t leave_after{-1}; ///< tokens after which the caller leaves
+    int timeout_ms{30'000};       ///< after which the caller gives up: status 0
 };
 
 /// One user message to model "asistente".
@@ -45,11 +50,16 @@
                 std::string const& body);
 
 /// Any call.
-reply call(
-    std::string const& router, std::string const& key,
-    std::string const& method, std::string const& path,
-    std::string const& body = "",
-    std::vector<std::pair<std::string, std::string>> const& headers = {});
+reply call(std::string const& router, std::string const& key,
+           std::string const& method, std::string const& path,
+           std::string const& body = "",
+           std::vector<std::pair<std::string, std::string>> const& headers = {},
+           int timeout_ms = 30'000);
+
+/// An order of parts, which may not run twice, with an idempotency key.
+reply order(std::string const& router, std::string const& key,
+            std::string const& idempotency_key,
+            std::string const& body = "one battery", int timeout_ms = 30'000);
 
 /// The text that the stand-in engine answers to `prompt`, cut at `most`.
 std::string expected_text(std::string const& prompt,
