--- a/bench/capacity/stream_client.cpp
+++ b/bench/capacity/stream_client.cpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <iostream>
 #include <string_view>
 #include <utility>
 
@@ -18,6 +19,7 @@
 {
 
 constexpr int longest_read_seconds = 60;
+constexpr std::size_t most_kept = 500;
 
 std::string body_of(std::size_t index, std::int64_t tokens)
 {
@@ -68,6 +70,7 @@
     observe::stopwatch const watch;
     double last = 0;
     std::int64_t tokens = 0;
+    std::string raw; // the beginning, to tell why a stream failed
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
@@ -77,6 +80,10 @@
     request.content_receiver =
         [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
     {
+        if (raw.size() < most_kept)
+        {
+            raw.append(data, size);
+        }
         for (auto const& event : splitter.feed({data, size}))
         {
             if (!is_token(event))
@@ -92,8 +99,14 @@
         }
         return true;
     };
-    client.send(request);
+    auto const answer = client.send(request);
     mine.failed = tokens == this->load.tokens ? 0 : 1;
+    if (mine.failed > 0)
+    {
+        std::cerr << this->load.address << ": " << tokens << " tokens, "
+                  << httplib::to_string(answer.error()) << ", status "
+                  << (answer ? answer->status : 0) << ", " << raw << '\n';
+    }
 }
 
 std::int64_t stream_callers::tokens() const
