Wait in the measurement until the router's view holds the model engine

The first stream was refused with 503 no_backend_server now and then: /readyz says yes once the configuration is loaded, and the view of backend servers follows within 50 ms. The measurement waits 250 ms; the window itself is a fault of the router that stays.

--- a/bench/capacity/site.cpp
+++ b/bench/capacity/site.cpp
@@ -24,6 +24,7 @@
 constexpr token_count paid = 1'000'000'000'000;
 constexpr int most_tries = 400;
 constexpr auto pause = std::chrono::milliseconds{25};
+constexpr auto view_lag = std::chrono::milliseconds{250};
 constexpr double us_per_second = 1e6;
 constexpr int http_ok = 200;
 
@@ -129,6 +130,9 @@
         }
         std::this_thread::sleep_for(pause);
     }
+    // A router is ready up to 50 ms before its view holds a backend server;
+    // until then it refuses with "no_backend_server".
+    std::this_thread::sleep_for(view_lag);
 }
 
 void patch(site const& where, nlohmann::json const& change)
