Measure processor time against tokens a second, failures by size

A router uses some 80 ms a second at rest, so its time a token fell with the number of streams and gave no line: 3,266 us at one stream, 102 us at 360. Time a second over tokens a second separates the two.

--- a/bench/capacity/streams.cpp
+++ b/bench/capacity/streams.cpp
@@ -2,6 +2,8 @@
 #include "capacity/site.hpp"
 #include "capacity/stream_client.hpp"
 
+#include <caperpath/observe/stopwatch.hpp>
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -25,11 +27,13 @@
 constexpr std::size_t starts_a_second = 360;
 constexpr std::chrono::milliseconds margin{400};
 constexpr double late = 0.95;
+constexpr double us_per_second = 1e6;
 
 /// Of one size, of all passes.
 struct samples
 {
-    std::vector<double> cpu_a_token;
+    std::vector<double> tokens_a_second;
+    std::vector<double> router_us_a_second;
     std::vector<double> first_token;
     std::vector<double> first_token_late;
     std::vector<double> gap;
@@ -64,16 +68,17 @@
     std::this_thread::sleep_for(ramp + margin);
     auto const cpu = process_us(where.router_process);
     auto const before = callers.tokens();
+    observe::stopwatch const watch;
     // All streams are open from the last start to the first end.
     std::this_thread::sleep_for(tokens * token_time - ramp - 2 * margin);
     auto const spent = process_us(where.router_process) - cpu;
-    auto const arrived = callers.tokens() - before;
+    auto const arrived = static_cast<double>(callers.tokens() - before);
+    auto const seconds =
+        static_cast<double>(watch.elapsed_us()) / us_per_second;
     auto const memory = resident_bytes(where.router_process);
     keep_times(into, callers.join());
-    if (arrived > 0)
-    {
-        into.cpu_a_token.push_back(spent / static_cast<double>(arrived));
-    }
+    into.tokens_a_second.push_back(arrived / seconds);
+    into.router_us_a_second.push_back(spent / seconds);
     return memory;
 }
 
@@ -107,7 +112,8 @@
 void measure_streams(site const& where, report& out)
 {
     series memory{"streams", "resident memory", "open streams", "bytes", {}};
-    series work{"streams", "processor time a token", "open streams", "us", {}};
+    series work{
+        "streams", "processor time", "tokens a second", "us a second", {}};
     std::map<std::size_t, samples> routed;
     std::map<std::size_t, samples> direct;
     for (int pass = 0; pass < passes; ++pass)
@@ -131,16 +137,15 @@
     }
     for (auto const streams : sizes)
     {
-        work.points.push_back({static_cast<double>(streams),
-                               median(routed[streams].cpu_a_token)});
+        work.points.push_back({median(routed[streams].tokens_a_second),
+                               median(routed[streams].router_us_a_second)});
     }
-    std::size_t failed = 0;
     for (auto const& [streams, one] : routed)
     {
-        failed += one.failed;
+        out.figures.push_back(
+            {"streams", "failed at " + std::to_string(streams),
+             "streams of all passes", static_cast<double>(one.failed)});
     }
-    out.figures.push_back({"streams", "streams that failed", "of all passes",
-                           static_cast<double>(failed)});
     out.lines.push_back(std::move(memory));
     out.lines.push_back(std::move(work));
     for (auto const streams : compared)
