--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -106,8 +106,8 @@
     auto const pause = std::min(longest_pause_ms, first_pause_ms << doublings);
     auto const part = spread_of(salt + static_cast<std::size_t>(failures));
     // Between half and all of the pause.
-    return {pause / 2 +
-            static_cast<std::int64_t>(static_cast<double>(pause / 2) * part)};
+    auto const half = pause / 2;
+    return {half + static_cast<std::int64_t>(static_cast<double>(half) * part)};
 }
 
 double spread_of(std::size_t salt)
