--- a/model/budget.sh
+++ b/model/budget.sh
@@ -13,7 +13,7 @@
   mkdir -p "$work/$name"
   (cd "$work/$name" &&
     spin -a "$@" "$model" >spin.log &&
-    gcc -O2 -DSAFETY -DMEMLIM=2000 -w -o pan pan.c)
+    gcc -O1 -DSAFETY -DMEMLIM=2000 -w -o pan pan.c)
 }
 
 build sound
