Withhold the end of an answer whose bill is in memory only

Cause: under overspend_first the router ended an answer as complete after two seconds without the store, with the bill in its memory alone. If it died then, recovery would give the same tokens out again: the ledger would balance and the customer would have had more than was paid for.

Ruled out: waiting for the store, which holds the caller back without bound; holding the tokens back at recovery as false_refusals_first does, because this policy records no exposure and could not while the store is down.

Change: such an answer ends in an error event (or 502) with outcome unknown and bill_pending instead of [DONE]; with an idempotency key it is kept and a repeat gets it. false_refusals_first is as before.

Conclusion: no answer of this policy is complete without a durable bill.

--- a/src/filters/chain.hpp
+++ b/src/filters/chain.hpp
@@ -47,8 +47,7 @@
 };
 
 /// account, authenticate, understand, identify, limit, reserve, keep, dispatch:
-/// for models and
-/// for plain services. Thread safe.
+/// for models and for plain services. Thread safe.
 std::vector<filter> const& request_filters();
 
 } // namespace caperpath::filters
--- a/src/filters/context.hpp
+++ b/src/filters/context.hpp
@@ -109,9 +109,7 @@
     token_count worst_case{};
     std::optional<std::uint64_t> claim_epoch; ///< until the claim is ended
     token_count billed_before{}; ///< for this request, by earlier runs
-    /// A later runner holds the claim: its answer counts, and its bill.
-    bool superseded{false};
-    bool keeps_answer{false};                   ///< whoever asks again gets it
+    bool keeps_answer{false};    ///< whoever asks again gets it
     std::optional<request::kept_answer> answer; ///< of a service, or replayed
     bool replayed{false};
     std::unique_ptr<router::chat_relay> relay;
--- a/src/filters/keep.cpp
+++ b/src/filters/keep.cpp
@@ -55,9 +55,9 @@
     request.claim_epoch.reset();
     // A call that is not idempotent is never run by a second runner: its answer
     // is the only one there is, and withholding it would lose it.
-    request.superseded =
+    bool const superseded =
         end == request::claim_end::superseded && request.idempotent();
-    if (request.superseded)
+    if (superseded)
     {
         request.state = progress::refused;
         request.refusal = superseded_refusal();
--- a/src/filters/reserve.cpp
+++ b/src/filters/reserve.cpp
@@ -58,6 +58,26 @@
     return refusal_of(reply);
 }
 
+// The bill of a budget that must never be overspent is only in this router's
+// memory, because the store takes no write. If the router died now, its share
+// would be given out again although the answer had been used: the ledger would
+// balance and the customer would have had more than was paid for. So the answer
+// is not given as complete; with an idempotency key it is kept, and a repeat
+// gets it once the bill is written.
+void withhold(context& request)
+{
+    constexpr int http_bad_gateway = 502;
+    request.state = progress::refused;
+    request.refusal = request::refusal{
+        http_bad_gateway,
+        request::outcome::unknown,
+        {5'000},
+        "server_error",
+        "bill_pending",
+        "",
+        "the bill cannot be written now; ask again with the same key"};
+}
+
 void leave(context& request)
 {
     if (request.replayed)
@@ -77,6 +97,13 @@
         {cost, policy_of(request), request.worst_case});
     request.shared.metrics->bill_finished(state);
     finish_span(request, std::move(span));
+    bool const at_risk =
+        state == budget::bill_state::local &&
+        policy_of(request) == config::budget_policy::overspend_first;
+    if (at_risk && request.cost > 0 && request.state == progress::completed)
+    {
+        withhold(request);
+    }
 }
 
 } // namespace
--- a/src/router/chat_answer.cpp
+++ b/src/router/chat_answer.cpp
@@ -135,7 +135,7 @@
         return;
     }
     this->complete(event.text);
-    if (this->request.superseded)
+    if (this->request.state != filters::progress::completed)
     {
         write_refusal(this->request, response);
         return;
@@ -229,7 +229,7 @@
     // caller leaves before the last event.
     bool const reached = send(sink, events);
     this->complete(reason);
-    if (this->request.superseded)
+    if (this->request.state != filters::progress::completed)
     {
         send(sink, error_event(*this->request.refusal));
         return true;
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -58,9 +58,11 @@
 {
     filters::context request{shared, incoming_of(given)};
     filters::chain chain{filters::request_filters(), request};
-    bool const passed = chain.enter();
+    chain.enter();
+    // Leaving can still take the answer back: its bill may not be written, or a
+    // later runner may hold the claim.
     chain.leave();
-    if (!passed)
+    if (request.state != filters::progress::completed)
     {
         write_refusal(request, response);
         return;
--- a/tests/router/stream_test.cpp
+++ b/tests/router/stream_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_caller_who_leaves_is_cancelled_and_billed);
     CPPUNIT_TEST(a_leaving_engine_gets_no_new_work);
     CPPUNIT_TEST(a_passed_deadline_is_told);
+    CPPUNIT_TEST(an_answer_without_a_safe_bill_is_not_complete);
     CPPUNIT_TEST_SUITE_END();
 
     static token_count total(site const& here)
@@ -170,6 +171,35 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, here.executions());
         CPPUNIT_ASSERT(here.ledger().empty() || total(here) == 0);
     }
+
+    // The store goes down while an agency reads its answer. If this router died
+    // before the store came back, nobody would know of the bill, and the agency
+    // could have the same tokens again: more than it paid for.
+    void an_answer_without_a_safe_bill_is_not_complete()
+    {
+        site here;
+        auto const router = here.router_address(0);
+        for (auto const* key : {&here.key(), &here.other_key()})
+        {
+            CPPUNIT_ASSERT(chat(router, *key, "[tokens=3]").status == 200);
+        }
+        site::post_fault(
+            here.platform_address(),
+            {{"step", "commit"}, {"kind", "outage"}, {"ms", 60'000}});
+        std::string const prompt = "while the store is down [tokens=5]";
+        auto const withheld =
+            chat(router, here.key(), prompt, {.stream = true});
+        CPPUNIT_ASSERT(!withheld.done);
+        CPPUNIT_ASSERT_EQUAL(std::string{"bill_pending"},
+                             withheld.stream_error);
+        auto const whole = chat(router, here.key(), prompt);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, whole.outcome);
+        auto const given =
+            chat(router, here.other_key(), prompt, {.stream = true});
+        CPPUNIT_ASSERT(given.done);
+        site::clear_faults(here.platform_address());
+        CPPUNIT_ASSERT(here.wait_for_bills(5));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
