Write an answer's bill beside the answer that is kept

A keyed answer was kept in its claim's row first and its bill written up to 100 ms later (3 s under false_refusals_first); a router killed in between left an answer that every repeat got and nobody paid for.

Ruled out: the bill first and the claim after it, since a death in between leaves a bill without an answer, and a second run bills again; looking the bill up at a repeat, since the first router may die after that look.

Change: the end of a claim writes a row with the bill in the same transaction, the bill's settlement deletes it in its own, and the recovery of a dead holder brings what is left into the ledger before it returns the share. Both writers are conditional on the holder row, so that a late one is refused.

Conclusion: no answer is kept without its bill.

--- a/include/caperpath/budget/bill.hpp
+++ b/include/caperpath/budget/bill.hpp
@@ -22,6 +22,9 @@
     std::int64_t prompt_tokens{};
     std::int64_t completion_tokens{};
     std::uint64_t config_version{};
+    /// Its answer is kept under an idempotency key, and the bill beside it
+    /// until it is in the ledger.
+    bool answer_kept{false};
 
     friend auto operator<=>(bill const&, bill const&) = default;
 };
--- a/include/caperpath/budget/rows.hpp
+++ b/include/caperpath/budget/rows.hpp
@@ -90,6 +90,14 @@
 std::string listed_key(incarnation_id const& holder);
 std::string spent_key(incarnation_id const& holder);
 std::string ledger_key(incarnation_id const& holder, std::uint64_t seq);
+std::string ledger_prefix(incarnation_id const& holder);
+/// Row that holds the bill of an answer which is kept for whoever asks again.
+/// It is written together with the answer and deleted together with the bill's
+/// own settlement, so that a router that dies in between leaves the bill behind
+/// and not only the answer. Two bills of one request, whose caller left and
+/// came back, have a row each.
+std::string answered_key(incarnation_id const& holder, bill const& cost);
+std::string answered_prefix(incarnation_id const& holder);
 std::string held_key(budget_id const& budget, incarnation_id const& holder);
 std::string topup_key(budget_id const& budget, std::string const& topup_id);
 
--- a/include/caperpath/request/claim.hpp
+++ b/include/caperpath/request/claim.hpp
@@ -3,9 +3,11 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/budget/bill.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace caperpath::request
@@ -71,6 +73,9 @@
     bool idempotent{false};
     token_count billed{}; ///< by this run
     kept_answer answer;
+    /// What `billed` is for; written in one with the end of the claim, so that
+    /// no answer is kept without its bill.
+    std::optional<budget::bill> bill{};
 
     friend bool operator==(claim_finish const&, claim_finish const&) = default;
 };
--- a/src/budget/recovery.cpp
+++ b/src/budget/recovery.cpp
@@ -1,5 +1,6 @@
 #include <caperpath/budget/recovery.hpp>
 
+#include "answered.hpp"
 #include "row_access.hpp"
 
 #include <algorithm>
@@ -189,6 +190,7 @@
     {
         return report;
     }
+    BOOST_LEAF_CHECK(settle_answered(port, incarnation));
     // Read after the fence: no batch of the old holder can be added any more.
     BOOST_LEAF_AUTO(spent, read_spent(port, incarnation));
     BOOST_LEAF_AUTO(budgets, budgets_with_share(port, incarnation));
--- a/src/budget/rows.cpp
+++ b/src/budget/rows.cpp
@@ -75,13 +75,18 @@
 
 json json_of(bill const& one)
 {
-    return {{"request", one.request.value},
-            {"customer", one.customer.value},
-            {"budget", one.budget.value},
-            {"tokens", one.tokens},
-            {"prompt_tokens", one.prompt_tokens},
-            {"completion_tokens", one.completion_tokens},
-            {"config_version", one.config_version}};
+    json object{{"request", one.request.value},
+                {"customer", one.customer.value},
+                {"budget", one.budget.value},
+                {"tokens", one.tokens},
+                {"prompt_tokens", one.prompt_tokens},
+                {"completion_tokens", one.completion_tokens},
+                {"config_version", one.config_version}};
+    if (one.answer_kept)
+    {
+        object["answer_kept"] = true;
+    }
+    return object;
 }
 
 bill bill_of(json const& object)
@@ -92,7 +97,8 @@
             tokens(object, "tokens"),
             tokens(object, "prompt_tokens"),
             tokens(object, "completion_tokens"),
-            object.at("config_version").get<std::uint64_t>()};
+            object.at("config_version").get<std::uint64_t>(),
+            object.value("answer_kept", false)};
 }
 
 } // namespace
@@ -125,11 +131,28 @@
 std::string ledger_key(incarnation_id const& holder, std::uint64_t seq)
 {
     std::ostringstream key;
-    key << "ledger/" << holder.value << '/' << std::setw(seq_digits)
-        << std::setfill('0') << seq;
+    key << ledger_prefix(holder) << std::setw(seq_digits) << std::setfill('0')
+        << seq;
     return key.str();
 }
 
+std::string ledger_prefix(incarnation_id const& holder)
+{
+    return "ledger/" + holder.value + "/";
+}
+
+std::string answered_key(incarnation_id const& holder, bill const& cost)
+{
+    return answered_prefix(holder) + cost.request.value + "/" +
+           std::to_string(cost.tokens) + "-" +
+           std::to_string(cost.completion_tokens);
+}
+
+std::string answered_prefix(incarnation_id const& holder)
+{
+    return "answered/" + holder.value + "/";
+}
+
 std::string held_key(budget_id const& budget, incarnation_id const& holder)
 {
     return "held/" + budget.value + "/" + holder.value;
--- a/src/budget/settlement.cpp
+++ b/src/budget/settlement.cpp
@@ -32,10 +32,20 @@
     auto const next = after(state);
     auto const ledger = ledger_key(holder.incarnation, next.seq);
     auto const spent = spent_key(holder.incarnation);
-    return {{{holder_key(holder.incarnation), holder.version},
-             {ledger, 0},
-             {spent, state.spent_version}},
-            {{ledger, encode(state.batch)}, {spent, encode(next)}}};
+    platform::transaction txn{
+        {{holder_key(holder.incarnation), holder.version},
+         {ledger, 0},
+         {spent, state.spent_version}},
+        {{ledger, encode(state.batch)}, {spent, encode(next)}}};
+    for (auto const& one : state.batch)
+    {
+        if (one.answer_kept)
+        {
+            txn.writes.push_back(
+                {answered_key(holder.incarnation, one), std::nullopt});
+        }
+    }
+    return txn;
 }
 
 bool is_due(settlement_state const& state, settle_options const& options,
--- a/src/filters/context.cpp
+++ b/src/filters/context.cpp
@@ -42,6 +42,18 @@
     return std::max<token_count>(0, whole - this->billed_before);
 }
 
+budget::bill context::bill() const
+{
+    return {this->id,
+            this->customer,
+            this->customer_settings->budget,
+            this->cost_so_far(),
+            this->used.prompt_tokens,
+            this->used.completion_tokens,
+            this->document->version,
+            this->keeps_answer};
+}
+
 observe::span_builder child_span(context const& request, std::string name)
 {
     return {std::move(name), request.span->context(), *request.shared.ids,
--- a/src/filters/context.hpp
+++ b/src/filters/context.hpp
@@ -128,6 +128,9 @@
     /// was not completed costs nothing, unless the caller left: what was
     /// generated for it until then has been used.
     token_count cost_so_far() const;
+
+    /// The bill over `cost_so_far`.
+    budget::bill bill() const;
 };
 
 /// Opens a child span of the request's span; finish it with `finish_span`.
--- a/src/filters/keep.cpp
+++ b/src/filters/keep.cpp
@@ -51,7 +51,7 @@
     auto const end = request.shared.claims.finish(
         {request.id, *request.claim_epoch, result_of(request),
          request.idempotent(), request.cost_so_far(),
-         request.answer.value_or(request::kept_answer{})});
+         request.answer.value_or(request::kept_answer{}), request.bill()});
     request.claim_epoch.reset();
     // A call that is not idempotent is never run by a second runner: its answer
     // is the only one there is, and withholding it would lose it.
--- a/src/filters/reserve.cpp
+++ b/src/filters/reserve.cpp
@@ -86,15 +86,8 @@
     }
     request.cost = request.cost_so_far();
     auto span = child_span(request, "settle");
-    budget::bill const cost{request.id,
-                            request.customer,
-                            request.customer_settings->budget,
-                            request.cost,
-                            request.used.prompt_tokens,
-                            request.used.completion_tokens,
-                            request.document->version};
     auto const state = request.shared.budgets.finish(
-        {cost, policy_of(request), request.worst_case});
+        {request.bill(), policy_of(request), request.worst_case});
     request.shared.metrics->bill_finished(state);
     finish_span(request, std::move(span));
     bool const at_risk =
--- a/src/request/claim_run.cpp
+++ b/src/request/claim_run.cpp
@@ -302,10 +302,19 @@
 
 platform::commit_result commit_end(claim_store const& store,
                                    held_claim const& held, claim_row const& row,
+                                   std::optional<budget::bill> const& bill,
                                    std::uint64_t version)
 {
-    return store.platform.commit(
-        claim_write(held.request, held.self, version, row));
+    auto txn = claim_write(held.request, held.self, version, row);
+    if (bill && bill->tokens > 0)
+    {
+        // Without this row a router that dies between the claim's end and the
+        // settlement leaves an answer that repeats get and nobody paid for.
+        txn.writes.push_back(
+            {budget::answered_key(held.self.incarnation, *bill),
+             budget::encode(std::vector{*bill})});
+    }
+    return store.platform.commit(txn);
 }
 
 } // namespace
@@ -332,14 +341,14 @@
     auto const row =
         finished_row(held.row, finish, object, store.options, store.wall.now());
     version = held.version;
-    auto outcome = commit_end(store, held, row, version);
+    auto outcome = commit_end(store, held, row, finish.bill, version);
     auto const* found = find_row(outcome.failed, claim_key(held.request));
     if (found != nullptr &&
         compare(*found, held.row, row) == found_end::unchanged)
     {
         // A row that was deleted once doesn't begin with version 1 again.
         version = found->version;
-        outcome = commit_end(store, held, row, version);
+        outcome = commit_end(store, held, row, finish.bill, version);
         found = find_row(outcome.failed, claim_key(held.request));
     }
     if (outcome.outcome == commit_outcome::applied)
--- /dev/null
+++ b/tests/budget/answered_test.cpp
@@ -0,0 +1,135 @@
+#include "budget/audit.hpp"
+
+#include <caperpath/budget/recovery.hpp>
+#include <caperpath/budget/settlement.hpp>
+#include <caperpath/request/claim_run.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace caperpath;
+using namespace caperpath::budget;
+
+namespace
+{
+
+budget_id const name{"talleres"};
+incarnation_id const dead{"vm-1-a"};
+constexpr token_count drawn = 400;
+
+bill const kept{{"k-1"}, {"taller"}, name, 30, 10, 20, 1, true};
+
+// A holder with a share of 400 of 1,000 tokens that has kept one answer.
+struct world
+{
+    world()
+    {
+        top_up(this->port, name, "first", 1'000).value();
+        this->holder =
+            bind_holder(this->port, dead, "10.0.0.1:900", {"sala"}).value();
+        auto const at = this->table->read({budget_key(name)}).at(0);
+        auto row = decode_budget(at.value).value();
+        row.granted = drawn;
+        row.holders = 1;
+        this->port.commit(
+            {{{at.key, at.version}},
+             {{at.key, encode(row)},
+              {share_key(name, dead), encode(share_row{drawn, 0})}}});
+    }
+
+    // As the end of a claim writes it, refused once the holder is fenced.
+    platform::commit_outcome keep_answer()
+    {
+        return this->port
+            .commit({{{holder_key(dead), this->holder.version}},
+                     {{answered_key(dead, kept), encode(std::vector{kept})}}})
+            .outcome;
+    }
+
+    void settle()
+    {
+        settlement_state state;
+        state = queue_bill(state, kept, config::budget_policy::overspend_first,
+                           {}, {});
+        auto const step = next_batch(state, this->holder, {}, {}, true);
+        this->port.commit(*step.txn);
+    }
+
+    audit recovered()
+    {
+        death_proof const proof{dead, proof_kind::address_rebound};
+        CPPUNIT_ASSERT(recover(this->port, proof));
+        return audit_of(*this->table, name);
+    }
+
+    std::shared_ptr<platform::memory_table> table{
+        std::make_shared<platform::memory_table>()};
+    platform::port port{platform::make_memory_port(this->table)};
+    holder_view holder;
+};
+
+void check_billed_once(audit const& found)
+{
+    CPPUNIT_ASSERT_EQUAL(kept.tokens, found.billed);
+    CPPUNIT_ASSERT_EQUAL(kept.tokens, found.spent);
+    CPPUNIT_ASSERT_EQUAL(kept.tokens, found.row.granted);
+    CPPUNIT_ASSERT_EQUAL(1, found.bills.at(kept.request));
+}
+
+} // namespace
+
+class answered_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(answered_test);
+    CPPUNIT_TEST(a_death_before_the_settlement_loses_no_bill);
+    CPPUNIT_TEST(a_settled_bill_is_not_written_again);
+    CPPUNIT_TEST(a_claim_written_after_its_bill_adds_none);
+    CPPUNIT_TEST(a_late_writer_adds_none);
+    CPPUNIT_TEST_SUITE_END();
+
+    // A router keeps an answer and dies before it settles the bill. The answer
+    // is repeated to whoever asks, and the customer would not have paid for it.
+    void a_death_before_the_settlement_loses_no_bill()
+    {
+        world here;
+        here.keep_answer();
+        check_billed_once(here.recovered());
+        check_billed_once(here.recovered());
+    }
+
+    // The usual case: settled, and then the router dies. Recovery must not bill
+    // the customer a second time.
+    void a_settled_bill_is_not_written_again()
+    {
+        world here;
+        here.keep_answer();
+        here.settle();
+        CPPUNIT_ASSERT(here.table->read({answered_key(dead, kept)}).empty());
+        check_billed_once(here.recovered());
+    }
+
+    // The store loses the end of a claim and it is written again after the bill
+    // has been settled. The row that it brings along is late.
+    void a_claim_written_after_its_bill_adds_none()
+    {
+        world here;
+        here.settle();
+        here.keep_answer();
+        check_billed_once(here.recovered());
+        CPPUNIT_ASSERT(here.table->read({answered_key(dead, kept)}).empty());
+    }
+
+    // A paused router wakes after its share was taken back and writes on. What
+    // it writes now would spend tokens that others have been given.
+    void a_late_writer_adds_none()
+    {
+        world here;
+        here.recovered();
+        CPPUNIT_ASSERT(here.keep_answer() == platform::commit_outcome::refused);
+        here.settle();
+        auto const found = audit_of(*here.table, name);
+        CPPUNIT_ASSERT_EQUAL(token_count{0}, found.billed);
+        CPPUNIT_ASSERT_EQUAL(token_count{0}, found.row.granted);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(answered_test);
--- a/tests/router/claim_test.cpp
+++ b/tests/router/claim_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(a_key_belongs_to_one_customer_and_one_body);
     CPPUNIT_TEST(two_routers_at_once_run_an_order_once);
     CPPUNIT_TEST(a_router_dies_with_an_order_under_way);
+    CPPUNIT_TEST(a_router_dies_with_an_answer_given_and_no_bill_written);
     CPPUNIT_TEST(the_service_loses_its_answer);
     CPPUNIT_TEST(no_claim_without_the_store);
     CPPUNIT_TEST(the_store_loses_its_answers);
@@ -117,6 +118,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, here.executions());
     }
 
+    // A router answers an order and dies before it has written the bill. The
+    // answer is kept, so every repeat gets it; without its bill the workshop
+    // would have it for nothing, and the budget would be overspent by it.
+    void a_router_dies_with_an_answer_given_and_no_bill_written()
+    {
+        site here{2};
+        auto const first =
+            order(here.router_address(0), here.other_key(), "unbilled");
+        here.crash_router(0);
+        CPPUNIT_ASSERT_EQUAL(200, first.status);
+        auto const again =
+            order(here.router_address(1), here.other_key(), "unbilled");
+        CPPUNIT_ASSERT_EQUAL(first.raw, again.raw);
+        here.prove_dead(0);
+        CPPUNIT_ASSERT(here.wait_for_bills(1));
+        CPPUNIT_ASSERT_EQUAL(token_count{50}, here.ledger().at(0).tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, here.executions());
+    }
+
     // The service runs an order and its connection breaks before the answer.
     // "Not run" would be a lie and a second try a second battery.
     void the_service_loses_its_answer()
