--- a/tests/capacity/page_test.cpp
+++ b/tests/capacity/page_test.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::int64_t ms_per_second = 1'000;
 
-/// The letter's fleet, as the page's tables have it.
+/// The fleet in two years, as the page's tables have it.
 constexpr std::int64_t nodes = 390;
 constexpr std::int64_t engines = 2'100;
 
