--- a/src/controllers/limit_controller.cpp
+++ b/src/controllers/limit_controller.cpp
@@ -29,7 +29,7 @@
 };
 
 caf::behavior limit_behavior(caf::stateful_actor<limit_states>* self,
-                             clock time)
+                             clock const& time)
 {
     return {
         [self, time](admit_request const& asked)
