Answer a caller that has closed only its sending side

Cause: cpp-httplib's own stream takes a half-closed connection for a gone one: the request was dispatched and billed and its answer thrown away.

Ruled out: telling before dispatch whether the caller is there, since a handler does not see its connection.

Change: the server reads and writes through a stream of ours, for which a caller has left when a write fails, and keeps connections with a wait that notices a stop within 100 ms in place of 5 s. read_timeout_ms is a setting.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,8 +1,11 @@
 #include "http/server.hpp"
+
+#include "http/socket_stream.hpp"
 #include "http/worker_pool.hpp"
 
 #include <functional>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace caperpath::http
@@ -44,7 +47,7 @@
 
 } // namespace
 
-server::server(server_options options)
+server::server(server_options options) : options{options}
 {
     auto const max_threads = options.max_threads;
     this->new_task_queue = [max_threads]
@@ -64,8 +67,6 @@
     this->set_payload_max_length(options.max_body_bytes);
     this->set_read_timeout(to_chrono(options.read_timeout));
     this->set_write_timeout(to_chrono(options.write_timeout));
-    this->set_keep_alive_timeout(options.keep_alive.ms / 1'000);
-    this->set_keep_alive_max_count(1'000'000);
     this->set_tcp_nodelay(true);
 }
 
@@ -127,6 +128,43 @@
     this->acceptor.join();
 }
 
+// Waits for the next request on a connection that is kept; looks up now and
+// then, so that a stop does not wait out the whole time.
+bool server::next_request(socket_t socket) const
+{
+    constexpr duration look{100};
+    for (duration waited; waited < this->options.keep_alive;
+         waited = waited + look)
+    {
+        if (wait_readable(socket, look))
+        {
+            return true;
+        }
+        if (this->svr_sock_ == INVALID_SOCKET)
+        {
+            return false;
+        }
+    }
+    return false;
+}
+
+bool server::process_and_close_socket(socket_t socket)
+{
+    bool served = true;
+    bool closed = false;
+    socket_stream stream{socket, this->options.read_timeout,
+                         this->options.write_timeout};
+    while (served && !closed &&
+           (stream.has_buffered() || this->next_request(socket)))
+    {
+        bool const last = this->svr_sock_ == INVALID_SOCKET;
+        served = this->process_request(stream, last, closed, nullptr);
+    }
+    ::shutdown(socket, SHUT_RDWR);
+    ::close(socket);
+    return served;
+}
+
 void set_body(httplib::Response& response, std::string body,
               std::string const& content_type)
 {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -52,6 +52,10 @@
     void finish();
 
 private:
+    bool process_and_close_socket(socket_t socket) override;
+    bool next_request(socket_t socket) const;
+
+    server_options options;
     std::thread acceptor;
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -61,10 +61,10 @@
         : given{std::move(given)},
           incarnation{std::move(incarnation)}, seed{seed}, ids{seed},
           system{this->config}, workers{this->given.max_connections * 2},
-          connections{connect_timeout}, server{{.max_threads =
-                                                    this->given.max_connections,
-                                                .max_body_bytes =
-                                                    this->given.max_body_bytes}}
+          connections{connect_timeout},
+          server{{.max_threads = this->given.max_connections,
+                  .max_body_bytes = this->given.max_body_bytes,
+                  .read_timeout = this->given.read_timeout}}
     {
     }
 
--- a/src/router/settings.cpp
+++ b/src/router/settings.cpp
@@ -51,6 +51,8 @@
     read.balancer_lag =
         read_ms(reader, "balancer_lag_ms", 0, read.balancer_lag);
     read.drain_bound = read_ms(reader, "drain_bound_ms", 0, read.drain_bound);
+    read.read_timeout =
+        read_ms(reader, "read_timeout_ms", 100, read.read_timeout);
     read.max_connections = read_size(reader, "max_connections", "connections",
                                      1, most_connections, read.max_connections);
     read.max_body_bytes = read_size(reader, "max_body_bytes", "bytes",
--- a/src/router/settings.hpp
+++ b/src/router/settings.hpp
@@ -38,6 +38,8 @@
     duration balancer_lag{2'000};
     /// The longest that a planned stop waits for open answers.
     duration drain_bound{120'000};
+    /// A caller that sends nothing for so long is disconnected.
+    duration read_timeout{10'000};
     std::size_t max_connections{1'200};
     std::size_t max_body_bytes{4 * 1024 * 1024};
 
--- a/tests/router/site.cpp
+++ b/tests/router/site.cpp
@@ -188,6 +188,7 @@
     settings.deferred_settle_interval = {20};
     settings.balancer_lag = {0};
     settings.drain_bound = {20'000};
+    settings.read_timeout = {1'000};
     this->routers.push_back(std::make_unique<router::router>(
         settings, settings.vm + "-1", 1 + index));
     auto const started =
--- a/tests/routing/policy_test.cpp
+++ b/tests/routing/policy_test.cpp
@@ -35,6 +35,7 @@
     pointers(std::vector<backend_view> const& servers)
     {
         std::vector<backend_view const*> all;
+        all.reserve(servers.size());
         for (auto const& server : servers)
         {
             all.push_back(&server);
