Name HTTP statuses once, tell a doubtful top-up as such

And a top-up whose write's answer was lost, followed by a failed read, was reported as unavailable, which says that nothing took effect.

Change: one header of statuses; the doubt is remembered and told as a timeout with the advice to repeat under the same id.

Conclusion: no doubled constants, no false 'unavailable'.

--- /dev/null
+++ b/include/caperpath/base/http_status.hpp
@@ -0,0 +1,28 @@
+#ifndef CAPERPATH_BASE_HTTP_STATUS_HPP
+#define CAPERPATH_BASE_HTTP_STATUS_HPP
+
+namespace caperpath
+{
+
+inline constexpr int http_ok = 200;
+inline constexpr int http_bad_request = 400;
+inline constexpr int http_unauthorized = 401;
+inline constexpr int http_payment_required = 402;
+inline constexpr int http_not_found = 404;
+inline constexpr int http_conflict = 409;
+inline constexpr int http_payload_too_large = 413;
+inline constexpr int http_unprocessable = 422;
+inline constexpr int http_too_many = 429;
+inline constexpr int http_internal_error = 500;
+inline constexpr int http_bad_gateway = 502;
+inline constexpr int http_unavailable = 503;
+inline constexpr int http_gateway_timeout = 504;
+
+/// The first status of its class: below `http_server_error` and from
+/// `http_client_error` on, the request is at fault.
+inline constexpr int http_client_error = 400;
+inline constexpr int http_server_error = 500;
+
+} // namespace caperpath
+
+#endif
--- a/src/budget/top_up.cpp
+++ b/src/budget/top_up.cpp
@@ -4,6 +4,8 @@
 
 #include <limits>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace caperpath::budget
 {
@@ -28,6 +30,22 @@
             key + " exists with another amount"};
 }
 
+/// After a write whose answer was lost, any later failure leaves it open
+/// whether the tokens were added. An operator who is told "unavailable" would
+/// top up again under another id, and the customer would have twice what was
+/// paid.
+error with_doubt(error fault, bool doubtful)
+{
+    fault.step = "top up";
+    if (doubtful)
+    {
+        fault.kind = error_kind::timeout;
+        fault.detail +=
+            "; it may have taken effect, repeat it with the same id";
+    }
+    return fault;
+}
+
 } // namespace
 
 result<token_count> top_up(platform::port const& port, budget_id const& budget,
@@ -37,9 +55,18 @@
     auto const budget_at = budget_key(budget);
     auto const amount = "{\"tokens\":" + std::to_string(tokens) + "}";
     platform::commit_result outcome;
+    bool doubtful = false;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
-        BOOST_LEAF_AUTO(rows, port.read({topup_at, budget_at}));
+        auto const read = value_or_error(
+            [&] {
+                return port.read({topup_at, budget_at});
+            });
+        if (auto const* const fault = std::get_if<error>(&read))
+        {
+            return fail(with_doubt(*fault, doubtful));
+        }
+        auto const& rows = std::get<std::vector<platform::row>>(read);
         auto const topup_found = find_row(rows, topup_at);
         auto const budget_found = find_row(rows, budget_at);
         BOOST_LEAF_AUTO(row, budget_or_new(budget_found));
@@ -65,14 +92,14 @@
         {
             return row.paid;
         }
+        doubtful =
+            doubtful || outcome.outcome == platform::commit_outcome::unknown;
         if (is_turned_away(outcome))
         {
             break;
         }
     }
-    auto fault = outcome.fault;
-    fault.step = "top up";
-    return fail(fault);
+    return fail(with_doubt(outcome.fault, doubtful));
 }
 
 } // namespace caperpath::budget
--- a/src/ctl/engine.cpp
+++ b/src/ctl/engine.cpp
@@ -1,5 +1,7 @@
 #include "ctl/verbs.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 #include <CLI/CLI.hpp>
 
 #include <memory>
@@ -14,9 +16,6 @@
 
 using nlohmann::json;
 
-constexpr int http_ok = 200;
-constexpr int http_conflict = 409;
-constexpr int http_server_error = 500;
 constexpr int number_attempts = 20;
 constexpr auto orders_path = "/orders";
 
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -1,5 +1,7 @@
 #include "ctl/fleet.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 #include "ctl/verbs.hpp"
 
 #include <CLI/CLI.hpp>
@@ -14,8 +16,6 @@
 
 using nlohmann::json;
 
-constexpr int http_ok = 200;
-
 fleet_member ask(session& run, platform::listed_vm const& vm)
 {
     fleet_member member{vm, {}, ""};
--- a/src/filters/account.cpp
+++ b/src/filters/account.cpp
@@ -1,5 +1,6 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/observe/log.hpp>
 
 namespace caperpath::filters
@@ -8,7 +9,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
 // What other servers log when the caller has gone; it is never sent.
 constexpr int http_caller_left = 499;
 
--- a/src/filters/authenticate.cpp
+++ b/src/filters/authenticate.cpp
@@ -1,5 +1,6 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/config/keys.hpp>
 
 #include <string_view>
@@ -10,8 +11,6 @@
 namespace
 {
 
-constexpr int http_unauthorized = 401;
-constexpr int http_unavailable = 503;
 constexpr std::string_view scheme = "Bearer ";
 
 std::optional<request::refusal> enter(context& request)
--- a/src/filters/identify.cpp
+++ b/src/filters/identify.cpp
@@ -1,5 +1,6 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/config/keys.hpp>
 
 #include <openssl/evp.h>
@@ -13,10 +14,6 @@
 namespace
 {
 
-constexpr int http_conflict = 409;
-constexpr int http_unprocessable = 422;
-constexpr int http_bad_gateway = 502;
-constexpr int http_unavailable = 503;
 constexpr std::size_t longest_key = 256;
 constexpr std::size_t id_length = 32;
 
--- a/src/filters/keep.cpp
+++ b/src/filters/keep.cpp
@@ -1,5 +1,6 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/observe/log.hpp>
 
 namespace caperpath::filters
@@ -24,7 +25,6 @@
 // answers may differ, and only that one is kept and billed.
 request::refusal superseded_refusal()
 {
-    constexpr int http_bad_gateway = 502;
     return {http_bad_gateway,
             request::outcome::unknown,
             {1'000},
--- a/src/filters/limit.cpp
+++ b/src/filters/limit.cpp
@@ -1,13 +1,13 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 namespace caperpath::filters
 {
 
 namespace
 {
 
-constexpr int http_too_many = 429;
-
 routing::limits bounds_of(context const& request)
 {
     return {request.customer_settings->max_concurrent,
--- a/src/filters/reserve.cpp
+++ b/src/filters/reserve.cpp
@@ -1,13 +1,13 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 namespace caperpath::filters
 {
 
 namespace
 {
 
-constexpr int http_payment_required = 402;
-constexpr int http_unavailable = 503;
 constexpr std::int64_t us_per_ms = 1'000;
 
 config::budget_policy policy_of(context const& request)
@@ -66,7 +66,6 @@
 // gets it once the bill is written.
 void withhold(context& request)
 {
-    constexpr int http_bad_gateway = 502;
     request.state = progress::refused;
     request.refusal = request::refusal{
         http_bad_gateway,
--- a/src/filters/understand.cpp
+++ b/src/filters/understand.cpp
@@ -1,5 +1,6 @@
 #include "filters/steps.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/request/pricing.hpp>
 
 #include <string_view>
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr int http_not_found = 404;
 constexpr std::string_view services_prefix = "/services/";
 
 request::refusal unknown_service(std::string param, std::string message)
--- a/src/request/chat_request.cpp
+++ b/src/request/chat_request.cpp
@@ -1,5 +1,6 @@
 #include <caperpath/request/chat_request.hpp>
 
+#include <caperpath/base/http_status.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 
 using nlohmann::json;
 
-constexpr int http_bad_request = 400;
-constexpr int http_not_found = 404;
-
 // A message costs a few tokens for its role and separators beyond its text.
 constexpr std::int64_t bytes_per_message_overhead = 16;
 
--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -1,5 +1,6 @@
 #include "router/chat_relay.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/observe/log.hpp>
 
 #include <algorithm>
@@ -12,13 +13,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
-constexpr int http_client_error = 400;
-constexpr int http_server_error = 500;
-constexpr int http_too_many = 429;
-constexpr int http_bad_gateway = 502;
-constexpr int http_unavailable = 503;
-constexpr int http_gateway_timeout = 504;
 constexpr int most_attempts = 4;
 constexpr duration return_within{5'000};
 constexpr std::string_view not_run_header = "caperpath-not-run";
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -3,6 +3,7 @@
 #include "filters/chain.hpp"
 #include "router/chat_answer.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/observe/log.hpp>
 
 #include "router/answer_json.hpp"
@@ -16,12 +17,6 @@
 namespace
 {
 
-constexpr int http_ok = 200;
-constexpr int http_bad_request = 400;
-constexpr int http_not_found = 404;
-constexpr int http_payload_too_large = 413;
-constexpr int http_internal_error = 500;
-constexpr int http_unavailable = 503;
 constexpr char json_type[] = "application/json";
 
 filters::incoming incoming_of(httplib::Request const& given)
--- a/src/router/load_poller.cpp
+++ b/src/router/load_poller.cpp
@@ -1,5 +1,7 @@
 #include "router/load_poller.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 #include "http/server.hpp"
 
 #include <httplib.h>
@@ -18,7 +20,6 @@
 constexpr int timeout_ms = 500;
 // A newer configuration reaches the backend controller within this time.
 constexpr duration configuration_check{50};
-constexpr int http_ok = 200;
 
 std::int64_t whole(nlohmann::json const& object, char const* name)
 {
--- a/src/router/service_call.cpp
+++ b/src/router/service_call.cpp
@@ -1,5 +1,6 @@
 #include "router/service_call.hpp"
 
+#include <caperpath/base/http_status.hpp>
 #include <caperpath/observe/log.hpp>
 
 #include <thread>
@@ -12,9 +13,6 @@
 namespace
 {
 
-constexpr int http_bad_gateway = 502;
-constexpr int http_unavailable = 503;
-constexpr int http_gateway_timeout = 504;
 constexpr int most_attempts = 3;
 constexpr std::size_t most_answer_bytes = 8 * 1024 * 1024;
 constexpr duration return_within{5'000};
--- /dev/null
+++ b/tests/budget/top_up_test.cpp
@@ -0,0 +1,42 @@
+#include <caperpath/budget/recovery.hpp>
+#include <caperpath/platform/memory_table.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace caperpath;
+using namespace caperpath::budget;
+using platform::injected_fault;
+
+class top_up_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(top_up_test);
+    CPPUNIT_TEST(a_lost_answer_is_never_called_without_effect);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The store takes a top-up, its answer is lost and then the store goes
+    // down. Told that nothing happened, an operator would pay in again under
+    // another id and the customer would have it twice.
+    void a_lost_answer_is_never_called_without_effect()
+    {
+        auto const table = std::make_shared<platform::memory_table>();
+        bool written = false;
+        auto const failing = platform::make_memory_port(
+            table,
+            [&written](std::string const& step)
+            {
+                auto const down = std::exchange(written, step == "commit");
+                return step == "commit" ? injected_fault::lost_answer
+                       : down           ? injected_fault::outage
+                                        : injected_fault::none;
+            });
+        budget_id const name{"talleres"};
+        auto const told =
+            value_or_error([&] { return top_up(failing, name, "t1", 500); });
+        CPPUNIT_ASSERT(std::get<error>(told).kind == error_kind::timeout);
+        auto const port = platform::make_memory_port(table);
+        CPPUNIT_ASSERT_EQUAL(token_count{500},
+                             top_up(port, name, "t1", 500).value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(top_up_test);
