Let the budget alone say when a top-up is in doubt

Cause: caperpathctl turned every failure of a top-up into an unknown outcome, because the budget's own answer could not be trusted; it can now. Change: the command reports what it is told; a first read that fails is unavailable and nothing took effect. One finding of the linter mended. Conclusion: told at the source.

--- a/src/ctl/budget.cpp
+++ b/src/ctl/budget.cpp
@@ -158,16 +158,7 @@
               {{"paid", std::to_string(*total)}});
         return exit_ok;
     }
-    auto problem = std::get<error>(paid);
-    // The platform was up a moment ago, so a write may have been sent before
-    // this failure. Told that nothing took effect, an operator might book the
-    // payment under a new id, and it would count twice.
-    if (problem.kind != error_kind::conflict &&
-        problem.kind != error_kind::invalid)
-    {
-        problem.kind = error_kind::timeout;
-    }
-    return print_error(run, problem, true);
+    return print_error(run, std::get<error>(paid), true);
 }
 
 } // namespace
--- a/tests/router/settings_test.cpp
+++ b/tests/router/settings_test.cpp
@@ -39,6 +39,7 @@
         std::vector<config::fault> faults;
         router::read_settings(value, faults);
         std::vector<std::string> paths;
+        paths.reserve(faults.size());
         for (auto const& fault : faults)
         {
             paths.push_back(fault.path);
