Set a server aside when its new connections stay silent

Cause: since a silent connection no longer counted against its server, an engine that hangs for all would never be set aside: its requests leave it, it looks least loaded, and each new one waits 5 s there for a first token.

Ruled out: counting every silence again, which set healthy engines aside when the machine stalled.

Change: a connection that never gave a token counts, and so does a second silent one of the same request; only the first that falls silent half way does not.

The hanging engine itself has no test yet: it would wait 15 s for the set-aside, or need a first-token bound in the settings.

Conclusion: read from the code, not measured.

--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -295,12 +295,13 @@
         ++this->silences;
         return std::nullopt;
     }
-    // One silent connection says nothing of the server; a fresh one that is
-    // silent too does.
-    bool const again = this->answer.attempt > 1;
+    // One connection that falls silent half way says little of its server. One
+    // that never gave a token, or a second one in a row, does: a server that
+    // hangs has few open requests and would attract every new one.
+    bool const counts = this->answer.attempt > 1 || !this->token_in_attempt;
     this->give_up_attempt("silent connection",
-                          again ? routing::attempt_result::failed
-                                : routing::attempt_result::overloaded);
+                          counts ? routing::attempt_result::failed
+                                 : routing::attempt_result::overloaded);
     return this->open_attempt(std::move(next));
 }
 
