--- a/bench/budget_fleet.hpp
+++ b/bench/budget_fleet.hpp
@@ -7,7 +7,7 @@
 #include <caperpath/budget/recovery.hpp>
 #include <caperpath/budget/settlement.hpp>
 #include <caperpath/budget/share.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <map>
 #include <memory>
@@ -62,8 +62,8 @@
     void schedule_faults();
     void die(int vm, bool replace);
     void recover(router_ptr const& dead);
-    void call(router_ptr const& at, platform::transaction txn,
-              std::function<void(platform::commit_result)> done);
+    void call(router_ptr const& at, store::transaction txn,
+              std::function<void(store::commit_result)> done);
     void look(router_ptr const& at, std::vector<budget_id> const& budgets);
     void take_look(router_ptr const& at, budget_id const& budget, bool failed);
     bool reaches_store(router_ptr const& at) const;
@@ -79,8 +79,8 @@
     omniscient truth;
     event_loop loop;
     std::mt19937_64 random;
-    std::shared_ptr<platform::memory_table> table;
-    platform::port direct;
+    std::shared_ptr<store::memory_table> table;
+    store::port direct;
     std::vector<router_ptr> routers;
     router_ptr first; ///< the one that faults of one VM meet
     std::unordered_map<std::string, open_request> open;
--- a/bench/budget_fleet_run.hpp
+++ b/bench/budget_fleet_run.hpp
@@ -25,8 +25,8 @@
                     std::vector<token_count> paid)
     : chosen{std::move(chosen)}, policy{policy}, plan{plan_of(this->chosen)},
       traffic{traffic}, truth{paid}, random{this->chosen.seed + 1},
-      table{std::make_shared<platform::memory_table>()},
-      direct{platform::make_memory_port(this->table)}
+      table{std::make_shared<store::memory_table>()},
+      direct{store::make_memory_port(this->table)}
 {
     this->settle.durable_interval = {this->chosen.durable_ms};
     this->settle.deferred_interval = {this->chosen.deferred_ms};
@@ -187,8 +187,8 @@
     this->open.erase(found);
 }
 
-inline void fleet::call(router_ptr const& at, platform::transaction txn,
-                        std::function<void(platform::commit_result)> done)
+inline void fleet::call(router_ptr const& at, store::transaction txn,
+                        std::function<void(store::commit_result)> done)
 {
     using fleet_times::one_way;
     this->sums.writes += 1;
@@ -196,7 +196,7 @@
     if (!this->reaches_store(at))
     {
         auto const refused =
-            platform::commit_result{platform::commit_outcome::refused, {}, {}};
+            store::commit_result{store::commit_outcome::refused, {}, {}};
         this->loop.after(one_way, [done, refused] { done(refused); });
         return;
     }
@@ -208,7 +208,7 @@
         {
             auto outcome = this->table->commit(txn);
             this->sums.refused_writes +=
-                outcome.outcome == platform::commit_outcome::refused ? 1 : 0;
+                outcome.outcome == store::commit_outcome::refused ? 1 : 0;
             auto const back = is_lost ? fleet_times::call_timeout : one_way;
             if (is_lost)
             {
@@ -284,7 +284,7 @@
     if (step.kind == budget::step_kind::write)
     {
         this->call(at, std::move(step.txn),
-                   [this, at, budget](platform::commit_result const& outcome)
+                   [this, at, budget](store::commit_result const& outcome)
                    {
                        auto& share = at->shares.at(budget);
                        share = budget::wrote(std::move(share), at->holder,
@@ -310,7 +310,7 @@
     }
     this->call(
         at, std::move(*step.txn),
-        [this, at](platform::commit_result const& outcome)
+        [this, at](store::commit_result const& outcome)
         {
             if (at->dead)
             {
--- a/bench/capacity/observation.cpp
+++ b/bench/capacity/observation.cpp
@@ -52,7 +52,7 @@
     metrics.token_gap(us);
     metrics.reserve_wait(us);
     metrics.bill_finished(budget::bill_state::durable);
-    metrics.table_write(platform::commit_outcome::applied);
+    metrics.table_write(store::commit_outcome::applied);
     metrics.table_read(true);
     metrics.stream_closed();
 }
--- a/bench/capacity/settlement.cpp
+++ b/bench/capacity/settlement.cpp
@@ -3,7 +3,7 @@
 
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/budget/settlement.hpp>
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include <string>
 #include <utility>
@@ -59,9 +59,8 @@
     }
     auto step =
         budget::next_batch(std::move(state), holder, options, now, true);
-    auto body = platform::wire::encode(*step.txn).value();
-    platform::commit_result const applied{
-        platform::commit_outcome::applied, {}, {}};
+    auto body = store::wire::encode(*step.txn).value();
+    store::commit_result const applied{store::commit_outcome::applied, {}, {}};
     budget::batch_written(std::move(step.state), holder, applied, now);
     return body;
 }
--- a/bench/capacity/site.cpp
+++ b/bench/capacity/site.cpp
@@ -7,7 +7,7 @@
 #include <caperpath/config/keys.hpp>
 #include <caperpath/config/store.hpp>
 #include <caperpath/observe/stopwatch.hpp>
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -28,9 +28,9 @@
 constexpr double us_per_second = 1e6;
 constexpr int http_ok = 200;
 
-platform::port open(site const& where)
+store::port open(site const& where)
 {
-    return platform::make_http_port({.address = where.platform});
+    return store::make_http_port({.address = where.platform});
 }
 
 std::string number(std::size_t index)
--- a/include/caperpath/config/store.hpp
+++ b/include/caperpath/config/store.hpp
@@ -5,7 +5,7 @@
 #include <caperpath/config/document.hpp>
 #include <caperpath/config/json_reader.hpp>
 #include <caperpath/config/patch.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -78,7 +78,7 @@
 
 /// One read of the table. `version` 0 when there is no configuration yet.
 /// Blocks; thread safe.
-result<version_pointer> read_current(platform::port const& port);
+result<version_pointer> read_current(store::port const& port);
 
 /// The row by which an operator orders one life of a router to stop serving.
 /// Thread safe.
@@ -95,18 +95,18 @@
 
 /// Both in one read of the table, so that drains cost no read of their own.
 /// Blocks; thread safe.
-result<poll_answer> read_poll(platform::port const& port,
+result<poll_answer> read_poll(store::port const& port,
                               incarnation_id const& router);
 
 /// Orders a drain; it is never taken back, since a replaced router has another
 /// incarnation. A repeat is harmless. Blocks; thread safe.
-platform::commit_result order_drain(platform::port const& port,
-                                    incarnation_id const& router,
-                                    std::string const& author, instant at);
+store::commit_result order_drain(store::port const& port,
+                                 incarnation_id const& router,
+                                 std::string const& author, instant at);
 
 /// The document a pointer names; checks its text against the hash in the name.
 /// Blocks; thread safe.
-result<document> load_object(platform::port const& port,
+result<document> load_object(store::port const& port,
                              std::string const& object);
 
 /// The document of a text that is said to be the object; checked against the
@@ -115,36 +115,34 @@
                              std::string const& text);
 
 /// The version in force; `not_found` when there is none. Blocks; thread safe.
-result<document> load_current(platform::port const& port);
+result<document> load_current(store::port const& port);
 
 /// Any version ever accepted. Blocks; thread safe.
-result<document> load_version(platform::port const& port,
-                              std::uint64_t version);
+result<document> load_version(store::port const& port, std::uint64_t version);
 
 /// Versions greater than `after`, in order, at most `limit`. Blocks; thread
 /// safe.
-result<std::vector<version_record>> list_versions(platform::port const& port,
-                                                  std::uint64_t after,
-                                                  std::size_t limit);
+result<std::vector<version_record>>
+list_versions(store::port const& port, std::uint64_t after, std::size_t limit);
 
 /// Numbers the patched base as the next version if the base is in force. The
 /// whole document is checked before anything is written. Two patches never get
 /// the same number, and a repeat of an accepted id returns the first result.
 /// Blocks; thread safe.
-patch_result submit_patch(platform::port const& port,
+patch_result submit_patch(store::port const& port,
                           patch_request const& request);
 
 /// As `submit_patch`, with the content of `older` as the next version.
-patch_result roll_forward(platform::port const& port,
-                          patch_request const& request, std::uint64_t older);
+patch_result roll_forward(store::port const& port, patch_request const& request,
+                          std::uint64_t older);
 
 /// Names an existing version so that an experiment can be replayed. A name is
 /// never moved: `invalid` when it names another version. Blocks; thread safe.
-patch_result name_version(platform::port const& port, std::uint64_t version,
+patch_result name_version(store::port const& port, std::uint64_t version,
                           std::string const& name);
 
 /// The version a name stands for. Blocks; thread safe.
-result<std::uint64_t> find_version(platform::port const& port,
+result<std::uint64_t> find_version(store::port const& port,
                                    std::string const& name);
 
 /// The object that holds `text` as `version`. Two operators who race for one
--- a/include/caperpath/controllers/budget_controller.hpp
+++ b/include/caperpath/controllers/budget_controller.hpp
@@ -5,7 +5,7 @@
 #include <caperpath/base/id.hpp>
 #include <caperpath/budget/bill.hpp>
 #include <caperpath/budget/settlement.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <caf/actor.hpp>
 #include <caf/fwd.hpp>
@@ -24,7 +24,7 @@
     incarnation_id incarnation;
     std::string address; ///< "IP:port" that this process has bound
     failure_domain_id failure_domain;
-    platform::port platform;
+    store::port platform;
     caperpath::clock clock{caperpath::clock::monotonic()};
     budget::settle_options settle;
     /// Replace the sizes of a budget's policy when set.
@@ -41,7 +41,7 @@
 {
 public:
     /// @pre `platform` has all its functions set.
-    budget_options_builder(incarnation_id incarnation, platform::port platform);
+    budget_options_builder(incarnation_id incarnation, store::port platform);
 
     budget_options_builder& with_address(std::string address);
     budget_options_builder& with_failure_domain(failure_domain_id name);
--- a/include/caperpath/controllers/claim_controller.hpp
+++ b/include/caperpath/controllers/claim_controller.hpp
@@ -3,9 +3,9 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
-#include <caperpath/platform/table.hpp>
 #include <caperpath/request/claim.hpp>
 #include <caperpath/request/claim_state.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <caf/fwd.hpp>
 
@@ -20,7 +20,7 @@
 struct claim_controller_options
 {
     incarnation_id incarnation;
-    platform::port platform;
+    store::port platform;
     request::claim_options claims;
     clock time{clock::monotonic()};
     clock wall{clock::wall()};
--- a/include/caperpath/controllers/config_controller.hpp
+++ b/include/caperpath/controllers/config_controller.hpp
@@ -3,7 +3,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/config/port.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <caf/fwd.hpp>
 
@@ -49,7 +49,7 @@
 public:
     /// Starts polling. @pre `system` outlives the controller; the calls of
     /// `store` may be made from any thread.
-    config_controller(caf::actor_system& system, platform::port store,
+    config_controller(caf::actor_system& system, store::port store,
                       config_controller_options options = {});
 
     /// Stops polling; does not wait for a call to the store that is open.
--- a/include/caperpath/observe/metrics.hpp
+++ b/include/caperpath/observe/metrics.hpp
@@ -2,8 +2,8 @@
 #define CAPERPATH_OBSERVE_METRICS_HPP
 
 #include <caperpath/budget/bill.hpp>
-#include <caperpath/platform/table.hpp>
 #include <caperpath/request/outcome.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -50,7 +50,7 @@
     void bill_finished(budget::bill_state state);
 
     /// A table write, with what became known of it.
-    void table_write(platform::commit_outcome outcome);
+    void table_write(store::commit_outcome outcome);
     void table_read(bool succeeded);
 
     /// A request sent to another backend server after the first failed.
--- a/include/caperpath/request/claim_run.hpp
+++ b/include/caperpath/request/claim_run.hpp
@@ -2,8 +2,8 @@
 #define CAPERPATH_REQUEST_CLAIM_RUN_HPP
 
 #include <caperpath/base/clock.hpp>
-#include <caperpath/platform/table.hpp>
 #include <caperpath/request/claim_state.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -20,7 +20,7 @@
 /// may be called from any thread.
 struct claim_store
 {
-    platform::port platform;
+    store::port platform;
     claim_options options;
     clock time{clock::monotonic()};
     clock wall{clock::wall()}; ///< comparable between VMs, for retention only
--- a/include/caperpath/request/claim_state.hpp
+++ b/include/caperpath/request/claim_state.hpp
@@ -4,8 +4,8 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/error.hpp>
 #include <caperpath/base/id.hpp>
-#include <caperpath/platform/table.hpp>
 #include <caperpath/request/claim.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -92,7 +92,7 @@
 /// that is applied, or at once without it, give `reply`.
 struct claim_decision
 {
-    std::optional<platform::transaction> txn;
+    std::optional<store::transaction> txn;
     claim_row wanted;
     claim_reply reply;
 
@@ -124,9 +124,8 @@
                        instant wall_now);
 
 /// Writes `row` over the one with `version`, as long as the holder is active.
-platform::transaction claim_write(request_id const& request,
-                                  claimant const& self, std::uint64_t version,
-                                  claim_row const& row);
+store::transaction claim_write(request_id const& request, claimant const& self,
+                               std::uint64_t version, claim_row const& row);
 
 /// True when the answer's body has to go into an object.
 bool needs_object(claim_finish const& finish, claim_options const& options);
--- a/include/caperpath/platform/http_port.hpp
+++ b/include/caperpath/store/http_port.hpp
@@ -1,13 +1,13 @@
-#ifndef CAPERPATH_PLATFORM_HTTP_PORT_HPP
-#define CAPERPATH_PLATFORM_HTTP_PORT_HPP
+#ifndef CAPERPATH_STORE_HTTP_PORT_HPP
+#define CAPERPATH_STORE_HTTP_PORT_HPP
 
 #include <caperpath/base/clock.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstddef>
 #include <string>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// How to reach the platform. Immutable value.
@@ -34,6 +34,6 @@
 /// Ignores SIGPIPE for the whole process. @pre `is_address(options.address)`.
 port make_http_port(http_port_options const& options);
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/include/caperpath/platform/memory_table.hpp
+++ b/include/caperpath/store/memory_table.hpp
@@ -1,14 +1,14 @@
-#ifndef CAPERPATH_PLATFORM_MEMORY_TABLE_HPP
-#define CAPERPATH_PLATFORM_MEMORY_TABLE_HPP
+#ifndef CAPERPATH_STORE_MEMORY_TABLE_HPP
+#define CAPERPATH_STORE_MEMORY_TABLE_HPP
 
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// What goes wrong with one call to a `memory_table`.
@@ -51,6 +51,6 @@
     std::function<injected_fault(std::string const& step)> const& next_fault =
         {});
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/include/caperpath/platform/table.hpp
+++ b/include/caperpath/store/table.hpp
@@ -1,5 +1,5 @@
-#ifndef CAPERPATH_PLATFORM_TABLE_HPP
-#define CAPERPATH_PLATFORM_TABLE_HPP
+#ifndef CAPERPATH_STORE_TABLE_HPP
+#define CAPERPATH_STORE_TABLE_HPP
 
 #include <caperpath/base/error.hpp>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// A row of the platform's table. `version` grows by one with each write and
@@ -65,11 +65,22 @@
     commit_outcome outcome{commit_outcome::unknown};
     std::vector<row> failed;
     error fault; ///< step and peer when not applied
+    /// The version that all written rows have now, from a store that numbers
+    /// its transactions; 0 from one that numbers the writes of each row.
+    std::uint64_t version{};
 
     friend bool operator==(commit_result const&,
                            commit_result const&) = default;
 };
 
+/// The version of a row that had `before` and was written by an applied commit.
+/// Thread safe.
+inline std::uint64_t written_version(commit_result const& applied,
+                                     std::uint64_t before)
+{
+    return applied.version != 0 ? applied.version : before + 1;
+}
+
 /// A VM as the platform lists it; the list may lag by seconds. A VM that is
 /// absent has been destroyed: the platform never lists one as gone that could
 /// still run.
@@ -112,6 +123,6 @@
     std::function<result<std::vector<listed_vm>>()> list_vms;
 };
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/include/caperpath/platform/wire.hpp
+++ b/include/caperpath/store/wire.hpp
@@ -1,8 +1,8 @@
-#ifndef CAPERPATH_PLATFORM_WIRE_HPP
-#define CAPERPATH_PLATFORM_WIRE_HPP
+#ifndef CAPERPATH_STORE_WIRE_HPP
+#define CAPERPATH_STORE_WIRE_HPP
 
 #include <caperpath/base/error.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstddef>
 #include <string>
@@ -20,7 +20,7 @@
 /// All functions are pure and thread safe. Encoding what a caller wrote fails
 /// as `invalid` when a text is not UTF-8; decoding fails as `invalid` with the
 /// path of the first fault.
-namespace caperpath::platform::wire
+namespace caperpath::store::wire
 {
 
 constexpr char commit_path[] = "/table/commit";
@@ -85,6 +85,6 @@
 /// "-._~" and "/" percent-encoded.
 std::string object_path(std::string const& name);
 
-} // namespace caperpath::platform::wire
+} // namespace caperpath::store::wire
 
 #endif
--- a/src/budget/answered.cpp
+++ b/src/budget/answered.cpp
@@ -14,11 +14,11 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
 constexpr std::size_t rows_in_one_write = 50;
 
-result<std::set<bill>> settled_bills(platform::port const& port,
+result<std::set<bill>> settled_bills(store::port const& port,
                                      incarnation_id const& holder)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, ledger_prefix(holder)));
@@ -36,9 +36,9 @@
 
 /// A bill can be in the ledger already: the claim's row was written late, after
 /// its batch. Such a row is only deleted.
-result<platform::transaction> plan_batch(platform::port const& port,
-                                         incarnation_id const& holder,
-                                         std::vector<platform::row> const& rows)
+result<store::transaction> plan_batch(store::port const& port,
+                                      incarnation_id const& holder,
+                                      std::vector<store::row> const& rows)
 {
     auto const spent_at = spent_key(holder);
     BOOST_LEAF_AUTO(spent_rows, port.read({spent_at}));
@@ -49,7 +49,7 @@
         BOOST_LEAF_ASSIGN(spent, decode_spent(found.value));
     }
     BOOST_LEAF_AUTO(settled, settled_bills(port, holder));
-    platform::transaction txn;
+    store::transaction txn;
     std::vector<bill> missing;
     for (auto const& row : rows)
     {
@@ -77,10 +77,10 @@
 
 } // namespace
 
-result<void> settle_answered(platform::port const& port,
+result<void> settle_answered(store::port const& port,
                              incarnation_id const& holder)
 {
-    platform::commit_result outcome;
+    store::commit_result outcome;
     for (int attempt = 0; attempt < most_attempts;)
     {
         BOOST_LEAF_AUTO(rows, scan_all(port, answered_prefix(holder)));
--- a/src/budget/answered.hpp
+++ b/src/budget/answered.hpp
@@ -3,7 +3,7 @@
 
 #include <caperpath/base/error.hpp>
 #include <caperpath/base/id.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 namespace caperpath::budget
 {
@@ -11,7 +11,7 @@
 /// Brings the bills of answers that a fenced holder kept, and did not live to
 /// settle, into its ledger; see `answered_key`. Several routers may do it at
 /// once. Thread safe; blocks. On an error, repeat it. @pre the holder is fenced
-result<void> settle_answered(platform::port const& port,
+result<void> settle_answered(store::port const& port,
                              incarnation_id const& holder);
 
 } // namespace caperpath::budget
--- a/src/budget/holder.cpp
+++ b/src/budget/holder.cpp
@@ -14,7 +14,7 @@
 
 constexpr char holder_prefix[] = "holder/";
 
-error unresolved(std::string step, platform::commit_result const& outcome)
+error unresolved(std::string step, store::commit_result const& outcome)
 {
     auto fault = outcome.fault;
     fault.step = std::move(step);
@@ -25,7 +25,7 @@
 
 watch_step watch_list(death_watch watch,
                       std::vector<incarnation_id> const& once_listed,
-                      std::vector<platform::listed_vm> const& list,
+                      std::vector<store::listed_vm> const& list,
                       duration list_lag, instant now)
 {
     std::set<std::string> present;
@@ -53,18 +53,18 @@
     return step;
 }
 
-result<holder_view> bind_holder(platform::port const& port,
+result<holder_view> bind_holder(store::port const& port,
                                 incarnation_id const& incarnation,
                                 std::string const& address,
                                 failure_domain_id const& failure_domain)
 {
     auto const key = holder_key(incarnation);
     holder_row const wanted{holder_state::active, address, failure_domain};
-    platform::commit_result outcome;
+    store::commit_result outcome;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
         outcome = port.commit({{{key, 0}}, {{key, encode(wanted)}}});
-        if (outcome.outcome == platform::commit_outcome::applied)
+        if (outcome.outcome == store::commit_outcome::applied)
         {
             return holder_view{incarnation, 1};
         }
@@ -90,7 +90,7 @@
 }
 
 result<std::map<incarnation_id, holder_row>>
-active_holders(platform::port const& port)
+active_holders(store::port const& port)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, holder_prefix));
     std::map<incarnation_id, holder_row> active;
@@ -106,7 +106,7 @@
     return active;
 }
 
-result<std::vector<death_proof>> prove_by_binding(platform::port const& port,
+result<std::vector<death_proof>> prove_by_binding(store::port const& port,
                                                   incarnation_id const& self,
                                                   std::string const& address)
 {
--- a/src/budget/recovery.cpp
+++ b/src/budget/recovery.cpp
@@ -13,9 +13,9 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
-error gave_up(char const* step, platform::commit_result const& outcome)
+error gave_up(char const* step, store::commit_result const& outcome)
 {
     auto fault = outcome.fault;
     fault.step = step;
@@ -25,12 +25,12 @@
 /// Moves the holder row on from one state. Any write of the dead holder names
 /// the version before it, so from here on the table refuses them all, also
 /// those that are still on their way.
-result<platform::row> move_holder(platform::port const& port,
-                                  incarnation_id const& incarnation,
-                                  holder_state from, holder_state to)
+result<store::row> move_holder(store::port const& port,
+                               incarnation_id const& incarnation,
+                               holder_state from, holder_state to)
 {
     auto const key = holder_key(incarnation);
-    platform::commit_result outcome;
+    store::commit_result outcome;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
         BOOST_LEAF_AUTO(rows, port.read({key}));
@@ -54,7 +54,7 @@
     return fail(gave_up("move holder", outcome));
 }
 
-result<spent_row> read_spent(platform::port const& port,
+result<spent_row> read_spent(store::port const& port,
                              incarnation_id const& incarnation)
 {
     auto const key = spent_key(incarnation);
@@ -68,8 +68,7 @@
 }
 
 result<std::vector<budget_id>>
-budgets_with_share(platform::port const& port,
-                   incarnation_id const& incarnation)
+budgets_with_share(store::port const& port, incarnation_id const& incarnation)
 {
     auto const prefix = share_prefix(incarnation);
     BOOST_LEAF_AUTO(rows, scan_all(port, prefix));
@@ -85,15 +84,14 @@
 struct recovery_write
 {
     recovered_share share;
-    platform::transaction txn;
+    store::transaction txn;
 };
 
 /// What the holder had answered for without a bill is unknown; at most
 /// `exposed` it was. Given out again, those tokens would be used twice.
 recovery_write plan_recovery(death_proof const& proof, budget_id const& budget,
-                             platform::row const& budget_at,
-                             budget_row budget_now,
-                             platform::row const& share_at, share_row share,
+                             store::row const& budget_at, budget_row budget_now,
+                             store::row const& share_at, share_row share,
                              token_count spent)
 {
     auto const unspent = share.granted - spent;
@@ -103,7 +101,7 @@
     budget_now.granted -= outcome.returned;
     budget_now.retired += spent + held;
     budget_now.holders -= 1;
-    platform::transaction txn;
+    store::transaction txn;
     txn.conditions = {{budget_at.key, budget_at.version},
                       {share_at.key, share_at.version}};
     txn.writes = {{budget_at.key, encode(budget_now)},
@@ -117,14 +115,14 @@
 }
 
 /// Empty when somebody else has taken the share back.
-result<std::optional<recovered_share>> recover_share(platform::port const& port,
+result<std::optional<recovered_share>> recover_share(store::port const& port,
                                                      death_proof const& proof,
                                                      budget_id const& budget,
                                                      token_count spent)
 {
     auto const budget_at = budget_key(budget);
     auto const share_at = share_key(budget, proof.incarnation);
-    platform::commit_result outcome;
+    store::commit_result outcome;
     std::optional<recovered_share> tried;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
@@ -160,7 +158,7 @@
 
 } // namespace
 
-result<std::vector<recovered_share>> recover(platform::port const& port,
+result<std::vector<recovered_share>> recover(store::port const& port,
                                              death_proof const& proof)
 {
     auto const& incarnation = proof.incarnation;
@@ -191,7 +189,7 @@
     return report;
 }
 
-result<void> close_holder(platform::port const& port, holder_view const& holder)
+result<void> close_holder(store::port const& port, holder_view const& holder)
 {
     BOOST_LEAF_AUTO(budgets, budgets_with_share(port, holder.incarnation));
     if (!budgets.empty())
@@ -204,13 +202,13 @@
     return {};
 }
 
-result<token_count> release_held(platform::port const& port,
+result<token_count> release_held(store::port const& port,
                                  budget_id const& budget,
                                  incarnation_id const& holder)
 {
     auto const held_at = held_key(budget, holder);
     auto const budget_at = budget_key(budget);
-    platform::commit_result outcome;
+    store::commit_result outcome;
     token_count tried = 0;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
--- a/src/budget/row_access.cpp
+++ b/src/budget/row_access.cpp
@@ -12,19 +12,18 @@
 
 } // namespace
 
-platform::row find_row(std::vector<platform::row> const& rows,
-                       std::string const& key)
+store::row find_row(std::vector<store::row> const& rows, std::string const& key)
 {
-    auto const found = std::find_if(rows.begin(), rows.end(),
-                                    [&key](platform::row const& one)
-                                    { return one.key == key; });
-    return found == rows.end() ? platform::row{key, 0, ""} : *found;
+    auto const found =
+        std::find_if(rows.begin(), rows.end(),
+                     [&key](store::row const& one) { return one.key == key; });
+    return found == rows.end() ? store::row{key, 0, ""} : *found;
 }
 
-result<std::vector<platform::row>> scan_all(platform::port const& port,
-                                            std::string const& prefix)
+result<std::vector<store::row>> scan_all(store::port const& port,
+                                         std::string const& prefix)
 {
-    std::vector<platform::row> all;
+    std::vector<store::row> all;
     for (;;)
     {
         auto const after = all.empty() ? std::string{} : all.back().key;
@@ -37,9 +36,9 @@
     }
 }
 
-bool is_turned_away(platform::commit_result const& outcome)
+bool is_turned_away(store::commit_result const& outcome)
 {
-    return outcome.outcome == platform::commit_outcome::refused &&
+    return outcome.outcome == store::commit_outcome::refused &&
            outcome.failed.empty();
 }
 
--- a/src/budget/row_access.hpp
+++ b/src/budget/row_access.hpp
@@ -2,7 +2,7 @@
 #define CAPERPATH_BUDGET_ROW_ACCESS_HPP
 
 #include <caperpath/base/error.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <string>
 #include <vector>
@@ -16,16 +16,16 @@
 
 /// The row of `key` among `rows`, with version 0 when it is not there. Thread
 /// safe.
-platform::row find_row(std::vector<platform::row> const& rows,
-                       std::string const& key);
+store::row find_row(std::vector<store::row> const& rows,
+                    std::string const& key);
 
 /// Every row whose key starts with `prefix`, page by page. Thread safe; blocks.
-result<std::vector<platform::row>> scan_all(platform::port const& port,
-                                            std::string const& prefix);
+result<std::vector<store::row>> scan_all(store::port const& port,
+                                         std::string const& prefix);
 
 /// True when repeating at once is of no use: the store turned the call away.
 /// Thread safe.
-bool is_turned_away(platform::commit_result const& outcome);
+bool is_turned_away(store::commit_result const& outcome);
 
 } // namespace caperpath::budget
 
--- a/src/budget/settlement.cpp
+++ b/src/budget/settlement.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
 spent_row after(settlement_state const& state)
 {
@@ -26,13 +26,13 @@
 /// The number of the batch is in the key of its ledger row and in the spent
 /// row. A repeat after a lost answer finds the ledger row there, or the spent
 /// row moved on, and changes nothing.
-platform::transaction batch_transaction(settlement_state const& state,
-                                        holder_view const& holder)
+store::transaction batch_transaction(settlement_state const& state,
+                                     holder_view const& holder)
 {
     auto const next = after(state);
     auto const ledger = ledger_key(holder.incarnation, next.seq);
     auto const spent = spent_key(holder.incarnation);
-    platform::transaction txn{
+    store::transaction txn{
         {{holder_key(holder.incarnation), holder.version},
          {ledger, 0},
          {spent, state.spent_version}},
@@ -89,10 +89,10 @@
 /// True when the refusal shows that the batch took effect earlier: its ledger
 /// row exists. Only this holder writes under its own incarnation.
 bool took_effect(settlement_state const& state, holder_view const& holder,
-                 platform::commit_result const& outcome)
+                 store::commit_result const& outcome)
 {
     auto const ledger = ledger_key(holder.incarnation, state.spent.seq + 1);
-    auto const exists = [&ledger](platform::row const& one)
+    auto const exists = [&ledger](store::row const& one)
     {
         return one.key == ledger && one.version > 0;
     };
@@ -135,7 +135,7 @@
 }
 
 settled_step batch_written(settlement_state state, holder_view const& holder,
-                           platform::commit_result const& outcome, instant now)
+                           store::commit_result const& outcome, instant now)
 {
     state.busy = false;
     if (outcome.outcome == commit_outcome::applied)
--- a/src/budget/sweep.cpp
+++ b/src/budget/sweep.cpp
@@ -21,7 +21,7 @@
     std::set<incarnation_id> fenced; ///< a recovery began and did not end
 };
 
-result<known_holders> read_holders(platform::port const& port)
+result<known_holders> read_holders(store::port const& port)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, holder_prefix));
     known_holders known;
@@ -45,8 +45,8 @@
 /// shown is dead when it is missing, so this is kept in the table: whoever saw
 /// it may be dead as well by then.
 result<std::set<incarnation_id>>
-record_listed(platform::port const& port, known_holders const& known,
-              std::vector<platform::listed_vm> const& list)
+record_listed(store::port const& port, known_holders const& known,
+              std::vector<store::listed_vm> const& list)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, listed_prefix));
     std::set<incarnation_id> once_listed;
@@ -85,7 +85,7 @@
 
 } // namespace
 
-result<sweep_report> sweep(platform::port const& port, death_watch watch,
+result<sweep_report> sweep(store::port const& port, death_watch watch,
                            duration list_lag, instant now)
 {
     BOOST_LEAF_AUTO(known, read_holders(port));
--- a/src/budget/top_up.cpp
+++ b/src/budget/top_up.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-result<budget_row> budget_or_new(platform::row const& found)
+result<budget_row> budget_or_new(store::row const& found)
 {
     if (found.version == 0)
     {
@@ -48,13 +48,13 @@
 
 } // namespace
 
-result<token_count> top_up(platform::port const& port, budget_id const& budget,
+result<token_count> top_up(store::port const& port, budget_id const& budget,
                            std::string const& topup_id, token_count tokens)
 {
     auto const topup_at = topup_key(budget, topup_id);
     auto const budget_at = budget_key(budget);
     auto const amount = "{\"tokens\":" + std::to_string(tokens) + "}";
-    platform::commit_result outcome;
+    store::commit_result outcome;
     bool doubtful = false;
     for (int attempt = 0; attempt < most_attempts; ++attempt)
     {
@@ -66,7 +66,7 @@
         {
             return fail(with_doubt(*fault, doubtful));
         }
-        auto const& rows = std::get<std::vector<platform::row>>(read);
+        auto const& rows = std::get<std::vector<store::row>>(read);
         auto const topup_found = find_row(rows, topup_at);
         auto const budget_found = find_row(rows, budget_at);
         BOOST_LEAF_AUTO(row, budget_or_new(budget_found));
@@ -88,12 +88,12 @@
         outcome =
             port.commit({{{topup_at, 0}, {budget_at, budget_found.version}},
                          {{topup_at, amount}, {budget_at, encode(row)}}});
-        if (outcome.outcome == platform::commit_outcome::applied)
+        if (outcome.outcome == store::commit_outcome::applied)
         {
             return row.paid;
         }
         doubtful =
-            doubtful || outcome.outcome == platform::commit_outcome::unknown;
+            doubtful || outcome.outcome == store::commit_outcome::unknown;
         if (is_turned_away(outcome))
         {
             break;
--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -38,7 +38,7 @@
     return "drain/" + router.value;
 }
 
-result<poll_answer> read_poll(platform::port const& port,
+result<poll_answer> read_poll(store::port const& port,
                               incarnation_id const& router)
 {
     auto const drain = drain_key(router);
@@ -59,7 +59,7 @@
     return made;
 }
 
-result<version_pointer> read_current(platform::port const& port)
+result<version_pointer> read_current(store::port const& port)
 {
     auto const answer = value_or_error([&] { return read_poll(port, {}); });
     if (auto const* problem = std::get_if<error>(&answer))
@@ -69,17 +69,16 @@
     return std::get<poll_answer>(answer).current;
 }
 
-platform::commit_result order_drain(platform::port const& port,
-                                    incarnation_id const& router,
-                                    std::string const& author, instant at)
+store::commit_result order_drain(store::port const& port,
+                                 incarnation_id const& router,
+                                 std::string const& author, instant at)
 {
     auto const value =
         nlohmann::json{{"author", author}, {"at_ms", at.ms}}.dump();
     return port.commit({{}, {{drain_key(router), value}}});
 }
 
-result<document> load_object(platform::port const& port,
-                             std::string const& object)
+result<document> load_object(store::port const& port, std::string const& object)
 {
     BOOST_LEAF_AUTO(text, port.get_object(object));
     return read_object(object, text);
@@ -107,7 +106,7 @@
     return made;
 }
 
-result<document> load_current(platform::port const& port)
+result<document> load_current(store::port const& port)
 {
     auto const answer = value_or_error([&] { return read_current(port); });
     if (auto const* problem = std::get_if<error>(&answer))
@@ -123,7 +122,7 @@
     return load_object(port, pointer.object);
 }
 
-result<document> load_version(platform::port const& port, std::uint64_t version)
+result<document> load_version(store::port const& port, std::uint64_t version)
 {
     auto const key = version_key(version);
     BOOST_LEAF_AUTO(rows, read_rows(port, {key}));
@@ -140,9 +139,8 @@
     return load_object(port, record->object);
 }
 
-result<std::vector<version_record>> list_versions(platform::port const& port,
-                                                  std::uint64_t after,
-                                                  std::size_t limit)
+result<std::vector<version_record>>
+list_versions(store::port const& port, std::uint64_t after, std::size_t limit)
 {
     BOOST_LEAF_AUTO(rows, port.scan(version_prefix, version_key(after), limit));
     std::vector<version_record> records;
@@ -158,7 +156,7 @@
     return records;
 }
 
-result<std::uint64_t> find_version(platform::port const& port,
+result<std::uint64_t> find_version(store::port const& port,
                                    std::string const& name)
 {
     auto const key = name_key(name);
@@ -177,7 +175,7 @@
     return *version;
 }
 
-patch_result name_version(platform::port const& port, std::uint64_t version,
+patch_result name_version(store::port const& port, std::uint64_t version,
                           std::string const& name)
 {
     patch_result outcome;
@@ -193,7 +191,7 @@
     // Version records are written once, so the row's version is always 1.
     auto const answer = port.commit({{{record_key, 1}, {name_key(name), 0}},
                                      {{name_key(name), write_named(version)}}});
-    if (answer.outcome == platform::commit_outcome::applied)
+    if (answer.outcome == store::commit_outcome::applied)
     {
         outcome.status = patch_status::accepted;
         return outcome;
@@ -213,7 +211,7 @@
         }
         return outcome;
     }
-    if (answer.outcome == platform::commit_outcome::unknown)
+    if (answer.outcome == store::commit_outcome::unknown)
     {
         outcome.status = patch_status::unknown;
         return outcome;
--- a/src/config/store_rows.cpp
+++ b/src/config/store_rows.cpp
@@ -19,7 +19,7 @@
 // Runs `read` over the row's JSON; nothing when a member is missing or of
 // another type, so that a foreign value in a row never ends a router.
 template <class Read>
-auto read_value(platform::row const& source, Read read)
+auto read_value(store::row const& source, Read read)
     -> std::optional<decltype(read(json{}))>
 {
     try
@@ -75,7 +75,7 @@
     return json{{"version", version}}.dump();
 }
 
-std::optional<version_pointer> read_pointer(platform::row const& source)
+std::optional<version_pointer> read_pointer(store::row const& source)
 {
     return read_value(source,
                       [&](json const& value)
@@ -86,7 +86,7 @@
                       });
 }
 
-std::optional<version_record> read_record(platform::row const& source)
+std::optional<version_record> read_record(store::row const& source)
 {
     return read_value(source,
                       [](json const& value)
@@ -98,7 +98,7 @@
                       });
 }
 
-std::optional<patch_record> read_patch_record(platform::row const& source)
+std::optional<patch_record> read_patch_record(store::row const& source)
 {
     return read_value(
         source,
@@ -107,23 +107,23 @@
         });
 }
 
-std::optional<std::uint64_t> read_named(platform::row const& source)
+std::optional<std::uint64_t> read_named(store::row const& source)
 {
     return read_value(source, [](json const& value)
                       { return value.at("version").get<std::uint64_t>(); });
 }
 
-platform::row const* find_row(std::vector<platform::row> const& rows,
-                              std::string const& key)
+store::row const* find_row(std::vector<store::row> const& rows,
+                           std::string const& key)
 {
     auto const found =
         std::find_if(rows.begin(), rows.end(),
-                     [&](platform::row const& one) { return one.key == key; });
+                     [&](store::row const& one) { return one.key == key; });
     return found == rows.end() ? nullptr : &*found;
 }
 
-result<std::vector<platform::row>>
-read_rows(platform::port const& port, std::vector<std::string> const& keys)
+result<std::vector<store::row>> read_rows(store::port const& port,
+                                          std::vector<std::string> const& keys)
 {
     error last;
     for (int attempt = 0; attempt < read_attempts; ++attempt)
--- a/src/config/store_rows.hpp
+++ b/src/config/store_rows.hpp
@@ -33,18 +33,18 @@
 std::string write_named(std::uint64_t version);
 
 /// Each gives nothing when the row's value is not what we would have written.
-std::optional<version_pointer> read_pointer(platform::row const& source);
-std::optional<version_record> read_record(platform::row const& source);
-std::optional<patch_record> read_patch_record(platform::row const& source);
-std::optional<std::uint64_t> read_named(platform::row const& source);
+std::optional<version_pointer> read_pointer(store::row const& source);
+std::optional<version_record> read_record(store::row const& source);
+std::optional<patch_record> read_patch_record(store::row const& source);
+std::optional<std::uint64_t> read_named(store::row const& source);
 
 /// The row `key` among `rows`, or null.
-platform::row const* find_row(std::vector<platform::row> const& rows,
-                              std::string const& key);
+store::row const* find_row(std::vector<store::row> const& rows,
+                           std::string const& key);
 
 /// `port.read` with a few attempts; the error of the last one.
-result<std::vector<platform::row>>
-read_rows(platform::port const& port, std::vector<std::string> const& keys);
+result<std::vector<store::row>> read_rows(store::port const& port,
+                                          std::vector<std::string> const& keys);
 
 } // namespace caperpath::config
 
--- a/src/config/submit.cpp
+++ b/src/config/submit.cpp
@@ -28,8 +28,7 @@
 using view_or_result = std::variant<table_view, patch_result>;
 using prepared_or_result = std::variant<prepared_version, patch_result>;
 
-view_or_result read_view(platform::port const& port,
-                         patch_request const& request)
+view_or_result read_view(store::port const& port, patch_request const& request)
 {
     auto const key = patch_key(request.id);
     auto const answer = value_or_error(
@@ -89,7 +88,7 @@
     return faults;
 }
 
-prepared_or_result prepare(platform::port const& port,
+prepared_or_result prepare(store::port const& port,
                            patch_request const& request,
                            version_pointer const& base)
 {
@@ -128,14 +127,14 @@
     return made;
 }
 
-std::optional<error> put_content(platform::port const& port,
+std::optional<error> put_content(store::port const& port,
                                  prepared_version const& next)
 {
-    platform::commit_result answer;
+    store::commit_result answer;
     for (int attempt = 0; attempt < write_attempts; ++attempt)
     {
         answer = port.put_object(next.object, next.text);
-        if (answer.outcome == platform::commit_outcome::applied)
+        if (answer.outcome == store::commit_outcome::applied)
         {
             return std::nullopt;
         }
@@ -145,8 +144,7 @@
 
 } // namespace
 
-patch_result submit_patch(platform::port const& port,
-                          patch_request const& request)
+patch_result submit_patch(store::port const& port, patch_request const& request)
 {
     auto faults = check_request(request);
     if (!faults.empty())
@@ -186,8 +184,8 @@
     return commit_version(port, request, next);
 }
 
-patch_result roll_forward(platform::port const& port,
-                          patch_request const& request, std::uint64_t older)
+patch_result roll_forward(store::port const& port, patch_request const& request,
+                          std::uint64_t older)
 {
     auto const loaded = value_or_error([&] { return load_json(port, older); });
     if (auto const* problem = std::get_if<error>(&loaded))
--- a/src/config/submit.hpp
+++ b/src/config/submit.hpp
@@ -41,16 +41,16 @@
                       patch_record const& earlier);
 
 /// The canonical JSON of a version; of an empty document for version 0.
-result<nlohmann::json> load_json(platform::port const& port,
+result<nlohmann::json> load_json(store::port const& port,
                                  std::uint64_t version);
 
 /// `current` is in force and the request has another base.
-patch_result conflict(platform::port const& port, patch_request const& request,
+patch_result conflict(store::port const& port, patch_request const& request,
                       version_pointer const& current);
 
 /// Writes pointer, record, patch id and name in one transaction.
 /// @pre the object of `next` is in the store.
-patch_result commit_version(platform::port const& port,
+patch_result commit_version(store::port const& port,
                             patch_request const& request,
                             prepared_version const& next);
 
--- a/src/config/submit_commit.cpp
+++ b/src/config/submit_commit.cpp
@@ -15,15 +15,15 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
-platform::transaction numbering(patch_request const& request,
-                                prepared_version const& next)
+store::transaction numbering(patch_request const& request,
+                             prepared_version const& next)
 {
     auto const number = next.version();
     version_record const record{number,         next.object,       request.id,
                                 request.author, next.content.name, request.at};
-    platform::transaction txn{
+    store::transaction txn{
         {{current_key, next.base.row_version},
          {version_key(number), 0},
          {patch_key(request.id), 0}},
@@ -41,10 +41,10 @@
 
 // Explains a refusal by the rows whose condition did not hold. Nothing when
 // the platform turned the write away for a reason of its own.
-std::optional<patch_result> explain(platform::port const& port,
+std::optional<patch_result> explain(store::port const& port,
                                     patch_request const& request,
                                     prepared_version const& next,
-                                    std::vector<platform::row> const& failed)
+                                    std::vector<store::row> const& failed)
 {
     if (auto const* row = find_row(failed, patch_key(request.id)))
     {
@@ -70,7 +70,7 @@
 
 // The record of the number we wanted is written once and never changed: if it
 // carries our id we were first, if it carries another we can never be.
-patch_result read_back(platform::port const& port, patch_request const& request,
+patch_result read_back(store::port const& port, patch_request const& request,
                        prepared_version const& next, error problem)
 {
     patch_result made = unavailable(std::move(problem));
@@ -136,8 +136,7 @@
     return made;
 }
 
-result<nlohmann::json> load_json(platform::port const& port,
-                                 std::uint64_t version)
+result<nlohmann::json> load_json(store::port const& port, std::uint64_t version)
 {
     if (version == 0)
     {
@@ -147,7 +146,7 @@
     return to_json(content);
 }
 
-patch_result conflict(platform::port const& port, patch_request const& request,
+patch_result conflict(store::port const& port, patch_request const& request,
                       version_pointer const& current)
 {
     patch_result made;
@@ -174,13 +173,13 @@
 // Sending the same transaction again is harmless: its conditions hold only as
 // long as it has not taken effect. So a lost answer is asked for again until
 // the table says which it was.
-patch_result commit_version(platform::port const& port,
+patch_result commit_version(store::port const& port,
                             patch_request const& request,
                             prepared_version const& next)
 {
     auto const txn = numbering(request, next);
     bool may_have_applied = false;
-    platform::commit_result answer;
+    store::commit_result answer;
     for (int attempt = 0; attempt < write_attempts; ++attempt)
     {
         answer = port.commit(txn);
--- a/src/controllers/budget_controller.cpp
+++ b/src/controllers/budget_controller.cpp
@@ -72,7 +72,7 @@
 } // namespace
 
 budget_options_builder::budget_options_builder(incarnation_id incarnation,
-                                               platform::port platform)
+                                               store::port platform)
 {
     this->options.incarnation = std::move(incarnation);
     this->options.platform = std::move(platform);
--- a/src/controllers/budget_messages.hpp
+++ b/src/controllers/budget_messages.hpp
@@ -36,18 +36,18 @@
 struct look_result
 {
     std::vector<budget_id> budgets;
-    std::optional<std::vector<platform::row>> rows;
+    std::optional<std::vector<store::row>> rows;
 };
 
 struct write_result
 {
     budget_id budget;
-    platform::commit_result outcome;
+    store::commit_result outcome;
 };
 
 struct batch_result
 {
-    platform::commit_result outcome;
+    store::commit_result outcome;
 };
 
 struct close_result
--- a/src/controllers/budget_pump.cpp
+++ b/src/controllers/budget_pump.cpp
@@ -93,8 +93,7 @@
         {
             auto both = value_or_error([&] { return read(keys); });
             look_result result{budgets, std::nullopt};
-            if (auto* const rows =
-                    std::get_if<std::vector<platform::row>>(&both))
+            if (auto* const rows = std::get_if<std::vector<store::row>>(&both))
             {
                 result.rows = std::move(*rows);
             }
--- a/src/controllers/claim_controller.cpp
+++ b/src/controllers/claim_controller.cpp
@@ -92,20 +92,20 @@
     return std::move(std::get<T>(got));
 }
 
-platform::port through_workers(platform::port const& inner,
-                               std::shared_ptr<worker_gate> const& gate)
+store::port through_workers(store::port const& inner,
+                            std::shared_ptr<worker_gate> const& gate)
 {
     // Given up on, the call may still run: nothing is known of its effect.
-    platform::commit_result const lost{
-        platform::commit_outcome::unknown, {}, ended_error("commit")};
+    store::commit_result const lost{
+        store::commit_outcome::unknown, {}, ended_error("commit")};
     auto outer = inner;
-    outer.commit = [inner, gate, lost](platform::transaction const& txn)
+    outer.commit = [inner, gate, lost](store::transaction const& txn)
     {
         return gate->call([inner, txn] { return inner.commit(txn); }, lost);
     };
     outer.read = [inner, gate](std::vector<std::string> const& keys)
     {
-        return read_through<std::vector<platform::row>>(
+        return read_through<std::vector<store::row>>(
             *gate, "read", [inner, keys] { return inner.read(keys); });
     };
     outer.get_object = [inner, gate](std::string const& name)
@@ -126,7 +126,7 @@
 }
 
 request::claim_store store_of(claim_controller_options const& options,
-                              platform::port platform)
+                              store::port platform)
 {
     auto const drawn = std::make_shared<std::atomic<std::uint64_t>>(0);
     auto const seed = options.seed;
@@ -141,7 +141,7 @@
             }};
 }
 
-bool is_active(platform::row const& row)
+bool is_active(store::row const& row)
 {
     auto const decoded =
         value_or_error([&] { return budget::decode_holder(row.value); });
@@ -211,7 +211,7 @@
     {
         auto const both =
             value_or_error([&] { return this->store.platform.read({key}); });
-        auto const* rows = std::get_if<std::vector<platform::row>>(&both);
+        auto const* rows = std::get_if<std::vector<store::row>>(&both);
         if (rows != nullptr && !rows->empty() && is_active(rows->front()))
         {
             this->holder_version = rows->front().version;
--- a/src/controllers/config_controller.cpp
+++ b/src/controllers/config_controller.cpp
@@ -77,7 +77,7 @@
 
 // Asks the store once and loads what is newer. Returns the error, if any.
 template <class State>
-std::variant<bool, error> poll_store(platform::port const& store,
+std::variant<bool, error> poll_store(store::port const& store,
                                      incarnation_id const& self, State& state)
 {
     return value_or_error(
@@ -106,7 +106,7 @@
 // Runs on a thread of its own: a call to a slow store blocks for seconds and
 // would hold one of the few threads that all other actors share.
 template <class State>
-caf::behavior make_loader(platform::port store, incarnation_id self,
+caf::behavior make_loader(store::port store, incarnation_id self,
                           std::shared_ptr<State> state)
 {
     return {[store = std::move(store), self = std::move(self),
@@ -184,7 +184,7 @@
 } // namespace
 
 config_controller::config_controller(caf::actor_system& system,
-                                     platform::port store,
+                                     store::port store,
                                      config_controller_options options)
     : held{std::make_shared<state>()}, running{std::make_unique<actors>()}
 {
@@ -192,7 +192,7 @@
     // CAF 0.17 binds a reference to a null tuple when a function is spawned
     // without arguments, and the undefined-behaviour sanitizer ends the
     // process; so what the function needs goes as arguments.
-    auto const make = [](platform::port const& port, incarnation_id const& self,
+    auto const make = [](store::port const& port, incarnation_id const& self,
                          std::shared_ptr<state> const& state)
     {
         return make_loader(port, self, state);
--- a/src/ctl/budget.cpp
+++ b/src/ctl/budget.cpp
@@ -35,7 +35,7 @@
     std::vector<std::pair<std::string, budget::share_row>> shares;
 };
 
-result<budget_account> read_account(platform::port const& port,
+result<budget_account> read_account(store::port const& port,
                                     budget_id const& budget)
 {
     budget_account account;
--- a/src/ctl/engine.cpp
+++ b/src/ctl/engine.cpp
@@ -32,7 +32,7 @@
     bool leaving{};     ///< routers are told first
 };
 
-std::int64_t number_in(std::vector<platform::row> const& rows)
+std::int64_t number_in(std::vector<store::row> const& rows)
 {
     if (rows.empty())
     {
@@ -44,7 +44,7 @@
 
 // The next fencing number of an engine. Two operators never get the same one;
 // a number whose answer was lost is left unused, which harms nothing.
-result<std::int64_t> next_number(platform::port const& port,
+result<std::int64_t> next_number(store::port const& port,
                                  std::string const& engine)
 {
     auto const key = "fencing/" + engine;
@@ -56,7 +56,7 @@
         auto const number = number_in(rows) + 1;
         auto const outcome = port.commit(
             {{{key, version}}, {{key, json{{"number", number}}.dump()}}});
-        if (outcome.outcome == platform::commit_outcome::applied)
+        if (outcome.outcome == store::commit_outcome::applied)
         {
             return number;
         }
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -16,7 +16,7 @@
 
 using nlohmann::json;
 
-fleet_member ask(session& run, platform::listed_vm const& vm)
+fleet_member ask(session& run, store::listed_vm const& vm)
 {
     fleet_member member{vm, {}, ""};
     if (!config::is_address(vm.address))
--- a/src/ctl/fleet.hpp
+++ b/src/ctl/fleet.hpp
@@ -13,7 +13,7 @@
 /// value.
 struct fleet_member
 {
-    platform::listed_vm listed;
+    store::listed_vm listed;
     nlohmann::json health; ///< null when the router did not answer
     std::string problem;   ///< why not
 
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -45,7 +45,7 @@
     return {rest.substr(0, slash), rest.substr(slash + 1)};
 }
 
-result<void> add_budgets(platform::port const& port, all_sums& sums)
+result<void> add_budgets(store::port const& port, all_sums& sums)
 {
     auto const prefix = budget::budget_key({});
     BOOST_LEAF_AUTO(rows, scan_all(port, prefix));
@@ -59,7 +59,7 @@
     return {};
 }
 
-result<void> add_spent(platform::port const& port, all_sums& sums)
+result<void> add_spent(store::port const& port, all_sums& sums)
 {
     BOOST_LEAF_AUTO(rows, scan_all(port, budget::spent_key({})));
     for (auto const& row : rows)
@@ -73,7 +73,7 @@
     return {};
 }
 
-result<void> add_held(platform::port const& port, all_sums& sums)
+result<void> add_held(store::port const& port, all_sums& sums)
 {
     std::string const prefix = "held/";
     BOOST_LEAF_AUTO(rows, scan_all(port, prefix));
@@ -86,7 +86,7 @@
     return {};
 }
 
-result<std::set<std::string>> active_routers(platform::port const& port)
+result<std::set<std::string>> active_routers(store::port const& port)
 {
     std::set<std::string> active;
     auto const prefix = budget::holder_key({});
@@ -102,7 +102,7 @@
     return active;
 }
 
-result<void> add_stranded(platform::port const& port, all_sums& sums)
+result<void> add_stranded(store::port const& port, all_sums& sums)
 {
     BOOST_LEAF_AUTO(active, active_routers(port));
     std::string const prefix = "share/";
@@ -116,7 +116,7 @@
     return {};
 }
 
-result<all_sums> read_sums(platform::port const& port)
+result<all_sums> read_sums(store::port const& port)
 {
     all_sums sums;
     BOOST_LEAF_CHECK(add_budgets(port, sums));
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -142,7 +142,7 @@
     return verb;
 }
 
-result<config::document> load_or_empty(platform::port const& port)
+result<config::document> load_or_empty(store::port const& port)
 {
     BOOST_LEAF_AUTO(current, config::read_current(port));
     if (current.version == 0)
--- a/src/ctl/session.hpp
+++ b/src/ctl/session.hpp
@@ -5,7 +5,7 @@
 #include <caperpath/base/error.hpp>
 #include <caperpath/config/json_reader.hpp>
 #include <caperpath/config/store.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -48,7 +48,7 @@
 {
     std::ostream& out;
     std::ostream& err;
-    std::function<platform::port(std::string const& address)> connect;
+    std::function<store::port(std::string const& address)> connect;
     http_call call;
     std::function<std::string(std::size_t)> random_bytes;
     clock wall;
@@ -59,7 +59,7 @@
     std::string platform_address{};
     std::string author{};
     int code{exit_ok};
-    platform::port port{}; ///< set before a verb runs
+    store::port port{}; ///< set before a verb runs
 };
 
 /// Prints what a verb found: the JSON in one line, or the rows as a table with
--- a/src/ctl/table_scan.cpp
+++ b/src/ctl/table_scan.cpp
@@ -10,10 +10,10 @@
 
 } // namespace
 
-result<std::vector<platform::row>> scan_all(platform::port const& port,
-                                            std::string const& prefix)
+result<std::vector<store::row>> scan_all(store::port const& port,
+                                         std::string const& prefix)
 {
-    std::vector<platform::row> all;
+    std::vector<store::row> all;
     std::string after;
     while (true)
     {
--- a/src/ctl/verbs.hpp
+++ b/src/ctl/verbs.hpp
@@ -48,7 +48,7 @@
                          std::string const& help, std::function<int()> act);
 
 /// The version in force, an empty document when there is none. Blocks.
-result<config::document> load_or_empty(platform::port const& port);
+result<config::document> load_or_empty(store::port const& port);
 
 /// As `load_or_empty`; prints the error and sets `run.code` if it fails.
 std::optional<config::document> current_document(session& run);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -87,15 +87,15 @@
     return "local";
 }
 
-std::string name_of(platform::commit_outcome outcome)
+std::string name_of(store::commit_outcome outcome)
 {
     switch (outcome)
     {
-    case platform::commit_outcome::applied:
+    case store::commit_outcome::applied:
         return "applied";
-    case platform::commit_outcome::refused:
+    case store::commit_outcome::refused:
         return "refused";
-    case platform::commit_outcome::unknown:
+    case store::commit_outcome::unknown:
         break;
     }
     return "unknown";
@@ -216,7 +216,7 @@
     this->self->bills.Add({{"state", name_of(state)}}).Increment();
 }
 
-void metrics::table_write(platform::commit_outcome outcome)
+void metrics::table_write(store::commit_outcome outcome)
 {
     this->self->table_writes.Add({{"outcome", name_of(outcome)}}).Increment();
 }
--- a/src/request/claim_end.cpp
+++ b/src/request/claim_end.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
 // Named after the ticket, so that no other claim can have written it.
 std::string object_name(held_claim const& held)
@@ -28,7 +28,7 @@
     foreign    ///< somebody else has written the row since
 };
 
-found_end compare(platform::row const& found, claim_row const& held,
+found_end compare(store::row const& found, claim_row const& held,
                   claim_row const& wanted)
 {
     auto const decoded =
@@ -45,10 +45,10 @@
                                       : found_end::foreign;
 }
 
-platform::commit_result commit_end(claim_store const& store,
-                                   held_claim const& held, claim_row const& row,
-                                   std::optional<budget::bill> const& bill,
-                                   std::uint64_t version)
+store::commit_result commit_end(claim_store const& store,
+                                held_claim const& held, claim_row const& row,
+                                std::optional<budget::bill> const& bill,
+                                std::uint64_t version)
 {
     auto txn = claim_write(held.request, held.self, version, row);
     if (bill && bill->tokens > 0)
@@ -115,7 +115,7 @@
     auto const key = claim_key(doubtful.request);
     auto const both =
         value_or_error([&] { return store.platform.read({key}); });
-    auto const* const rows = std::get_if<std::vector<platform::row>>(&both);
+    auto const* const rows = std::get_if<std::vector<store::row>>(&both);
     if (rows == nullptr)
     {
         return false;
@@ -140,7 +140,7 @@
 bool delete_claims(claim_store const& store,
                    std::vector<kept_claim> const& expired)
 {
-    platform::transaction txn;
+    store::transaction txn;
     for (auto const& one : expired)
     {
         auto const key = claim_key(one.request);
@@ -157,7 +157,7 @@
         std::erase_if(txn.conditions, changed);
         std::erase_if(txn.writes, changed);
         outcome = txn.writes.empty()
-                      ? platform::commit_result{commit_outcome::applied, {}, {}}
+                      ? store::commit_result{commit_outcome::applied, {}, {}}
                       : store.platform.commit(txn);
     }
     return outcome.outcome == commit_outcome::applied;
--- a/src/request/claim_lookup.cpp
+++ b/src/request/claim_lookup.cpp
@@ -9,8 +9,8 @@
 namespace caperpath::request
 {
 
-platform::row const* find_row(std::vector<platform::row> const& rows,
-                              std::string const& key)
+store::row const* find_row(std::vector<store::row> const& rows,
+                           std::string const& key)
 {
     auto const found =
         std::find_if(rows.begin(), rows.end(),
@@ -18,7 +18,7 @@
     return found == rows.end() ? nullptr : &*found;
 }
 
-std::optional<seen_claim> seen_in(std::vector<platform::row> const& rows,
+std::optional<seen_claim> seen_in(std::vector<store::row> const& rows,
                                   request_id const& request)
 {
     auto const* const found = find_row(rows, claim_key(request));
--- a/src/request/claim_run.cpp
+++ b/src/request/claim_run.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
-bool has_ended(std::vector<platform::row> const& rows,
+bool has_ended(std::vector<store::row> const& rows,
                incarnation_id const& holder)
 {
     auto const* const found = find_row(rows, budget::holder_key(holder));
@@ -49,7 +49,7 @@
 private:
     std::optional<begun_claim> act();
     std::optional<begun_claim> write(claim_decision const& decision);
-    void take_failed(std::vector<platform::row> const& failed);
+    void take_failed(std::vector<store::row> const& failed);
     void look();
     begun_claim give_reply(claim_reply reply);
     begun_claim hold(claim_reply reply, std::uint64_t version, claim_row row);
@@ -147,7 +147,7 @@
     return std::nullopt;
 }
 
-void claim_attempt::take_failed(std::vector<platform::row> const& failed)
+void claim_attempt::take_failed(std::vector<store::row> const& failed)
 {
     if (find_row(failed, claim_key(this->asked.request)) == nullptr)
     {
@@ -179,7 +179,7 @@
         }
         auto const both =
             value_or_error([&] { return this->store.platform.read(keys); });
-        auto const* const rows = std::get_if<std::vector<platform::row>>(&both);
+        auto const* const rows = std::get_if<std::vector<store::row>>(&both);
         this->seen = rows == nullptr ? std::nullopt
                                      : seen_in(*rows, this->asked.request);
         bool const elsewhere =
--- a/src/request/claim_state.cpp
+++ b/src/request/claim_state.cpp
@@ -78,9 +78,8 @@
     return "claim/" + request.value;
 }
 
-platform::transaction claim_write(request_id const& request,
-                                  claimant const& self, std::uint64_t version,
-                                  claim_row const& row)
+store::transaction claim_write(request_id const& request, claimant const& self,
+                               std::uint64_t version, claim_row const& row)
 {
     auto const key = claim_key(request);
     return {{{key, version},
--- a/src/router/platform_access.cpp
+++ b/src/router/platform_access.cpp
@@ -13,29 +13,26 @@
 
 } // namespace
 
-platform::port severable(platform::port const& inner,
-                         std::atomic<bool> const& cut)
+store::port severable(store::port const& inner, std::atomic<bool> const& cut)
 {
     auto outer = inner;
-    outer.commit = [inner, &cut](platform::transaction const& txn)
+    outer.commit = [inner, &cut](store::transaction const& txn)
     {
-        return cut.load()
-                   ? platform::commit_result{platform::commit_outcome::unknown,
-                                             {},
-                                             cut_off_error("commit")}
-                   : inner.commit(txn);
+        return cut.load() ? store::commit_result{store::commit_outcome::unknown,
+                                                 {},
+                                                 cut_off_error("commit")}
+                          : inner.commit(txn);
     };
     outer.put_object =
         [inner, &cut](std::string const& name, std::string const& content)
     {
-        return cut.load()
-                   ? platform::commit_result{platform::commit_outcome::unknown,
-                                             {},
-                                             cut_off_error("put object")}
-                   : inner.put_object(name, content);
+        return cut.load() ? store::commit_result{store::commit_outcome::unknown,
+                                                 {},
+                                                 cut_off_error("put object")}
+                          : inner.put_object(name, content);
     };
     outer.read = [inner, &cut](std::vector<std::string> const& keys)
-        -> result<std::vector<platform::row>>
+        -> result<std::vector<store::row>>
     {
         if (cut.load())
         {
@@ -55,10 +52,10 @@
     return outer;
 }
 
-platform::port counted(platform::port const& inner, observe::metrics& metrics)
+store::port counted(store::port const& inner, observe::metrics& metrics)
 {
     auto counting = inner;
-    counting.commit = [inner, &metrics](platform::transaction const& txn)
+    counting.commit = [inner, &metrics](store::transaction const& txn)
     {
         auto outcome = inner.commit(txn);
         metrics.table_write(outcome.outcome);
--- a/src/router/platform_access.hpp
+++ b/src/router/platform_access.hpp
@@ -2,7 +2,7 @@
 #define CAPERPATH_SRC_ROUTER_PLATFORM_ACCESS_HPP
 
 #include <caperpath/observe/metrics.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <atomic>
 
@@ -11,12 +11,11 @@
 
 /// Like `inner` until `cut` is set; then nothing passes and nobody learns what
 /// became of a write. Thread safe. @pre `cut` outlives the port
-platform::port severable(platform::port const& inner,
-                         std::atomic<bool> const& cut);
+store::port severable(store::port const& inner, std::atomic<bool> const& cut);
 
 /// Like `inner`, and counts the reads and writes, whoever asks. Thread safe.
 /// @pre `metrics` outlives the port
-platform::port counted(platform::port const& inner, observe::metrics& metrics);
+store::port counted(store::port const& inner, observe::metrics& metrics);
 
 } // namespace caperpath::router
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -14,7 +14,7 @@
 #include <caperpath/controllers/config_controller.hpp>
 #include <caperpath/controllers/limit_controller.hpp>
 #include <caperpath/observe/log.hpp>
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
@@ -126,7 +126,7 @@
 void router::parts::connect(std::string const& address)
 {
     auto const platform = counted(
-        severable(platform::make_http_port({.address = this->given.platform}),
+        severable(store::make_http_port({.address = this->given.platform}),
                   this->cut),
         this->metrics);
     budget::settle_options settle;
--- a/src/platform/exchange.cpp
+++ b/src/store/exchange.cpp
@@ -1,11 +1,11 @@
-#include "platform/exchange.hpp"
+#include "store/exchange.hpp"
 
 #include "http/server.hpp"
 
 #include <chrono>
 #include <utility>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -106,4 +106,4 @@
     return client;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/exchange.hpp
+++ b/src/store/exchange.hpp
@@ -1,8 +1,8 @@
-#ifndef CAPERPATH_SRC_PLATFORM_EXCHANGE_HPP
-#define CAPERPATH_SRC_PLATFORM_EXCHANGE_HPP
+#ifndef CAPERPATH_SRC_STORE_EXCHANGE_HPP
+#define CAPERPATH_SRC_STORE_EXCHANGE_HPP
 
 #include <caperpath/base/clock.hpp>
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
 #include <httplib.h>
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// How far an exchange got.
@@ -65,6 +65,6 @@
     std::vector<idle_connection> idle;
 };
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/src/platform/http_port.cpp
+++ b/src/store/http_port.cpp
@@ -1,8 +1,8 @@
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
-#include "platform/exchange.hpp"
+#include "store/exchange.hpp"
 
 #include <csignal>
 #include <memory>
@@ -10,7 +10,7 @@
 #include <utility>
 #include <variant>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -214,4 +214,4 @@
     return made;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/memory_table.cpp
+++ b/src/store/memory_table.cpp
@@ -1,8 +1,8 @@
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <utility>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -213,4 +213,4 @@
     return made;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/stand_in.cpp
+++ b/src/store/stand_in.cpp
@@ -1,14 +1,14 @@
-#include "platform/stand_in.hpp"
+#include "store/stand_in.hpp"
 
 #include "http/cut_connection.hpp"
 #include "http/fault_plan.hpp"
 #include "http/server.hpp"
-#include "platform/stand_in_answer.hpp"
-#include "platform/token_bucket.hpp"
-#include "platform/vm_history.hpp"
+#include "store/stand_in_answer.hpp"
+#include "store/token_bucket.hpp"
+#include "store/vm_history.hpp"
 
-#include <caperpath/platform/memory_table.hpp>
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/memory_table.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -16,7 +16,7 @@
 #include <mutex>
 #include <utility>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -367,4 +367,4 @@
     this->self->stop();
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/stand_in.hpp
+++ b/src/store/stand_in.hpp
@@ -1,9 +1,9 @@
-#ifndef CAPERPATH_SRC_PLATFORM_STAND_IN_HPP
-#define CAPERPATH_SRC_PLATFORM_STAND_IN_HPP
+#ifndef CAPERPATH_SRC_STORE_STAND_IN_HPP
+#define CAPERPATH_SRC_STORE_STAND_IN_HPP
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/config/json_reader.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// Settings of `caperpath-platform`. Immutable value.
@@ -65,6 +65,6 @@
     std::unique_ptr<implementation> self;
 };
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/src/platform/stand_in_answer.cpp
+++ b/src/store/stand_in_answer.cpp
@@ -1,8 +1,8 @@
-#include "platform/stand_in_answer.hpp"
+#include "store/stand_in_answer.hpp"
 
 #include <utility>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -63,4 +63,4 @@
            {outcome.fault.kind, outcome.fault.detail, outcome.failed});
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/stand_in_answer.hpp
+++ b/src/store/stand_in_answer.hpp
@@ -1,9 +1,9 @@
-#ifndef CAPERPATH_SRC_PLATFORM_STAND_IN_ANSWER_HPP
-#define CAPERPATH_SRC_PLATFORM_STAND_IN_ANSWER_HPP
+#ifndef CAPERPATH_SRC_STORE_STAND_IN_ANSWER_HPP
+#define CAPERPATH_SRC_STORE_STAND_IN_ANSWER_HPP
 
 #include <caperpath/config/json_reader.hpp>
-#include <caperpath/platform/table.hpp>
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/table.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include <httplib.h>
 
@@ -12,7 +12,7 @@
 #include <vector>
 
 /// The stand-in's answers over HTTP. All functions are thread safe.
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 constexpr char json_type[] = "application/json";
@@ -41,6 +41,6 @@
     use(std::get<0>(decoded));
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/src/platform/stand_in_settings.cpp
+++ b/src/store/stand_in_settings.cpp
@@ -1,8 +1,8 @@
-#include "platform/stand_in.hpp"
+#include "store/stand_in.hpp"
 
-#include "platform/wire_json.hpp"
+#include "store/wire_json.hpp"
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -35,4 +35,4 @@
     return settings;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/token_bucket.cpp
+++ b/src/store/token_bucket.cpp
@@ -1,8 +1,8 @@
-#include "platform/token_bucket.hpp"
+#include "store/token_bucket.hpp"
 
 #include <algorithm>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 namespace
@@ -35,4 +35,4 @@
     return true;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/token_bucket.hpp
+++ b/src/store/token_bucket.hpp
@@ -1,11 +1,11 @@
-#ifndef CAPERPATH_SRC_PLATFORM_TOKEN_BUCKET_HPP
-#define CAPERPATH_SRC_PLATFORM_TOKEN_BUCKET_HPP
+#ifndef CAPERPATH_SRC_STORE_TOKEN_BUCKET_HPP
+#define CAPERPATH_SRC_STORE_TOKEN_BUCKET_HPP
 
 #include <caperpath/base/clock.hpp>
 
 #include <cstdint>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// Lets `rate` calls a second pass, and a burst of a quarter of that. Not
@@ -26,6 +26,6 @@
     instant filled;
 };
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/src/platform/vm_history.cpp
+++ b/src/store/vm_history.cpp
@@ -1,9 +1,9 @@
-#include "platform/vm_history.hpp"
+#include "store/vm_history.hpp"
 
 #include <iterator>
 #include <utility>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 vm_history::vm_history(std::vector<listed_vm> vms) : first{std::move(vms)}
@@ -31,4 +31,4 @@
                                          : std::prev(next)->second;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
--- a/src/platform/vm_history.hpp
+++ b/src/store/vm_history.hpp
@@ -1,15 +1,15 @@
-#ifndef CAPERPATH_SRC_PLATFORM_VM_HISTORY_HPP
-#define CAPERPATH_SRC_PLATFORM_VM_HISTORY_HPP
+#ifndef CAPERPATH_SRC_STORE_VM_HISTORY_HPP
+#define CAPERPATH_SRC_STORE_VM_HISTORY_HPP
 
 #include <caperpath/base/clock.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 /// The stand-in's VM list over time, so that it can be shown as it was. Keeps
@@ -32,6 +32,6 @@
     std::map<instant, std::vector<listed_vm>> changes;
 };
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/src/platform/wire_answer.cpp
+++ b/src/store/wire_answer.cpp
@@ -1,10 +1,10 @@
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
-#include "platform/wire_json.hpp"
+#include "store/wire_json.hpp"
 
 #include <array>
 
-namespace caperpath::platform::wire
+namespace caperpath::store::wire
 {
 
 namespace
@@ -194,4 +194,4 @@
                              { return read_vm(value, "", faults); });
 }
 
-} // namespace caperpath::platform::wire
+} // namespace caperpath::store::wire
--- a/src/platform/wire_json.hpp
+++ b/src/store/wire_json.hpp
@@ -1,16 +1,16 @@
-#ifndef CAPERPATH_SRC_PLATFORM_WIRE_JSON_HPP
-#define CAPERPATH_SRC_PLATFORM_WIRE_JSON_HPP
+#ifndef CAPERPATH_SRC_STORE_WIRE_JSON_HPP
+#define CAPERPATH_SRC_STORE_WIRE_JSON_HPP
 
 #include <caperpath/base/error.hpp>
 #include <caperpath/config/json_reader.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <string>
 #include <vector>
 
-namespace caperpath::platform::wire
+namespace caperpath::store::wire
 {
 
 /// Reads a VM of the platform's list, in settings as on the wire; adds every
@@ -45,6 +45,6 @@
     return decoded;
 }
 
-} // namespace caperpath::platform::wire
+} // namespace caperpath::store::wire
 
 #endif
--- a/src/platform/wire_request.cpp
+++ b/src/store/wire_request.cpp
@@ -1,11 +1,11 @@
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
-#include "platform/wire_json.hpp"
+#include "store/wire_json.hpp"
 
 #include <cctype>
 #include <limits>
 
-namespace caperpath::platform::wire
+namespace caperpath::store::wire
 {
 
 namespace
@@ -197,4 +197,4 @@
     return path;
 }
 
-} // namespace caperpath::platform::wire
+} // namespace caperpath::store::wire
--- a/tests/budget/answered_test.cpp
+++ b/tests/budget/answered_test.cpp
@@ -37,7 +37,7 @@
     }
 
     // As the end of a claim writes it, refused once the holder is fenced.
-    platform::commit_outcome keep_answer()
+    store::commit_outcome keep_answer()
     {
         return this->port
             .commit({{{holder_key(dead), this->holder.version}},
@@ -61,9 +61,9 @@
         return audit_of(*this->table, name);
     }
 
-    std::shared_ptr<platform::memory_table> table{
-        std::make_shared<platform::memory_table>()};
-    platform::port port{platform::make_memory_port(this->table)};
+    std::shared_ptr<store::memory_table> table{
+        std::make_shared<store::memory_table>()};
+    store::port port{store::make_memory_port(this->table)};
     holder_view holder;
 };
 
@@ -124,7 +124,7 @@
     {
         world here;
         here.recovered();
-        CPPUNIT_ASSERT(here.keep_answer() == platform::commit_outcome::refused);
+        CPPUNIT_ASSERT(here.keep_answer() == store::commit_outcome::refused);
         here.settle();
         auto const found = audit_of(*here.table, name);
         CPPUNIT_ASSERT_EQUAL(token_count{0}, found.billed);
--- a/tests/budget/audit.hpp
+++ b/tests/budget/audit.hpp
@@ -2,7 +2,7 @@
 #define CAPERPATH_TESTS_BUDGET_AUDIT_HPP
 
 #include <caperpath/budget/rows.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <algorithm>
 #include <map>
@@ -27,8 +27,7 @@
 constexpr std::size_t whole_table = 1'000'000;
 
 /// Adds up the rows of `budget`. Throws when a row cannot be read.
-inline audit audit_of(platform::memory_table const& table,
-                      budget_id const& budget)
+inline audit audit_of(store::memory_table const& table, budget_id const& budget)
 {
     audit found;
     for (auto const& row : table.read({budget_key(budget)}))
--- a/tests/budget/share_test.cpp
+++ b/tests/budget/share_test.cpp
@@ -12,11 +12,11 @@
 
 /// A port on which the call number `at` first lets somebody else recover the
 /// same holder from start to end.
-platform::port interrupted_port(world& all, death_proof const& proof, int at)
+store::port interrupted_port(world& all, death_proof const& proof, int at)
 {
     auto port = all.direct;
     auto const calls = std::make_shared<int>(0);
-    port.commit = [&all, proof, at, calls](platform::transaction const& txn)
+    port.commit = [&all, proof, at, calls](store::transaction const& txn)
     {
         if (++*calls == at)
         {
@@ -42,7 +42,7 @@
         auto port = interrupted_port(all, proof, amount % 5);
         if (fault != mishap::none)
         {
-            port.commit = [&all, fault](platform::transaction const& txn)
+            port.commit = [&all, fault](store::transaction const& txn)
             {
                 return all.commit(txn, fault);
             };
@@ -124,7 +124,7 @@
         return;
     case deed::top_up:
         auto port = all.direct;
-        port.commit = [&all, &one](platform::transaction const& txn)
+        port.commit = [&all, &one](store::transaction const& txn)
         {
             return all.commit(txn, one.fault);
         };
@@ -329,7 +329,7 @@
         all.add_router();
         auto const list_of = [](std::string const& name)
         {
-            return std::vector<platform::listed_vm>{
+            return std::vector<store::listed_vm>{
                 {"vm", name, "10.0.0.9:1", "sala-sur", "live"}};
         };
         auto const is_active = [&all](std::string const& name)
--- a/tests/budget/sweep_test.cpp
+++ b/tests/budget/sweep_test.cpp
@@ -43,13 +43,13 @@
         return audit_of(*this->table, name).row.granted;
     }
 
-    std::shared_ptr<platform::memory_table> table{
-        std::make_shared<platform::memory_table>()};
-    platform::port port{platform::make_memory_port(this->table)};
+    std::shared_ptr<store::memory_table> table{
+        std::make_shared<store::memory_table>()};
+    store::port port{store::make_memory_port(this->table)};
 };
 
-platform::listed_vm const listed_dead{"vm-1", dead.value, "10.0.0.1:900",
-                                      "sala-norte", "live"};
+store::listed_vm const listed_dead{"vm-1", dead.value, "10.0.0.1:900",
+                                   "sala-norte", "live"};
 
 } // namespace
 
@@ -102,7 +102,7 @@
         {
             bool const shown = i % 2 == 0;
             here.table->set_vms(shown ? std::vector{listed_dead}
-                                      : std::vector<platform::listed_vm>{});
+                                      : std::vector<store::listed_vm>{});
             auto const report = here.look(watch, i * lag.ms * 3 / 4);
             CPPUNIT_ASSERT(report.recovered.empty());
             watch = report.watch;
--- a/tests/budget/top_up_test.cpp
+++ b/tests/budget/top_up_test.cpp
@@ -1,11 +1,11 @@
 #include <caperpath/budget/recovery.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace caperpath;
 using namespace caperpath::budget;
-using platform::injected_fault;
+using store::injected_fault;
 
 class top_up_test : public CppUnit::TestFixture
 {
@@ -18,9 +18,9 @@
     // another id and the customer would have it twice.
     void a_lost_answer_is_never_called_without_effect()
     {
-        auto const table = std::make_shared<platform::memory_table>();
+        auto const table = std::make_shared<store::memory_table>();
         bool written = false;
-        auto const failing = platform::make_memory_port(
+        auto const failing = store::make_memory_port(
             table,
             [&written](std::string const& step)
             {
@@ -33,7 +33,7 @@
         auto const told =
             value_or_error([&] { return top_up(failing, name, "t1", 500); });
         CPPUNIT_ASSERT(std::get<error>(told).kind == error_kind::timeout);
-        auto const port = platform::make_memory_port(table);
+        auto const port = store::make_memory_port(table);
         CPPUNIT_ASSERT_EQUAL(token_count{500},
                              top_up(port, name, "t1", 500).value());
     }
--- a/tests/budget/world.hpp
+++ b/tests/budget/world.hpp
@@ -57,12 +57,12 @@
 class world
 {
 public:
-    std::shared_ptr<platform::memory_table> table =
-        std::make_shared<platform::memory_table>();
-    platform::port direct = platform::make_memory_port(this->table);
+    std::shared_ptr<store::memory_table> table =
+        std::make_shared<store::memory_table>();
+    store::port direct = store::make_memory_port(this->table);
     std::vector<simulated_router> routers;
     std::map<request_id, request_fate> fates;
-    std::deque<platform::transaction> delayed;
+    std::deque<store::transaction> delayed;
     settle_options settle{{100}, {500}, 5};
     instant now{1'000'000};
     int incarnations{0};
@@ -175,14 +175,13 @@
         }
     }
 
-    platform::commit_result commit(platform::transaction const& txn,
-                                   mishap what)
+    store::commit_result commit(store::transaction const& txn, mishap what)
     {
-        platform::commit_result const unknown{};
+        store::commit_result const unknown{};
         switch (what)
         {
         case mishap::outage:
-            return {platform::commit_outcome::refused, {}, {}};
+            return {store::commit_outcome::refused, {}, {}};
         case mishap::lost_call:
             return unknown;
         case mishap::delayed:
--- a/tests/capacity/page_test.cpp
+++ b/tests/capacity/page_test.cpp
@@ -5,7 +5,7 @@
 #include <caperpath/budget/sizing.hpp>
 #include <caperpath/controllers/budget_controller.hpp>
 #include <caperpath/controllers/config_controller.hpp>
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -121,9 +121,9 @@
             {"budget_options::workers",
              static_cast<std::int64_t>(controllers::budget_options{}.workers)},
             {"wire::max_read_keys",
-             static_cast<std::int64_t>(platform::wire::max_read_keys)},
+             static_cast<std::int64_t>(store::wire::max_read_keys)},
             {"wire::max_scan_rows",
-             static_cast<std::int64_t>(platform::wire::max_scan_rows)}};
+             static_cast<std::int64_t>(store::wire::max_scan_rows)}};
 }
 
 /// The shortest and the longest pause that `backoff` ever gives.
--- a/tests/config/store_test.cpp
+++ b/tests/config/store_test.cpp
@@ -1,7 +1,7 @@
 #include "config/document_strategy.hpp"
 
 #include <caperpath/config/store.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,7 +12,7 @@
 
 using namespace caperpath;
 using namespace caperpath::config;
-using platform::injected_fault;
+using store::injected_fault;
 
 namespace
 {
@@ -50,7 +50,7 @@
             {1}};
 }
 
-std::uint64_t version_in_force(platform::port const& port)
+std::uint64_t version_in_force(store::port const& port)
 {
     auto const read = value_or_error([&] { return read_current(port); });
     return std::get<version_pointer>(read).version;
@@ -58,7 +58,7 @@
 
 // Sends one patch as an operator does: after a conflict again upon the version
 // in force under a new id, after anything uncertain again under the same id.
-std::uint64_t submit_until_accepted(platform::port const& faulty_port,
+std::uint64_t submit_until_accepted(store::port const& faulty_port,
                                     std::string const& name)
 {
     std::uint64_t base = 0;
@@ -100,7 +100,7 @@
     // twice would show as a customer who was created and does not exist.
     void racing_operators_lose_nothing()
     {
-        auto const table = std::make_shared<platform::memory_table>();
+        auto const table = std::make_shared<store::memory_table>();
         std::vector<std::thread> threads;
         threads.reserve(operators);
         std::vector<std::map<std::string, std::uint64_t>> accepted(operators);
@@ -109,7 +109,7 @@
             threads.emplace_back(
                 [&, who]
                 {
-                    auto const port = platform::make_memory_port(
+                    auto const port = store::make_memory_port(
                         table, faulty(who + 1, 10, 10, 20));
                     for (int i = who; i < patches; i += operators)
                     {
@@ -122,7 +122,7 @@
         {
             thread.join();
         }
-        auto const port = platform::make_memory_port(table);
+        auto const port = store::make_memory_port(table);
         std::set<std::uint64_t> versions;
         auto const last = value_or_error([&] { return load_current(port); });
         auto const& document = std::get<config::document>(last);
@@ -150,11 +150,11 @@
         CPPUNIT_ASSERT(rc::check(
             []
             {
-                auto const table = std::make_shared<platform::memory_table>();
+                auto const table = std::make_shared<store::memory_table>();
                 auto const seed = *rc::gen::inRange<std::uint32_t>(1, 1 << 30);
                 auto const port =
-                    platform::make_memory_port(table, faulty(seed, 15, 15, 20));
-                auto const truth = platform::make_memory_port(table);
+                    store::make_memory_port(table, faulty(seed, 15, 15, 20));
+                auto const truth = store::make_memory_port(table);
                 std::map<std::string, std::uint64_t> accepted;
                 std::uint64_t highest = 0;
                 auto const steps = *rc::gen::inRange(1, 25);
@@ -200,8 +200,8 @@
 
     void a_conflict_shows_what_changed()
     {
-        auto const port = platform::make_memory_port(
-            std::make_shared<platform::memory_table>());
+        auto const port =
+            store::make_memory_port(std::make_shared<store::memory_table>());
         submit_patch(port, request(0, "a"));
         submit_patch(port, request(1, "b"));
         auto const other = submit_patch(port, request(1, "c"));
@@ -227,15 +227,15 @@
     // not make a second version.
     void a_commit_that_lands_late_is_not_lost()
     {
-        auto const table = std::make_shared<platform::memory_table>();
-        auto const good = platform::make_memory_port(table);
+        auto const table = std::make_shared<store::memory_table>();
+        auto const good = store::make_memory_port(table);
         auto held = good;
-        std::vector<platform::transaction> on_the_way;
-        held.commit = [&](platform::transaction const& txn)
+        std::vector<store::transaction> on_the_way;
+        held.commit = [&](store::transaction const& txn)
         {
             on_the_way.push_back(txn);
-            return platform::commit_result{
-                platform::commit_outcome::unknown,
+            return store::commit_result{
+                store::commit_outcome::unknown,
                 {},
                 {error_kind::timeout, "commit", "platform", "no answer"}};
         };
@@ -253,8 +253,8 @@
 
     void an_invalid_patch_writes_nothing()
     {
-        auto const table = std::make_shared<platform::memory_table>();
-        auto const port = platform::make_memory_port(table);
+        auto const table = std::make_shared<store::memory_table>();
+        auto const port = store::make_memory_port(table);
         auto bad = request(0, "a");
         bad.patch = {{"customers", {{"x", {{"budget", "none"}}}}}};
         CPPUNIT_ASSERT(submit_patch(port, bad).status == patch_status::invalid);
@@ -267,8 +267,8 @@
 
     void rolls_forward_and_names()
     {
-        auto const port = platform::make_memory_port(
-            std::make_shared<platform::memory_table>());
+        auto const port =
+            store::make_memory_port(std::make_shared<store::memory_table>());
         auto named = request(0, "a");
         named.patch["name"] = "trial";
         submit_patch(port, named);
--- a/tests/controllers/budget_controller_test.cpp
+++ b/tests/controllers/budget_controller_test.cpp
@@ -12,7 +12,7 @@
 
 using namespace caperpath;
 using config::budget_policy;
-using platform::injected_fault;
+using store::injected_fault;
 
 namespace
 {
@@ -24,7 +24,7 @@
 
 struct fleet
 {
-    explicit fleet(platform::port const& port, int routers)
+    explicit fleet(store::port const& port, int routers)
     {
         for (int i = 0; i < routers; ++i)
         {
@@ -96,9 +96,9 @@
     // twice, or a 402 although tokens were left.
     void routers_share_a_budget_while_answers_get_lost()
     {
-        auto const table = std::make_shared<platform::memory_table>();
+        auto const table = std::make_shared<store::memory_table>();
         auto const calls = std::make_shared<std::atomic<int>>(0);
-        auto const lossy = platform::make_memory_port(
+        auto const lossy = store::make_memory_port(
             table,
             [calls](std::string const& step)
             {
@@ -106,7 +106,7 @@
                 return lost ? injected_fault::lost_answer
                             : injected_fault::none;
             });
-        auto const direct = platform::make_memory_port(table);
+        auto const direct = store::make_memory_port(table);
         constexpr int requests = 40;
         CPPUNIT_ASSERT(budget::top_up(direct, budget_name, "first", 100'000));
         fleet routers{lossy, 2};
@@ -143,8 +143,8 @@
     // that it cannot be decided now, not that the budget is used up.
     void without_a_store_nothing_is_admitted()
     {
-        auto const table = std::make_shared<platform::memory_table>();
-        auto const dead = platform::make_memory_port(
+        auto const table = std::make_shared<store::memory_table>();
+        auto const dead = store::make_memory_port(
             table, [](std::string const&) { return injected_fault::outage; });
         fleet routers{dead, 1};
         auto const port = controllers::make_budget_port(
--- a/tests/controllers/config_controller_test.cpp
+++ b/tests/controllers/config_controller_test.cpp
@@ -1,7 +1,7 @@
 #include <caperpath/config/codec.hpp>
 #include <caperpath/config/store.hpp>
 #include <caperpath/controllers/config_controller.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <caf/all.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,7 +13,7 @@
 
 using namespace caperpath;
 using namespace caperpath::controllers;
-using platform::injected_fault;
+using store::injected_fault;
 
 namespace
 {
@@ -30,14 +30,14 @@
 
 struct fixture
 {
-    std::shared_ptr<platform::memory_table> table{
-        std::make_shared<platform::memory_table>()};
+    std::shared_ptr<store::memory_table> table{
+        std::make_shared<store::memory_table>()};
     std::atomic<injected_fault> fault{injected_fault::none};
     std::atomic<int> get_faults{0};
-    platform::port good{platform::make_memory_port(table)};
-    platform::port faulty{
-        platform::make_memory_port(table, [this](std::string const& step)
-                                   { return this->next_fault(step); })};
+    store::port good{store::make_memory_port(table)};
+    store::port faulty{
+        store::make_memory_port(table, [this](std::string const& step)
+                                { return this->next_fault(step); })};
     caf::actor_system_config config;
     caf::actor_system system{config};
 
--- a/tests/ctl/verbs_test.cpp
+++ b/tests/ctl/verbs_test.cpp
@@ -2,7 +2,7 @@
 
 #include <caperpath/config/codec.hpp>
 #include <caperpath/config/keys.hpp>
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,7 +12,7 @@
 using namespace caperpath;
 using namespace caperpath::ctl;
 using nlohmann::json;
-using platform::injected_fault;
+using store::injected_fault;
 
 namespace
 {
@@ -26,16 +26,16 @@
 // A site in memory: one table, routers and engines that record what they get.
 struct site
 {
-    std::shared_ptr<platform::memory_table> table{
-        std::make_shared<platform::memory_table>()};
+    std::shared_ptr<store::memory_table> table{
+        std::make_shared<store::memory_table>()};
     std::function<injected_fault(std::string const&)> fault;
     std::vector<std::string> calls;
     int engine_status{200};
     std::uint8_t drawn{0};
 
-    platform::port port()
+    store::port port()
     {
-        return platform::make_memory_port(
+        return store::make_memory_port(
             this->table, [this](std::string const& step)
             { return this->fault ? this->fault(step) : injected_fault::none; });
     }
--- a/tests/observe/metrics_test.cpp
+++ b/tests/observe/metrics_test.cpp
@@ -25,7 +25,7 @@
         metrics counted;
         counted.request_finished(request::outcome::completed, 200);
         counted.request_finished(request::outcome::not_run, 402);
-        counted.table_write(platform::commit_outcome::unknown);
+        counted.table_write(store::commit_outcome::unknown);
         counted.bill_finished(budget::bill_state::copied);
         counted.first_token(2'500);
         counted.spans_dropped(3);
--- a/tests/request/claim_world.cpp
+++ b/tests/request/claim_world.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
 constexpr char other_body[] = "two batteries";
 constexpr int other_body_percent = 10;
@@ -20,8 +20,8 @@
 
 claim_world::claim_world(world_settings const& given)
     : given{given}, random{given.seed},
-      table{std::make_shared<platform::memory_table>()},
-      direct{platform::make_memory_port(this->table)}
+      table{std::make_shared<store::memory_table>()},
+      direct{store::make_memory_port(this->table)}
 {
     for (int i = 0; i < given.routers; ++i)
     {
@@ -243,15 +243,15 @@
     }
 }
 
-platform::commit_result claim_world::commit(int router,
-                                            platform::transaction const& txn)
+store::commit_result claim_world::commit(int router,
+                                         store::transaction const& txn)
 {
     this->pass(router);
-    platform::commit_result refused{
+    store::commit_result refused{
         commit_outcome::refused,
         {},
         {error_kind::unavailable, "commit", "table", "injected"}};
-    platform::commit_result unknown{
+    store::commit_result unknown{
         commit_outcome::unknown,
         {},
         {error_kind::timeout, "commit", "table", "injected"}};
@@ -279,12 +279,12 @@
 request::claim_store claim_world::store_of(int router)
 {
     auto port = this->direct;
-    port.commit = [this, router](platform::transaction const& txn)
+    port.commit = [this, router](store::transaction const& txn)
     {
         return this->commit(router, txn);
     };
     port.read = [this, router](std::vector<std::string> const& keys)
-        -> result<std::vector<platform::row>>
+        -> result<std::vector<store::row>>
     {
         this->pass(router);
         if (this->chance(this->given.store_fault_percent))
@@ -299,7 +299,7 @@
         this->pass(router);
         if (this->chance(this->given.store_fault_percent))
         {
-            return platform::commit_result{};
+            return store::commit_result{};
         }
         return this->direct.put_object(name, content);
     };
--- a/tests/request/claim_world.hpp
+++ b/tests/request/claim_world.hpp
@@ -3,8 +3,8 @@
 
 #include "request/turnstile.hpp"
 
-#include <caperpath/platform/memory_table.hpp>
 #include <caperpath/request/claim_run.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -79,8 +79,7 @@
     void bill(int router, std::string const& key, std::int64_t tokens);
     void withdraw(int router, request::held_claim const& doubtful);
     request::claim_store store_of(int router);
-    platform::commit_result commit(int router,
-                                   platform::transaction const& txn);
+    store::commit_result commit(int router, store::transaction const& txn);
     void pass(int router);
     void disturb();
     void fence(router& dead);
@@ -93,9 +92,9 @@
 
     world_settings given;
     std::mt19937_64 random;
-    std::shared_ptr<platform::memory_table> table;
-    platform::port direct;
-    std::deque<platform::transaction> late;
+    std::shared_ptr<store::memory_table> table;
+    store::port direct;
+    std::deque<store::transaction> late;
     std::vector<router> routers;
     std::map<std::string, key_record> seen;
     std::int64_t time{1'000};
--- a/tests/router/site.cpp
+++ b/tests/router/site.cpp
@@ -4,7 +4,7 @@
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/config/keys.hpp>
 #include <caperpath/config/store.hpp>
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
 #include <httplib.h>
 
@@ -72,12 +72,12 @@
       second_key{config::make_key({"technicians"},
                                   std::string(config::secret_bytes, 'b'))}
 {
-    platform::stand_in_settings given;
+    store::stand_in_settings given;
     given.writes_per_second = 10'000;
     given.reads_per_second = 10'000;
-    this->table = std::make_unique<platform::stand_in>(given);
+    this->table = std::make_unique<store::stand_in>(given);
     this->table_address = this->table->start();
-    this->port = platform::make_http_port({.address = this->table_address});
+    this->port = store::make_http_port({.address = this->table_address});
     this->start_backends(engine);
     this->write_configuration();
     for (std::size_t i = 0; i < router_count; ++i)
@@ -242,7 +242,7 @@
     return this->second_key;
 }
 
-platform::port const& site::store() const
+store::port const& site::store() const
 {
     return this->port;
 }
--- a/tests/router/site.hpp
+++ b/tests/router/site.hpp
@@ -1,13 +1,13 @@
 #ifndef CAPERPATH_TESTS_ROUTER_SITE_HPP
 #define CAPERPATH_TESTS_ROUTER_SITE_HPP
 
-#include "platform/stand_in.hpp"
 #include "router/router.hpp"
 #include "stand_in/engine.hpp"
 #include "stand_in/service.hpp"
+#include "store/stand_in.hpp"
 
 #include <caperpath/budget/bill.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -46,7 +46,7 @@
     std::string const& other_key() const; ///< bills are settled later
 
     /// Direct access to what the platform keeps.
-    platform::port const& store() const;
+    store::port const& store() const;
 
     /// Every bill in the ledger, of all holders.
     std::vector<budget::bill> ledger() const;
@@ -89,9 +89,9 @@
     void start_router(std::size_t index);
     nlohmann::json configuration();
 
-    std::unique_ptr<platform::stand_in> table;
+    std::unique_ptr<store::stand_in> table;
     std::string table_address;
-    platform::port port;
+    store::port port;
     std::vector<std::unique_ptr<stand_in::engine>> engines;
     std::vector<int> engine_ports;
     std::unique_ptr<stand_in::service> orders;
--- a/tests/platform/fake_platform.hpp
+++ b/tests/store/fake_platform.hpp
@@ -1,9 +1,9 @@
 #ifndef CAPERPATH_TESTS_PLATFORM_FAKE_PLATFORM_HPP
 #define CAPERPATH_TESTS_PLATFORM_FAKE_PLATFORM_HPP
 
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
-#include "platform/stand_in.hpp"
+#include "store/stand_in.hpp"
 
 #include <cppunit/TestAssert.h>
 #include <httplib.h>
@@ -12,7 +12,7 @@
 #include <atomic>
 #include <string>
 
-namespace caperpath::platform
+namespace caperpath::store
 {
 
 // A stand-in on a free port with a clock that the test moves.
@@ -72,6 +72,6 @@
     return result.outcome == commit_outcome::applied;
 }
 
-} // namespace caperpath::platform
+} // namespace caperpath::store
 
 #endif
--- a/tests/platform/http_port_test.cpp
+++ b/tests/store/http_port_test.cpp
@@ -1,8 +1,8 @@
-#include <caperpath/platform/http_port.hpp>
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/http_port.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include "http/server.hpp"
-#include "platform/fake_platform.hpp"
+#include "store/fake_platform.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -11,7 +11,7 @@
 #include <thread>
 
 using namespace caperpath;
-using namespace caperpath::platform;
+using namespace caperpath::store;
 using nlohmann::json;
 
 namespace
--- a/tests/platform/memory_table_test.cpp
+++ b/tests/store/memory_table_test.cpp
@@ -1,8 +1,8 @@
-#include <caperpath/platform/memory_table.hpp>
+#include <caperpath/store/memory_table.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-using namespace caperpath::platform;
+using namespace caperpath::store;
 
 class memory_table_test : public CppUnit::TestFixture
 {
--- a/tests/platform/stand_in_test.cpp
+++ b/tests/store/stand_in_test.cpp
@@ -1,11 +1,11 @@
-#include "platform/fake_platform.hpp"
+#include "store/fake_platform.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <fstream>
 
 using namespace caperpath;
-using namespace caperpath::platform;
+using namespace caperpath::store;
 using nlohmann::json;
 
 namespace
--- a/tests/platform/wire_test.cpp
+++ b/tests/store/wire_test.cpp
@@ -1,4 +1,4 @@
-#include <caperpath/platform/wire.hpp>
+#include <caperpath/store/wire.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -6,7 +6,7 @@
 #include <limits>
 
 using namespace caperpath;
-using namespace caperpath::platform;
+using namespace caperpath::store;
 
 namespace rc
 {
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -1,7 +1,7 @@
 #include "ctl/http_client.hpp"
 #include "ctl/verbs.hpp"
 
-#include <caperpath/platform/http_port.hpp>
+#include <caperpath/store/http_port.hpp>
 
 #include <openssl/rand.h>
 
@@ -33,9 +33,9 @@
                      std::cerr,
                      [](std::string const& address)
                      {
-                         platform::http_port_options options;
+                         store::http_port_options options;
                          options.address = address;
-                         return platform::make_http_port(options);
+                         return store::make_http_port(options);
                      },
                      ctl::call_http,
                      random_bytes,
--- a/tools/platform/main.cpp
+++ b/tools/platform/main.cpp
@@ -1,6 +1,6 @@
 #include "observe/command_line.hpp"
 #include "observe/termination.hpp"
-#include "platform/stand_in.hpp"
+#include "store/stand_in.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -13,10 +13,10 @@
 
 constexpr int exit_cannot_listen = 1;
 
-int serve(platform::stand_in_settings const& settings)
+int serve(store::stand_in_settings const& settings)
 {
     observe::termination_signal const termination;
-    platform::stand_in server{settings};
+    store::stand_in server{settings};
     auto const address = server.start();
     if (address.empty())
     {
@@ -33,8 +33,8 @@
 
 int main(int argc, char** argv)
 {
-    return observe::run_program<platform::stand_in_settings>(
+    return observe::run_program<store::stand_in_settings>(
         {"caperpath-platform",
          "Stand-in of the platform: table, objects and VM list in memory."},
-        argc, argv, platform::read_stand_in_settings, serve);
+        argc, argv, store::read_stand_in_settings, serve);
 }
