--- a/include/caperpath/budget/recovery.hpp
+++ b/include/caperpath/budget/recovery.hpp
@@ -4,7 +4,7 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/budget/share.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <map>
 #include <string>
@@ -54,24 +54,24 @@
 /// absent from every list seen for `list_lag`. Thread safe.
 watch_step watch_list(death_watch watch,
                       std::vector<incarnation_id> const& once_listed,
-                      std::vector<platform::listed_vm> const& list,
+                      std::vector<store::listed_vm> const& list,
                       duration list_lag, instant now);
 
 /// Creates the holder row. A repeat after a lost answer finds it there.
 /// Thread safe; blocks. Error `conflict` when the incarnation was fenced.
-result<holder_view> bind_holder(platform::port const& port,
+result<holder_view> bind_holder(store::port const& port,
                                 incarnation_id const& incarnation,
                                 std::string const& address,
                                 failure_domain_id const& failure_domain);
 
 /// The active holders, in key order. Thread safe; blocks.
 result<std::map<incarnation_id, holder_row>>
-active_holders(platform::port const& port);
+active_holders(store::port const& port);
 
 /// Proofs that a process which has bound `address` itself can give: every other
 /// active holder of the address is dead, since two processes cannot have it
 /// bound. @pre the caller has the address bound as `self`. Thread safe; blocks.
-result<std::vector<death_proof>> prove_by_binding(platform::port const& port,
+result<std::vector<death_proof>> prove_by_binding(store::port const& port,
                                                   incarnation_id const& self,
                                                   std::string const& address);
 
@@ -92,7 +92,7 @@
 /// shares that this call took back (others may have taken some). Thread safe;
 /// blocks. On an error some shares may be left: repeat it.
 /// @pre the proof is true.
-result<std::vector<recovered_share>> recover(platform::port const& port,
+result<std::vector<recovered_share>> recover(store::port const& port,
                                              death_proof const& proof);
 
 /// One round of looking for dead holders.
@@ -106,25 +106,24 @@
 /// has shown and has left out for `list_lag`, as well as those that somebody
 /// has fenced and not finished. Thread safe; blocks. On an error the next round
 /// goes on where this one stopped.
-result<sweep_report> sweep(platform::port const& port, death_watch watch,
+result<sweep_report> sweep(store::port const& port, death_watch watch,
                            duration list_lag, instant now);
 
 /// Marks a holder that left nothing behind as closed. Error `conflict` when it
 /// still has a share row. Thread safe; blocks.
-result<void> close_holder(platform::port const& port,
-                          holder_view const& holder);
+result<void> close_holder(store::port const& port, holder_view const& holder);
 
 /// An operator decides that held tokens were not used: they return to the
 /// budget, once. The result is what this call released, 0 on a repeat. Thread
 /// safe; blocks. Error `not_found` when nothing is held.
-result<token_count> release_held(platform::port const& port,
+result<token_count> release_held(store::port const& port,
                                  budget_id const& budget,
                                  incarnation_id const& holder);
 
 /// Raises what was paid, once for each `topup_id`; creates the budget row when
 /// there is none. Gives the paid amount after it. Thread safe; blocks. Error
 /// `conflict` when the id was used with another amount.
-result<token_count> top_up(platform::port const& port, budget_id const& budget,
+result<token_count> top_up(store::port const& port, budget_id const& budget,
                            std::string const& topup_id, token_count tokens);
 
 } // namespace caperpath::budget
--- a/include/caperpath/budget/settlement.hpp
+++ b/include/caperpath/budget/settlement.hpp
@@ -58,7 +58,7 @@
 struct settle_step
 {
     settlement_state state;
-    std::optional<platform::transaction> txn;
+    std::optional<store::transaction> txn;
 };
 
 /// Builds the next batch when one is due, or the same one again. With `all`
@@ -75,7 +75,7 @@
 
 /// The result of the write that `next_batch` built. Thread safe.
 settled_step batch_written(settlement_state state, holder_view const& holder,
-                           platform::commit_result const& outcome, instant now);
+                           store::commit_result const& outcome, instant now);
 
 /// When `next_batch` may have something to do. Thread safe.
 instant next_due(settlement_state const& state, instant now);
--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -5,7 +5,7 @@
 #include <caperpath/budget/bill.hpp>
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/budget/sizing.hpp>
-#include <caperpath/platform/table.hpp>
+#include <caperpath/store/table.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -186,7 +186,7 @@
 {
     share_state state;
     step_kind kind{step_kind::none};
-    platform::transaction txn;
+    store::transaction txn;
 };
 
 /// Chooses a draw, a return, a look or nothing. Thread safe.
@@ -197,7 +197,7 @@
 
 /// The result of a look: the rows that exist. Thread safe.
 share_state looked(share_state state, holder_view const& holder,
-                   std::vector<platform::row> const& rows, instant now);
+                   std::vector<store::row> const& rows, instant now);
 
 /// A look failed. Thread safe.
 share_state look_failed(share_state state, instant now);
@@ -219,7 +219,7 @@
 
 /// The result of a write that `next_step` asked for. Thread safe.
 share_state wrote(share_state state, holder_view const& holder,
-                  platform::commit_result const& outcome, instant now);
+                  store::commit_result const& outcome, instant now);
 
 } // namespace caperpath::budget
 
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -34,6 +34,16 @@
     duration horizon{};  ///< a draw covers this much of the router's traffic
     duration exposure{}; ///< bills of this much traffic may be unsettled while
                          ///< their answers end
+    /// Each holder draws when it has less than a part of its horizon free; the
+    /// part is drawn for each holder between these, so that holders that
+    /// started together do not all refill at once.
+    double lowest_level{0.25};
+    double highest_level{0.5};
+    /// A share covers at least this much, and this many of the latest request
+    /// beyond the traffic of its horizon; a draw brings at least so many.
+    std::int64_t requests_in_draw{2};
+    std::int64_t requests_ahead{2};
+    token_count least_ahead{};
     std::int64_t end_divisor{2};      ///< no draw ahead takes more than the
                                       ///< remainder / (end_divisor * holders)
     std::int64_t near_end_part{50};   ///< near the end: ungranted < paid / this
--- a/include/caperpath/config/json_reader.hpp
+++ b/include/caperpath/config/json_reader.hpp
@@ -44,6 +44,11 @@
                           std::int64_t least, std::int64_t most,
                           std::int64_t fallback);
 
+    /// A number in [least, most], also with a fraction, or `fallback` for a
+    /// missing member; `unit` is named in a fault.
+    double real_or(std::string_view key, std::string_view unit, double least,
+                   double most, double fallback);
+
     bool boolean_or(std::string_view key, bool fallback);
 
     /// "IP:port" with a numeric IPv4 address; a fault otherwise.
--- /dev/null
+++ b/include/caperpath/fleet/retry_window.hpp
@@ -0,0 +1,62 @@
+#ifndef CAPERPATH_FLEET_RETRY_WINDOW_HPP
+#define CAPERPATH_FLEET_RETRY_WINDOW_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+/// Limits how often requests are sent again, for all routers together and
+/// without a message between them.
+namespace caperpath::fleet
+{
+
+/// The fleet's limit: in any `window` a service gets at most `ratio` x its
+/// requests + `slack` sends beyond the first of each request.
+struct retry_limit
+{
+    double ratio{0.2};
+    double slack{0};
+    duration window{10'000};
+
+    friend bool operator==(retry_limit const&, retry_limit const&) = default;
+};
+
+/// The first sends and the repeats of one router. When a server fails, each of
+/// its requests is sent again; without a limit the repeats alone keep the
+/// others overloaded, and one sees arrivals rise while answers fall. Not thread
+/// safe.
+class retry_window
+{
+public:
+    explicit retry_window(retry_limit limit);
+
+    /// A request came for `service`.
+    void note_request(service_id const& service, instant now);
+
+    /// Takes one repeat out, if this router's part allows it: `routers` is the
+    /// most that may be alive.
+    bool take(service_id const& service, std::int64_t routers, instant now);
+
+    /// How many repeats are left now, at least 0.
+    std::int64_t left(service_id const& service, std::int64_t routers,
+                      instant now);
+
+private:
+    struct counts
+    {
+        std::deque<instant> requests;
+        std::deque<instant> repeats;
+    };
+
+    counts& current(service_id const& service, instant now);
+
+    retry_limit limit;
+    std::map<service_id, counts> services;
+};
+
+} // namespace caperpath::fleet
+
+#endif
--- /dev/null
+++ b/include/caperpath/fleet/roster.hpp
@@ -0,0 +1,70 @@
+#ifndef CAPERPATH_FLEET_ROSTER_HPP
+#define CAPERPATH_FLEET_ROSTER_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// Which routers are alive, as their heartbeat rows in the store show. Pure.
+namespace caperpath::fleet
+{
+
+/// A router's heartbeat row as read from the store.
+struct heartbeat
+{
+    incarnation_id router;
+    std::string address;     ///< "IP:port" for messages of other routers
+    std::uint64_t version{}; ///< of the row; it changes with each heartbeat
+
+    friend bool operator==(heartbeat const&, heartbeat const&) = default;
+};
+
+/// What is known of one router.
+struct member
+{
+    std::string address;
+    std::uint64_t version{};
+    instant changed_at{}; ///< when the row was last seen to change
+
+    friend bool operator==(member const&, member const&) = default;
+};
+
+/// All routers that ever were in the store and not removed from it.
+struct roster
+{
+    std::map<incarnation_id, member> members;
+
+    friend bool operator==(roster const&, roster const&) = default;
+};
+
+inline constexpr duration heartbeat_interval{4'000};
+/// Three heartbeats may be missed: the store is away for seconds at times.
+inline constexpr duration member_lifetime{14'000};
+/// Rows of dead routers are removed after this; a paused router that wakes up
+/// writes its row anew.
+inline constexpr duration row_lifetime{60'000};
+
+/// Takes in all heartbeat rows of one read. A row counts as alive by its
+/// change, seen with this router's clock, since the clocks of others jump.
+/// Thread safe.
+roster seen(roster known, std::vector<heartbeat> const& rows, instant now);
+
+/// Routers that may be alive at `now`, this one included; at least 1. Thread
+/// safe.
+std::int64_t alive(roster const& known, instant now);
+
+/// Routers whose rows may be removed. Thread safe.
+std::vector<incarnation_id> dead(roster const& known, instant now);
+
+/// The time to the next read of all rows. Reading n rows each time costs every
+/// router n rows; growing with their number it stays below 2,000 bytes a second
+/// at 390 routers and 100 bytes a row. Thread safe.
+duration read_interval(roster const& known);
+
+} // namespace caperpath::fleet
+
+#endif
--- /dev/null
+++ b/include/caperpath/fleet/site.hpp
@@ -0,0 +1,146 @@
+#ifndef CAPERPATH_FLEET_SITE_HPP
+#define CAPERPATH_FLEET_SITE_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// What one version of the operators' configuration says: routes, services,
+/// customers and limits, as immutable values without any wire format.
+namespace caperpath::fleet
+{
+
+/// What may be done with a request beyond sending it once.
+enum class request_kind
+{
+    idempotent,     ///< may run more than once
+    non_idempotent, ///< may run at most once for each attempt of the caller
+    streaming       ///< an answer of events; as non-idempotent unless resumable
+};
+
+/// A service and its part of a route's requests.
+struct weighted_service
+{
+    service_id service;
+    std::int64_t weight{1};
+
+    friend bool operator==(weighted_service const&,
+                           weighted_service const&) = default;
+};
+
+/// Which requests go to which services, and what their callers may expect.
+struct route
+{
+    std::string name;
+    std::string host;
+    std::string prefix; ///< begins and ends with "/"
+    request_kind kind{request_kind::non_idempotent};
+    std::vector<weighted_service> services;
+    duration timeout{};          ///< the longest that a request is kept
+    duration answer_goal{};      ///< to the (first part of the) answer
+    duration gap_goal{};         ///< between two events of a stream
+    std::int64_t max_servers{1}; ///< how many servers may run one attempt
+    std::int64_t priority{};     ///< 0 is the most urgent
+    bool needs_key{true};
+    bool has_prompt{false}; ///< requests carry tokens and prompt parts
+    bool resumable{false};  ///< a broken stream may go on at another server
+
+    friend bool operator==(route const&, route const&) = default;
+};
+
+/// A kind of backend server. The zeros stand for a plain service.
+struct service
+{
+    service_id id;
+    std::string health_path;
+    std::int64_t max_connections{};
+    std::int64_t batch_slots{};     ///< requests that one engine runs at once
+    token_count memory_tokens{};    ///< of one engine
+    token_count tokens_per_event{}; ///< the most that one event holds
+
+    friend bool operator==(service const&, service const&) = default;
+};
+
+/// Who pays, with what was paid so far.
+struct customer
+{
+    customer_id id;
+    std::optional<std::int64_t> priority; ///< goes before the route's
+    std::optional<token_count> paid;      ///< no budget if empty
+    std::vector<std::string> keys;
+
+    friend bool operator==(customer const&, customer const&) = default;
+};
+
+/// What a caller may send and how long it may take.
+struct caller_limits
+{
+    std::size_t header_bytes{16'384};
+    std::size_t body_bytes{4'194'304};
+    duration header_timeout{3'000};
+    duration idle_timeout{15'000};
+
+    friend bool operator==(caller_limits const&,
+                           caller_limits const&) = default;
+};
+
+/// The parts of a configuration before it is indexed.
+struct site_parts
+{
+    std::uint64_t version{};
+    std::vector<route> routes;
+    std::vector<service> services;
+    std::vector<customer> customers;
+    caller_limits limits;
+
+    friend bool operator==(site_parts const&, site_parts const&) = default;
+};
+
+/// One version of the configuration, ready for look-ups. Immutable; its
+/// functions are thread safe and cost a hash look-up and a short scan.
+class site
+{
+public:
+    explicit site(site_parts parts);
+
+    std::uint64_t version() const;
+    caller_limits const& limits() const;
+    std::vector<route> const& routes() const;
+    std::vector<customer> const& customers() const;
+
+    /// The route of `host` (with or without a port, in any case) with the
+    /// longest prefix that begins `path`; null if there is none.
+    route const* find_route(std::string_view host, std::string_view path) const;
+
+    /// The customer that holds `key`; null if nobody does.
+    customer const* find_customer(std::string_view key) const;
+
+    /// Null if no service has this name.
+    service const* find_service(service_id const& id) const;
+
+    friend bool operator==(site const& a, site const& b)
+    {
+        return a.parts == b.parts;
+    }
+
+private:
+    site_parts parts;
+    std::unordered_map<std::string, std::vector<std::size_t>> routes_of_host;
+    std::unordered_map<std::string, std::size_t> customer_of_key;
+};
+
+/// The service for one request, drawn by weight; `draw` is any number that is
+/// spread evenly, and the same number gives the same service. Thread safe.
+/// @pre `from.services` is not empty.
+service_id const& choose_service(route const& from, std::uint64_t draw);
+
+} // namespace caperpath::fleet
+
+#endif
--- /dev/null
+++ b/include/caperpath/store/async_port.hpp
@@ -0,0 +1,70 @@
+#ifndef CAPERPATH_STORE_ASYNC_PORT_HPP
+#define CAPERPATH_STORE_ASYNC_PORT_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/error.hpp>
+#include <caperpath/store/table.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The store as a program on one event loop uses it: no call blocks, and each
+/// gives its result to a callback, later and on the loop's thread.
+namespace caperpath::store
+{
+
+/// One row of a table that others write, as it is now or as it changed.
+struct feed_row
+{
+    std::string key;
+    std::string value; ///< empty when deleted
+    bool deleted{false};
+
+    friend bool operator==(feed_row const&, feed_row const&) = default;
+};
+
+/// Rows of a table up to `version`.
+struct feed_page
+{
+    std::vector<feed_row> rows;
+    std::uint64_t version{};
+
+    friend bool operator==(feed_page const&, feed_page const&) = default;
+};
+
+template <class Value>
+using reply = std::function<void(std::variant<Value, error>)>;
+
+/// Calls that no answer came to in time end with `timeout`; a write then is
+/// `unknown`. A struct of functions; to be used on the loop's thread only.
+struct async_port
+{
+    std::function<void(transaction const&, std::function<void(commit_result)>)>
+        commit;
+
+    /// The row `key`, or one with version 0 if there is none.
+    std::function<void(std::string const& key, reply<row>)> read;
+
+    /// Our rows from key `first` to before key `last`, at most some hundred.
+    /// @pre both keys name the same partition.
+    std::function<void(std::string const& first, std::string const& last,
+                       reply<std::vector<row>>)>
+        scan;
+
+    /// All rows of a table that others write.
+    std::function<void(std::string const& table, reply<feed_page>)> list;
+
+    /// The changes after `since`, as soon as there is one or after `wait`
+    /// without any. Error `not_found` when that part of the history is gone:
+    /// list anew.
+    std::function<void(std::string const& table, std::uint64_t since,
+                       duration wait, reply<feed_page>)>
+        follow;
+};
+
+} // namespace caperpath::store
+
+#endif
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -10,11 +10,11 @@
 namespace
 {
 
-using platform::commit_outcome;
+using store::commit_outcome;
 
 /// A row that cannot be read decides nothing: the state stays as it was.
 template <class Row>
-std::optional<Row> row_of(platform::row const& found,
+std::optional<Row> row_of(store::row const& found,
                           result<Row> (*decode)(std::string const&))
 {
     auto both = value_or_error([&] { return decode(found.value); });
@@ -22,7 +22,7 @@
     return row != nullptr ? std::optional<Row>{*row} : std::nullopt;
 }
 
-void take_budget(share_state& state, platform::row const& found, instant now)
+void take_budget(share_state& state, store::row const& found, instant now)
 {
     if (found.version == 0)
     {
@@ -39,7 +39,7 @@
 /// The share row has one writer, this router, so a newer version than ours is a
 /// write of ours whose answer was lost, and it is the last one: each names the
 /// version before it. A row that is gone was recovered by somebody else.
-void take_share(share_state& state, platform::row const& found)
+void take_share(share_state& state, store::row const& found)
 {
     if (found.version == 0 && state.share_version > 0)
     {
@@ -63,7 +63,7 @@
 }
 
 void take_rows(share_state& state, holder_view const& holder,
-               std::vector<platform::row> const& rows, instant now)
+               std::vector<store::row> const& rows, instant now)
 {
     auto const budget = budget_key(state.budget);
     auto const share = share_key(state.budget, holder.incarnation);
@@ -108,18 +108,22 @@
     state.down_since.reset();
 }
 
-void take_effect(share_state& state, planned_write const& planned, instant now)
+void take_effect(share_state& state, planned_write const& planned,
+                 store::commit_result const& applied, instant now)
 {
     if (planned.budget)
     {
-        state.seen = seen_budget{*planned.budget, state.seen->version + 1, now};
+        auto const version =
+            store::written_version(applied, state.seen->version);
+        state.seen = seen_budget{*planned.budget, version, now};
         state.wanting =
             planned.budget->wanted == state.wanting ? state.wanting : 0;
     }
     if (planned.share)
     {
         state.share = *planned.share;
-        state.share_version += 1;
+        state.share_version =
+            store::written_version(applied, state.share_version);
         // Every earlier write named the version that is gone now: none of them
         // can take effect any more.
         state.floor.reset();
@@ -150,7 +154,7 @@
                             std::min(before.exposed, after.exposed)};
 }
 
-platform::row absent(std::string key)
+store::row absent(std::string key)
 {
     return {std::move(key), 0, ""};
 }
@@ -166,16 +170,16 @@
 }
 
 share_state looked(share_state state, holder_view const& holder,
-                   std::vector<platform::row> const& rows, instant now)
+                   std::vector<store::row> const& rows, instant now)
 {
     state.busy = false;
     state.look_first = false;
     store_reached(state);
-    std::vector<platform::row> all;
+    std::vector<store::row> all;
     for (auto const& key : look_keys(state, holder))
     {
         auto const found = std::find_if(rows.begin(), rows.end(),
-                                        [&key](platform::row const& one)
+                                        [&key](store::row const& one)
                                         { return one.key == key; });
         all.push_back(found == rows.end() ? absent(key) : *found);
     }
@@ -202,7 +206,7 @@
 }
 
 share_state wrote(share_state state, holder_view const& holder,
-                  platform::commit_result const& outcome, instant now)
+                  store::commit_result const& outcome, instant now)
 {
     state.busy = false;
     auto const planned = std::exchange(state.planned, std::nullopt);
@@ -214,7 +218,7 @@
     {
     case commit_outcome::applied:
         store_reached(state);
-        take_effect(state, *planned, now);
+        take_effect(state, *planned, outcome, now);
         state.conflicts = 0;
         return state;
     case commit_outcome::refused:
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -12,8 +12,6 @@
 
 constexpr std::int64_t ms_per_second = 1'000;
 constexpr token_count fewest_exposed = 4; ///< requests
-constexpr double lowest_level = 0.25;
-constexpr double level_range = 0.25;
 constexpr int surplus_factor =
     4; ///< idle beyond this many fair parts goes back
 
@@ -48,16 +46,17 @@
     auto const traffic = state.rate.per_second *
                          static_cast<double>(state.sizes.horizon.ms) /
                          ms_per_second;
-    return std::max(static_cast<token_count>(traffic), 2 * state.last_amount);
+    return std::max({static_cast<token_count>(traffic),
+                     state.sizes.requests_ahead * state.last_amount,
+                     state.sizes.least_ahead});
 }
 
-/// Routers that started together must not all refill at once, so each draws at
-/// a level of its own, between a quarter and half of what it aims at.
 bool is_low(share_state const& state, holder_view const& holder)
 {
     auto const salt = std::hash<incarnation_id>{}(holder.incarnation) +
                       static_cast<std::size_t>(state.share_version);
-    auto const level = lowest_level + level_range * spread_of(salt);
+    auto const range = state.sizes.highest_level - state.sizes.lowest_level;
+    auto const level = state.sizes.lowest_level + range * spread_of(salt);
     auto const ahead = static_cast<double>(tokens_ahead(state));
     return state.last_amount > 0 &&
            static_cast<double>(free_tokens(state)) < ahead * level;
@@ -88,6 +87,15 @@
     return idle && free > surplus_factor * fair ? free - fair : 0;
 }
 
+/// A draw of less than this is not worth its write: what is missing when the
+/// share has come down to its lowest level.
+token_count least_refill(share_state const& state, token_count free)
+{
+    auto const missing =
+        (1 - state.sizes.highest_level) / state.sizes.highest_level;
+    return static_cast<token_count>(static_cast<double>(free) * missing);
+}
+
 /// Tokens worth a draw of their own, without anybody waiting.
 token_count refill(share_state const& state)
 {
@@ -97,7 +105,9 @@
                   tokens_ahead(state));
     // Near the end each draw ahead gets smaller; below one request it only
     // scatters what is left.
-    auto const least = std::max({token_count{1}, 2 * state.last_amount, free});
+    auto const least = std::max({token_count{1},
+                                 state.sizes.requests_ahead * state.last_amount,
+                                 least_refill(state, free)});
     return amount >= least ? amount : 0;
 }
 
@@ -121,7 +131,7 @@
     return state.share.exposed < exposure(state, state.share.granted) / 2;
 }
 
-platform::condition holder_is(holder_view const& holder)
+store::condition holder_is(holder_view const& holder)
 {
     return {holder_key(holder.incarnation), holder.version};
 }
@@ -130,7 +140,7 @@
 table_step write_step(share_state state, holder_view const& holder,
                       planned_write planned)
 {
-    platform::transaction txn;
+    store::transaction txn;
     txn.conditions.push_back(holder_is(holder));
     if (planned.budget)
     {
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -30,7 +30,13 @@
 rate_meter metered(rate_meter meter, token_count tokens, instant now)
 {
     auto const span = now - meter.since;
-    if (span >= shortest_sample)
+    if (meter.samples == 0 && meter.gathered == 0 && span >= shortest_sample)
+    {
+        // The time before the first traffic says nothing of its rate; counted,
+        // it would hold the figure down for the first ten seconds.
+        meter.since = now;
+    }
+    else if (span >= shortest_sample)
     {
         auto const ms = static_cast<double>(span.ms);
         auto const sample = static_cast<double>(meter.gathered) * 1'000 / ms;
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -135,6 +135,25 @@
     return this->has(key) ? this->whole(key, unit, least, most) : fallback;
 }
 
+double json_reader::real_or(std::string_view key, std::string_view unit,
+                            double least, double most, double fallback)
+{
+    auto const* member = this->find(key);
+    if (member == nullptr)
+    {
+        return fallback;
+    }
+    auto const number = member->is_number() ? member->get<double>() : most + 1;
+    if (!(number >= least && number <= most))
+    {
+        this->reject(key, "expected a number of " + std::string{unit} +
+                              " from " + std::to_string(least) + " to " +
+                              std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
 bool json_reader::boolean_or(std::string_view key, bool fallback)
 {
     auto const* member = this->find(key);
--- /dev/null
+++ b/src/fleet/server_table.cpp
@@ -0,0 +1,146 @@
+#include <caperpath/fleet/server_table.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+constexpr double slowness_weight = 0.2;   ///< of the newest measurement
+constexpr double least_slowness = 0.5;    ///< a lucky answer proves little
+constexpr double greatest_slowness = 20.; ///< above it all are equally bad
+constexpr double shortest_expected_ms = 10.;
+constexpr int most_doublings = 4;
+
+} // namespace
+
+bool list_server(server_table& table, server_entry const& entry, instant now)
+{
+    auto const [found, added] = table.servers.try_emplace(entry.id);
+    auto& one = found->second;
+    // The same id with another start time or address is another process; what
+    // was measured of the one before, its failures and its prompts in memory,
+    // says nothing of it.
+    auto const reborn = !added && (one.entry.born_ms != entry.born_ms ||
+                                   one.entry.address != entry.address);
+    if (added || reborn)
+    {
+        auto const own = one.own;
+        one = server{};
+        one.own = own;
+        one.listed_at = now;
+    }
+    one.entry = entry;
+    one.missing_since.reset();
+    return added || reborn;
+}
+
+void unlist_server(server_table& table, backend_server_id const& id,
+                   instant now)
+{
+    auto const found = table.servers.find(id);
+    if (found == table.servers.end())
+    {
+        return;
+    }
+    auto& one = found->second;
+    auto const returning =
+        !table.store_reachable ||
+        (table.store_back_at && now - *table.store_back_at < entry_return_time);
+    if (!returning)
+    {
+        one.entry.leaving = true;
+    }
+    one.missing_since = one.missing_since.value_or(now);
+}
+
+std::vector<backend_server_id>
+replace_servers(server_table& table, std::vector<server_entry> const& entries,
+                instant now)
+{
+    std::set<backend_server_id> listed;
+    std::vector<backend_server_id> added;
+    for (auto const& entry : entries)
+    {
+        listed.insert(entry.id);
+        if (list_server(table, entry, now))
+        {
+            added.push_back(entry.id);
+        }
+    }
+    for (auto const& [id, one] : table.servers)
+    {
+        if (!listed.contains(id))
+        {
+            unlist_server(table, id, now);
+        }
+    }
+    return added;
+}
+
+void note_store(server_table& table, bool reachable, instant now)
+{
+    if (reachable && !table.store_reachable)
+    {
+        table.store_back_at = now;
+    }
+    table.store_reachable = reachable;
+}
+
+std::vector<backend_server_id> sweep_servers(server_table& table, instant now)
+{
+    std::vector<backend_server_id> gone;
+    for (auto& [id, one] : table.servers)
+    {
+        if (is_leaving(one, now) && one.missing_since && one.own.open == 0)
+        {
+            gone.push_back(id);
+        }
+    }
+    for (auto const& id : gone)
+    {
+        table.servers.erase(id);
+    }
+    return gone;
+}
+
+bool is_leaving(server const& one, instant now)
+{
+    auto const overdue =
+        one.missing_since && now - *one.missing_since >= entry_return_time;
+    return one.entry.leaving || overdue;
+}
+
+bool usable(server const& one, instant now)
+{
+    return !is_leaving(one, now) && now >= one.set_aside_until;
+}
+
+void note_failure(server& one, bool decisive, instant now)
+{
+    one.failures += decisive ? failures_to_set_aside : 1;
+    if (one.failures < failures_to_set_aside)
+    {
+        return;
+    }
+    auto const rounds = one.failures / failures_to_set_aside - 1;
+    auto const doublings = std::clamp<std::int64_t>(rounds, 0, most_doublings);
+    auto const pause =
+        std::min(longest_set_aside.ms, first_set_aside.ms << doublings);
+    one.set_aside_until = now + duration{pause};
+}
+
+void note_success(server& one, duration took, duration expected)
+{
+    one.failures = 0;
+    auto const base =
+        std::max(shortest_expected_ms, static_cast<double>(expected.ms));
+    auto const measured = std::clamp(static_cast<double>(took.ms) / base,
+                                     least_slowness, greatest_slowness);
+    one.slowness += slowness_weight * (measured - one.slowness);
+}
+
+} // namespace caperpath::fleet
--- /dev/null
+++ b/src/gateway/budget_book.cpp
@@ -0,0 +1,342 @@
+#include "gateway/budget_book.hpp"
+
+#include <caperpath/budget/rows.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr auto policy = config::budget_policy::false_refusals_first;
+/// A router without the store lives on its shares. The store is away for up to
+/// 9 s in the users' list of troubles, so at the lowest level of refill a share
+/// still covers 9.8 s. A deeper one strands more when a router dies.
+constexpr duration share_horizon{14'000};
+constexpr double lowest_level = 0.7;
+constexpr double highest_level = 0.9;
+constexpr duration row_fresh{150};
+constexpr duration idle_look{4'000};
+constexpr duration near_end_look{400};
+constexpr std::chrono::milliseconds tick_time{40};
+/// The least share, as a part of what was paid: enough for some requests of a
+/// small customer while the store is away, and 36 in 100 of its budget at nine
+/// routers. A share by the size of single requests scattered all of a small
+/// budget over idle routers within 5 s.
+constexpr token_count least_share_part = 25;
+/// Each router may hold an even part of what is left.
+constexpr std::int64_t end_divisor = 1;
+
+budget::sizing sizes()
+{
+    budget::sizing all;
+    all.horizon = share_horizon;
+    all.exposure = duration{0};
+    all.requests_ahead = 1;
+    all.requests_in_draw = 0;
+    all.end_divisor = end_divisor;
+    all.lowest_level = lowest_level;
+    all.highest_level = highest_level;
+    all.fresh = row_fresh;
+    all.look_interval = idle_look;
+    all.near_end_look = near_end_look;
+    return all;
+}
+
+/// The paid amount stands in the configuration and not in the row, so that a
+/// top-up needs no write of ours.
+void raise_paid(budget::share_state& share, token_count paid)
+{
+    if (share.seen)
+    {
+        auto& row = share.seen->row;
+        row.paid = std::max(row.paid, paid);
+    }
+}
+
+} // namespace
+
+budget_book::budget_book(boost::asio::any_io_executor const& executor,
+                         store::async_port port, incarnation_id incarnation,
+                         decision_log& log)
+    : timer{executor}, port{std::move(port)}, holder{std::move(incarnation), 1},
+      log{log}
+{
+    this->tick();
+}
+
+void budget_book::apply(fleet::site const& site)
+{
+    for (auto const& customer : site.customers())
+    {
+        if (!customer.paid)
+        {
+            continue;
+        }
+        budget_id const id{customer.id.value};
+        auto const [found, added] = this->accounts.try_emplace(id);
+        auto& of = found->second;
+        if (added)
+        {
+            of.share = budget::make_share(id, policy, sizes());
+            of.share.last_amount = 1; // a first share before any request
+        }
+        if (*customer.paid > of.paid)
+        {
+            of.paid = *customer.paid;
+            of.share.sizes.least_ahead = of.paid / least_share_part;
+            raise_paid(of.share, of.paid);
+            of.share.fruitless.reset();
+        }
+        if (this->closing)
+        {
+            of.share = budget::close(std::move(of.share));
+        }
+        this->step(id);
+    }
+}
+
+void budget_book::reserve(request_id const& request, budget_id const& budget,
+                          token_count amount, duration wait,
+                          std::function<void(budget::reserve_reply)> done)
+{
+    auto const found = this->accounts.find(budget);
+    if (found == this->accounts.end())
+    {
+        done({budget::reserve_verdict::undecidable, {}});
+        return;
+    }
+    auto& of = found->second;
+    auto outcome = budget::reserve(std::move(of.share),
+                                   {request, budget, policy, amount, wait},
+                                   this->now.now());
+    of.share = std::move(outcome.state);
+    if (outcome.reply)
+    {
+        done(*outcome.reply);
+    }
+    else
+    {
+        this->waiting.emplace(request, std::move(done));
+    }
+    this->step(budget);
+}
+
+void budget_book::finish(request_id const& request, budget_id const& budget,
+                         token_count used)
+{
+    auto const found = this->accounts.find(budget);
+    if (found == this->accounts.end())
+    {
+        return;
+    }
+    auto& of = found->second;
+    budget::bill cost;
+    cost.request = request;
+    cost.budget = budget;
+    cost.tokens = used;
+    auto ended =
+        budget::finish(std::move(of.share), {cost, policy, 0}, this->now.now());
+    of.share = std::move(ended.state);
+    if (ended.accepted)
+    {
+        // There is no ledger to write: the share row alone bounds the spend.
+        of.share = budget::settled(std::move(of.share), ended.cost.tokens);
+    }
+    this->settle_waiting(of);
+    this->step(budget);
+}
+
+void budget_book::cancel(request_id const& request, budget_id const& budget)
+{
+    this->waiting.erase(request);
+    auto const found = this->accounts.find(budget);
+    if (found == this->accounts.end())
+    {
+        return;
+    }
+    auto& of = found->second;
+    of.share = budget::cancel(std::move(of.share), request);
+    this->settle_waiting(of);
+}
+
+void budget_book::close()
+{
+    this->closing = true;
+    for (auto& [id, of] : this->accounts)
+    {
+        of.share = budget::close(std::move(of.share));
+        this->step(id);
+    }
+}
+
+bool budget_book::ready() const
+{
+    return std::all_of(this->accounts.begin(), this->accounts.end(),
+                       [](auto const& entry)
+                       {
+                           auto const& share = entry.second.share;
+                           return share.share_version != 0 ||
+                                  share.failures > 1 || share.conflicts > 3;
+                       });
+}
+
+void budget_book::step(budget_id const& budget)
+{
+    auto& of = this->accounts.at(budget);
+    auto next =
+        budget::next_step(std::move(of.share), this->holder, this->now.now());
+    of.share = std::move(next.state);
+    switch (next.kind)
+    {
+    case budget::step_kind::none:
+        break;
+    case budget::step_kind::look:
+        this->look(of);
+        break;
+    case budget::step_kind::write:
+        this->write(of, next.txn);
+        break;
+    }
+}
+
+/// The budget row is read; the own share row has no other writer and is read
+/// too only when the answer to a write of it was lost.
+void budget_book::look(account& of)
+{
+    auto const id = of.share.budget;
+    auto const share_name = budget::share_key(id, this->holder.incarnation);
+    auto const finish_look =
+        [this, id](std::variant<store::row, error> const& budget_reply,
+                   store::row const& share)
+    {
+        auto& account = this->accounts.at(id);
+        if (auto const* fault = std::get_if<error>(&budget_reply))
+        {
+            this->log.fault(*fault);
+            account.share =
+                budget::look_failed(std::move(account.share), this->now.now());
+            this->settle_waiting(account);
+            return;
+        }
+        std::vector<store::row> const rows{
+            std::get<store::row>(budget_reply),
+            share,
+            {budget::holder_key(this->holder.incarnation), this->holder.version,
+             ""}};
+        account.share = budget::looked(std::move(account.share), this->holder,
+                                       rows, this->now.now());
+        raise_paid(account.share, account.paid);
+        this->settle_waiting(account);
+        this->step(id);
+    };
+    auto const budget_name = budget::budget_key(id);
+    if (!of.share.floor)
+    {
+        store::row const known{share_name, of.share.share_version,
+                               budget::encode(of.share.share)};
+        this->port.read(budget_name, [finish_look, known](auto const& reply)
+                        { finish_look(reply, known); });
+        return;
+    }
+    this->port.read(share_name,
+                    [this, finish_look, budget_name](auto const& share_reply)
+                    {
+                        if (std::holds_alternative<error>(share_reply))
+                        {
+                            finish_look(share_reply, {});
+                            return;
+                        }
+                        auto const share = std::get<store::row>(share_reply);
+                        this->port.read(budget_name,
+                                        [finish_look, share](auto const& reply)
+                                        { finish_look(reply, share); });
+                    });
+}
+
+void budget_book::write(account& of, store::transaction const& txn)
+{
+    // Nobody takes shares back here, so there is no holder row to check.
+    auto own = txn;
+    std::erase_if(
+        own.conditions, [this](store::condition const& one)
+        { return one.key == budget::holder_key(this->holder.incarnation); });
+    auto const id = of.share.budget;
+    this->port.commit(own,
+                      [this, id](store::commit_result const& result)
+                      {
+                          auto& account = this->accounts.at(id);
+                          this->note_write(account, result);
+                          account.share = budget::wrote(
+                              std::move(account.share), this->holder, result,
+                              this->now.now());
+                          raise_paid(account.share, account.paid);
+                          this->settle_waiting(account);
+                          this->step(id);
+                      });
+}
+
+void budget_book::note_write(account const& of,
+                             store::commit_result const& result)
+{
+    auto const& share = of.share;
+    auto const to = share.planned && share.planned->share
+                        ? share.planned->share->granted
+                        : share.share.granted;
+    this->log.write(
+        log_weight::notable, "draw",
+        {{"budget", share.budget.value},
+         {"outcome", result.outcome == store::commit_outcome::applied
+                         ? "applied"
+                         : std::string{to_string(result.fault.kind)}},
+         {"granted_before", std::to_string(share.share.granted)},
+         {"granted_after", std::to_string(to)},
+         {"free", std::to_string(budget::free_tokens(share))},
+         {"per_second", std::to_string(std::llround(share.rate.per_second))},
+         {"left", std::to_string(share.seen ? budget::ungranted(share.seen->row)
+                                            : 0)}});
+}
+
+void budget_book::settle_waiting(account& of)
+{
+    auto answered =
+        budget::answer_waiting(std::move(of.share), this->now.now());
+    of.share = std::move(answered.state);
+    for (auto const& one : answered.answers)
+    {
+        auto const found = this->waiting.find(one.request);
+        if (found == this->waiting.end())
+        {
+            continue;
+        }
+        auto const done = std::move(found->second);
+        this->waiting.erase(found);
+        done(one.reply);
+    }
+}
+
+void budget_book::tick()
+{
+    for (auto& [id, of] : this->accounts)
+    {
+        this->settle_waiting(of);
+        this->step(id);
+    }
+    this->timer.expires_after(tick_time);
+    this->timer.async_wait(
+        [this](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                this->tick();
+            }
+        });
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/budget_book.hpp
@@ -0,0 +1,83 @@
+#ifndef CAPERPATH_SRC_GATEWAY_BUDGET_BOOK_HPP
+#define CAPERPATH_SRC_GATEWAY_BUDGET_BOOK_HPP
+
+#include "gateway/decision_log.hpp"
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/budget/share.hpp>
+#include <caperpath/fleet/site.hpp>
+#include <caperpath/store/async_port.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace caperpath::gateway
+{
+
+/// The shares that this router holds of the customers' budgets: carries out
+/// over the store what the share core asks for. Shares of a router that dies
+/// are not taken back, since nothing here proves its death or what it had
+/// spent; so they are kept small. Loop thread only; outlives its calls, and
+/// `log` outlives it.
+class budget_book
+{
+public:
+    budget_book(boost::asio::any_io_executor const& executor,
+                store::async_port port, incarnation_id incarnation,
+                decision_log& log);
+
+    /// A configuration is in force: budgets are opened, and paid amounts are
+    /// raised (never lowered: what was paid before may be spent already).
+    void apply(fleet::site const& site);
+
+    /// Sets `amount` tokens aside; `done` gets the reply, at once or within
+    /// `wait`. @pre `request` was not used before.
+    void reserve(request_id const& request, budget_id const& budget,
+                 token_count amount, duration wait,
+                 std::function<void(budget::reserve_reply)> done);
+
+    /// Ends a reservation that was admitted: `used` of it is spent.
+    void finish(request_id const& request, budget_id const& budget,
+                token_count used);
+
+    /// Forgets a reservation that nothing was sent for.
+    void cancel(request_id const& request, budget_id const& budget);
+
+    /// Gives back what is free, now and as requests end; admits nothing more.
+    void close();
+
+    /// True when each budget's first share is here, or was tried for.
+    bool ready() const;
+
+private:
+    struct account
+    {
+        budget::share_state share;
+        token_count paid{};
+    };
+    using replies = std::function<void(budget::reserve_reply)>;
+
+    void step(budget_id const& budget);
+    void look(account& of);
+    void write(account& of, store::transaction const& txn);
+    void note_write(account const& of, store::commit_result const& result);
+    void settle_waiting(account& of);
+    void tick();
+
+    boost::asio::steady_timer timer;
+    store::async_port port;
+    budget::holder_view holder;
+    decision_log& log;
+    caperpath::clock now{caperpath::clock::monotonic()};
+    std::map<budget_id, account> accounts;
+    std::unordered_map<request_id, replies> waiting;
+    bool closing{false};
+};
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/core.cpp
@@ -0,0 +1,26 @@
+#include "gateway/core.hpp"
+
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+/// Shared prompt parts that are remembered; some 60 bytes each.
+constexpr std::size_t remembered_parts = 20'000;
+
+} // namespace
+
+core::core(asio::any_io_executor const& loop, gateway::settings const& settings,
+           dialect names, store::async_port const& store,
+           incarnation_id incarnation, int log_descriptor)
+    : loop{loop}, settings{settings}, names{std::move(names)},
+      log{loop, log_descriptor, settings.vm}, prompts{remembered_parts},
+      repeats{settings.retries},
+      budgets{loop, store, std::move(incarnation), this->log}, pool{loop}
+{
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/core.hpp
@@ -0,0 +1,58 @@
+#ifndef CAPERPATH_SRC_GATEWAY_CORE_HPP
+#define CAPERPATH_SRC_GATEWAY_CORE_HPP
+
+#include "gateway/budget_book.hpp"
+#include "gateway/decision_log.hpp"
+#include "gateway/dialect.hpp"
+#include "gateway/gateway_metrics.hpp"
+#include "gateway/server_pool.hpp"
+#include "gateway/settings.hpp"
+#include "gateway/waker.hpp"
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/fleet/placement.hpp>
+#include <caperpath/fleet/retry_window.hpp>
+#include <caperpath/fleet/server_table.hpp>
+#include <caperpath/fleet/site.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+
+namespace caperpath::gateway
+{
+
+/// What all requests of one process share. Loop thread only.
+struct core
+{
+    core(asio::any_io_executor const& loop, settings const& settings,
+         dialect names, store::async_port const& store,
+         incarnation_id incarnation, int log_descriptor);
+
+    asio::any_io_executor loop;
+    gateway::settings const settings;
+    dialect const names;
+    caperpath::clock const now{caperpath::clock::monotonic()};
+
+    decision_log log;
+    gateway_metrics metrics;
+    std::shared_ptr<fleet::site const> site; ///< null until one is known
+    fleet::server_table servers;
+    bool servers_listed{false};
+    fleet::prompt_memory prompts;
+    fleet::engine_speed speed;
+    fleet::retry_window repeats;
+    std::int64_t routers{1}; ///< the most that may be alive
+    budget_book budgets;
+    server_pool pool;
+    bool stopping{false};
+    bool closing_idle{false}; ///< idle callers' connections end now
+    std::int64_t connections{};
+    std::set<waker*> idle_callers; ///< sessions that wait for a request
+    std::int64_t open_requests{};
+    std::uint64_t requests{}; ///< numbers reservations
+};
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/decision_log.cpp
@@ -0,0 +1,122 @@
+#include "gateway/decision_log.hpp"
+
+#include <caperpath/observe/log.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds flush_time{50};
+/// Routine lines are written at this rate on average. At 35 requests a second
+/// and 250 bytes a line a machine writes 9,000 bytes a second.
+constexpr std::int64_t bytes_per_flush = 1'000;
+constexpr std::int64_t burst_bytes = 64'000;
+/// Notable lines may also use what routine lines leave of this.
+constexpr std::size_t most_pending = 256'000;
+
+} // namespace
+
+decision_log::decision_log(boost::asio::any_io_executor const& executor,
+                           int descriptor, std::string vm)
+    : timer{executor},
+      descriptor{descriptor}, vm{std::move(vm)}, allowance{burst_bytes}
+{
+    auto const flags = ::fcntl(descriptor, F_GETFL);
+    static_cast<void>(::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK));
+    this->tick();
+}
+
+bool decision_log::allows(log_weight weight, std::size_t size)
+{
+    if (this->pending.size() + size > most_pending)
+    {
+        return false;
+    }
+    return weight == log_weight::notable || this->allowance > 0;
+}
+
+void decision_log::write(log_weight weight, std::string_view step,
+                         std::vector<log_field> const& fields)
+{
+    std::string line{"at="};
+    line += std::to_string(caperpath::clock::wall().now().ms);
+    line += " vm=";
+    line += this->vm;
+    line += " step=";
+    line += step;
+    for (auto const& field : fields)
+    {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        line += observe::escape_value(field.value);
+    }
+    line += '\n';
+    if (!this->allows(weight, line.size()))
+    {
+        this->lines_dropped += 1;
+        return;
+    }
+    this->allowance -= static_cast<std::int64_t>(line.size());
+    this->pending += line;
+}
+
+void decision_log::fault(error const& what)
+{
+    this->write(log_weight::notable, what.step,
+                {{"peer", what.peer},
+                 {"kind", std::string{to_string(what.kind)}},
+                 {"detail", what.detail}});
+}
+
+void decision_log::flush()
+{
+    while (!this->pending.empty())
+    {
+        auto const taken = ::write(this->descriptor, this->pending.data(),
+                                   this->pending.size());
+        if (taken <= 0)
+        {
+            return; // the reader is slow; the next flush tries again
+        }
+        this->pending.erase(0, static_cast<std::size_t>(taken));
+    }
+}
+
+std::uint64_t decision_log::dropped() const
+{
+    return this->lines_dropped;
+}
+
+void decision_log::tick()
+{
+    this->allowance = std::min(burst_bytes, this->allowance + bytes_per_flush);
+    if (this->drops_told != this->lines_dropped && this->allowance > 0)
+    {
+        auto const count = this->lines_dropped - this->drops_told;
+        this->drops_told = this->lines_dropped;
+        this->write(log_weight::notable, "log",
+                    {{"dropped_lines", std::to_string(count)}});
+    }
+    this->flush();
+    this->timer.expires_after(flush_time);
+    this->timer.async_wait(
+        [this](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                this->tick();
+            }
+        });
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/exchange.hpp
@@ -0,0 +1,110 @@
+#ifndef CAPERPATH_SRC_GATEWAY_EXCHANGE_HPP
+#define CAPERPATH_SRC_GATEWAY_EXCHANGE_HPP
+
+#include "gateway/connection.hpp"
+#include "gateway/core.hpp"
+
+#include <caperpath/fleet/attempt.hpp>
+#include <caperpath/fleet/event_scan.hpp>
+#include <caperpath/fleet/placement.hpp>
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace caperpath::gateway
+{
+
+using caller_request = http::request<http::string_body>;
+
+/// An answer of the gateway's own.
+struct refusal
+{
+    int status{};
+    std::string_view reason; ///< one word, for logs and metrics
+    std::optional<duration> retry_after{};
+
+    friend bool operator==(refusal const&, refusal const&) = default;
+};
+
+/// One request on its way: what the filters found out, and what is left to be
+/// undone when it ends. Loop thread only.
+struct exchange
+{
+    exchange(core& shared, connection_ptr caller, waker_ptr sleeper,
+             caller_request request)
+        : shared{shared}, caller{std::move(caller)},
+          sleeper{std::move(sleeper)}, request{std::move(request)}
+    {
+    }
+
+    core& shared;
+    connection_ptr caller;
+    waker_ptr sleeper;
+    caller_request request;
+    request_facts facts;
+    instant arrived;
+
+    std::shared_ptr<fleet::site const> site; ///< the version that decided
+    fleet::route const* route{};
+    fleet::customer const* customer{};
+    fleet::service const* service{};
+    fleet::work work;
+    instant deadline{};
+
+    request_id reservation; ///< empty if no tokens are set aside
+    budget_id budget;
+    token_count reserved{};
+
+    fleet::attempt_state attempts;
+    std::vector<backend_server_id> tried;
+    std::int64_t arrivals{}; ///< sends that may have reached a server
+    fleet::event_scan events;
+    bool answer_begun{false};
+    bool prompt_read{false}; ///< a server began to run it
+    bool keep_connection{true};
+
+    // For the log line at the end.
+    int status{};
+    std::string_view reason{"served"};
+    std::string server;
+    duration expected{};
+    std::optional<duration> first_part;
+};
+
+/// Sends the gateway's own answer to the caller.
+void send_refusal(exchange& of, refusal const& why);
+
+/// True when the caller has closed its connection.
+bool caller_left(exchange const& of);
+
+/// Sleeps until something happened to the request, or `until`. Returns false
+/// when that time has come.
+asio::awaitable<bool> sleep(exchange& of, instant until);
+
+/// A step of a request. Returns the refusal that ends it, or nothing.
+using filter = asio::awaitable<std::optional<refusal>> (*)(exchange&);
+
+asio::awaitable<std::optional<refusal>> find_route(exchange& of);
+asio::awaitable<std::optional<refusal>> identify(exchange& of);
+asio::awaitable<std::optional<refusal>> measure(exchange& of);
+asio::awaitable<std::optional<refusal>> reserve(exchange& of);
+asio::awaitable<std::optional<refusal>> dispatch(exchange& of);
+
+/// The filters in their order.
+std::array<filter, 5> const& request_filters();
+
+/// Runs the filters, sends what they refuse, gives back what is left of the
+/// reservation and writes the request's log line.
+asio::awaitable<void> serve(exchange& of);
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/http_call.cpp
@@ -0,0 +1,125 @@
+#include "gateway/http_call.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr std::uint64_t largest_answer = 64ULL * 1024 * 1024;
+constexpr std::size_t most_idle = 4;
+
+} // namespace
+
+boost::asio::ip::tcp::endpoint endpoint_of(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    return {asio::ip::make_address_v4(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+}
+
+http_caller::http_caller(asio::any_io_executor executor, std::string address)
+    : executor{std::move(executor)}, peer{endpoint_of(address)}
+{
+}
+
+void http_caller::send(http::request<http::string_body> request,
+                       duration timeout, std::function<void(call_result)> done)
+{
+    asio::co_spawn(
+        this->executor, this->exchange(std::move(request), timeout),
+        [done = std::move(done)](std::exception_ptr fault, call_result result)
+        {
+            if (fault)
+            {
+                result.sent = true;
+                result.detail = "the exchange failed";
+            }
+            done(std::move(result));
+        });
+}
+
+http_caller::stream_ptr http_caller::take()
+{
+    while (!this->idle.empty())
+    {
+        auto stream = std::move(this->idle.back());
+        this->idle.pop_back();
+        // Nothing may wait to be read: it would be another call's answer, or
+        // the end of the connection.
+        boost::system::error_code fault;
+        char byte{};
+        stream->socket().non_blocking(true, fault);
+        stream->socket().receive(asio::buffer(&byte, 1),
+                                 asio::socket_base::message_peek, fault);
+        if (fault == asio::error::would_block)
+        {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<call_result>
+http_caller::exchange(http::request<http::string_body> request,
+                      duration timeout)
+{
+    call_result result;
+    boost::system::error_code fault;
+    auto stream = this->take();
+    auto const limit = std::chrono::milliseconds{timeout.ms};
+    if (!stream)
+    {
+        stream = std::make_unique<boost::beast::tcp_stream>(this->executor);
+        stream->expires_after(limit);
+        co_await stream->async_connect(
+            this->peer, asio::redirect_error(asio::use_awaitable, fault));
+        if (fault)
+        {
+            result.detail = "connect: " + fault.message();
+            co_return result;
+        }
+        stream->socket().set_option(asio::ip::tcp::no_delay{true}, fault);
+    }
+    stream->expires_after(limit);
+    result.sent = true;
+    co_await http::async_write(
+        *stream, request, asio::redirect_error(asio::use_awaitable, fault));
+    if (fault)
+    {
+        result.detail = "send: " + fault.message();
+        co_return result;
+    }
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_answer);
+    co_await http::async_read(*stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, fault));
+    if (fault)
+    {
+        result.detail = "read: " + fault.message();
+        co_return result;
+    }
+    stream->expires_never();
+    if (parser.keep_alive() && buffer.size() == 0 &&
+        this->idle.size() < most_idle)
+    {
+        this->idle.push_back(std::move(stream));
+    }
+    result.answer = parser.release();
+    co_return result;
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/http_call.hpp
@@ -0,0 +1,66 @@
+#ifndef CAPERPATH_SRC_GATEWAY_HTTP_CALL_HPP
+#define CAPERPATH_SRC_GATEWAY_HTTP_CALL_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/error.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caperpath::gateway
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// What came of one call.
+struct call_result
+{
+    bool sent{false}; ///< some of it may have arrived
+    std::optional<http::response<http::string_body>> answer;
+    std::string detail; ///< why there is no answer
+};
+
+/// Short HTTP/1.1 calls to one peer over a few kept connections. A call is sent
+/// at most once. Loop thread only; callbacks come later, never from within
+/// `send`. The caller outlives all calls.
+class http_caller
+{
+public:
+    /// @pre `address` is "IP:port".
+    http_caller(asio::any_io_executor executor, std::string address);
+
+    /// Gives the result to `done` after `timeout` at the latest; the connection
+    /// of a call without an answer is closed, since the answer may come late
+    /// and would be taken for that of the next call.
+    void send(http::request<http::string_body> request, duration timeout,
+              std::function<void(call_result)> done);
+
+private:
+    using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
+
+    asio::awaitable<call_result>
+    exchange(http::request<http::string_body> request, duration timeout);
+    stream_ptr take();
+
+    asio::any_io_executor executor;
+    boost::asio::ip::tcp::endpoint peer;
+    std::vector<stream_ptr> idle;
+};
+
+/// The address "IP:port" as an endpoint. @pre `is_address(address)`.
+boost::asio::ip::tcp::endpoint endpoint_of(std::string const& address);
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/roster_keeper.cpp
@@ -0,0 +1,156 @@
+#include "gateway/roster_keeper.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+/// All heartbeat rows stand in one partition, named by the end of their keys.
+constexpr std::string_view key_begin = "router/";
+constexpr std::string_view key_end = "/fleet";
+constexpr char range_begin[] = "router//fleet";
+constexpr char range_end[] = "router0/fleet";
+
+std::string key_of(incarnation_id const& router)
+{
+    return std::string{key_begin} + router.value + std::string{key_end};
+}
+
+incarnation_id router_of(std::string const& key)
+{
+    return {key.substr(key_begin.size(),
+                       key.size() - key_begin.size() - key_end.size())};
+}
+
+std::chrono::milliseconds ms(duration span)
+{
+    return std::chrono::milliseconds{span.ms};
+}
+
+} // namespace
+
+roster_keeper::roster_keeper(boost::asio::any_io_executor const& executor,
+                             store::async_port port, incarnation_id self,
+                             std::string address, decision_log& log)
+    : beat_timer{executor}, read_timer{executor}, port{std::move(port)},
+      self{std::move(self)}, address{std::move(address)}, log{log}
+{
+}
+
+void roster_keeper::start()
+{
+    this->beat();
+    this->read();
+}
+
+void roster_keeper::leave()
+{
+    this->leaving = true;
+    store::transaction txn;
+    txn.writes.push_back({key_of(this->self), std::nullopt});
+    // If it is lost, the row counts as dead after its lifetime.
+    this->port.commit(txn, [](store::commit_result const&) {});
+}
+
+fleet::roster const& roster_keeper::members() const
+{
+    return this->known;
+}
+
+std::int64_t roster_keeper::alive() const
+{
+    return fleet::alive(this->known, this->now.now());
+}
+
+void roster_keeper::beat()
+{
+    if (this->leaving)
+    {
+        return;
+    }
+    store::transaction txn;
+    txn.writes.push_back({key_of(this->self), this->address});
+    this->port.commit(txn,
+                      [this](store::commit_result const& result)
+                      {
+                          if (result.outcome != store::commit_outcome::applied)
+                          {
+                              this->log.fault(result.fault);
+                          }
+                      });
+    this->beat_timer.expires_after(ms(fleet::heartbeat_interval));
+    this->beat_timer.async_wait(
+        [this](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                this->beat();
+            }
+        });
+}
+
+void roster_keeper::read()
+{
+    this->port.scan(
+        range_begin, range_end,
+        [this](std::variant<std::vector<store::row>, error> const& reply)
+        {
+            if (auto const* fault = std::get_if<error>(&reply))
+            {
+                this->log.fault(*fault);
+                return;
+            }
+            this->take(std::get<std::vector<store::row>>(reply));
+        });
+    this->read_timer.expires_after(ms(fleet::read_interval(this->known)));
+    this->read_timer.async_wait(
+        [this](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                this->read();
+            }
+        });
+}
+
+void roster_keeper::take(std::vector<store::row> const& rows)
+{
+    std::vector<fleet::heartbeat> beats;
+    beats.reserve(rows.size());
+    for (auto const& row : rows)
+    {
+        if (row.key.starts_with(key_begin) && row.key.ends_with(key_end))
+        {
+            beats.push_back({router_of(row.key), row.value, row.version});
+        }
+    }
+    this->known = fleet::seen(std::move(this->known), beats, this->now.now());
+    this->remove_dead();
+    auto const count = this->alive();
+    if (count != this->last_alive)
+    {
+        this->log.write(log_weight::notable, "routers",
+                        {{"alive", std::to_string(count)},
+                         {"before", std::to_string(this->last_alive)}});
+        this->last_alive = count;
+    }
+}
+
+void roster_keeper::remove_dead()
+{
+    for (auto const& router : fleet::dead(this->known, this->now.now()))
+    {
+        auto const key = key_of(router);
+        store::transaction txn;
+        txn.conditions.push_back({key, this->known.members.at(router).version});
+        txn.writes.push_back({key, std::nullopt});
+        // Another router may have removed it; the next read shows.
+        this->port.commit(txn, [](store::commit_result const&) {});
+    }
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/settings.hpp
@@ -0,0 +1,40 @@
+#ifndef CAPERPATH_SRC_GATEWAY_SETTINGS_HPP
+#define CAPERPATH_SRC_GATEWAY_SETTINGS_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/config/json_reader.hpp>
+#include <caperpath/fleet/retry_window.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperpath::gateway
+{
+
+/// Settings of `caperpath-gateway`. Immutable value.
+struct settings
+{
+    std::string vm;
+    std::string failure_domain;
+    std::string callers;       ///< "IP:port" where callers connect
+    std::string readiness;     ///< "IP:port" that the balancer asks
+    std::string metrics;       ///< "IP:port" of the metrics page
+    std::string store_address; ///< "IP:port"
+    std::int64_t first_peer_port{};
+    std::int64_t last_peer_port{};
+    duration grace{8'000}; ///< from SIGTERM to SIGKILL
+    fleet::retry_limit retries;
+
+    friend bool operator==(settings const&, settings const&) = default;
+};
+
+/// Adds every fault of `value`. Thread safe.
+settings read_settings(nlohmann::json const& value,
+                       std::vector<config::fault>& faults);
+
+} // namespace caperpath::gateway
+
+#endif
