--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -90,6 +90,9 @@
     bool look_first{false}; ///< a lost answer: see what became of it
     token_count wanting{};  ///< what this router put into `wanted`
 
+    /// No more than this may be spent at present, whatever is granted.
+    std::optional<token_count> spend_limit;
+
     token_count reserved{};  ///< open reservations
     token_count unsettled{}; ///< finished, not yet in the ledger
     token_count settled{};   ///< in the ledger, by this incarnation
@@ -119,6 +122,16 @@
 /// Tokens that may be reserved now without asking anybody. Thread safe.
 token_count free_tokens(share_state const& state);
 
+/// All that was or may yet be spent: settled, unsettled and reserved. Thread
+/// safe.
+token_count used_tokens(share_state const& state);
+
+/// The share of a dead holder with `granted` tokens, of which up to `spent` may
+/// be gone, as this holder's own: its row was renamed in one transaction that
+/// gave it `version`. @pre nothing was drawn or reserved yet. Thread safe.
+share_state inherit(share_state state, token_count granted, token_count spent,
+                    std::uint64_t version);
+
 /// The state and, when the reservation was decided, the reply.
 struct reserve_step
 {
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -44,8 +44,12 @@
     std::int64_t requests_in_draw{2};
     std::int64_t requests_ahead{2};
     token_count least_ahead{};
-    std::int64_t end_divisor{2};      ///< no draw ahead takes more than the
-                                      ///< remainder / (end_divisor * holders)
+    std::int64_t end_divisor{2}; ///< no draw ahead takes more than the
+                                 ///< remainder / (end_divisor * holders)
+    /// Where the traffic of a customer goes to few routers, an even part of the
+    /// remainder starves those: if set, a draw ahead takes at most the
+    /// remainder divided by this, however many holders there are.
+    std::int64_t rest_divisor{0};
     std::int64_t near_end_part{50};   ///< near the end: ungranted < paid / this
     duration fresh{50};               ///< a row seen this long ago may be used
     duration look_interval{1'000};    ///< of a holder of idle tokens
--- a/include/caperpath/store/table.hpp
+++ b/include/caperpath/store/table.hpp
@@ -68,6 +68,9 @@
     /// The version that all written rows have now, from a store that numbers
     /// its transactions; 0 from one that numbers the writes of each row.
     std::uint64_t version{};
+    /// When the store applied it, on the store's own clock; 0 if it does not
+    /// say.
+    std::int64_t store_ms{};
 
     friend bool operator==(commit_result const&,
                            commit_result const&) = default;
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -44,7 +44,9 @@
 
 bool fits(share_state const& state, token_count amount)
 {
-    return amount <= reservable(state);
+    auto const within_limit =
+        !state.spend_limit || used_tokens(state) + amount <= *state.spend_limit;
+    return within_limit && amount <= reservable(state);
 }
 
 /// The row was seen after the reservation came, so a top-up before it counts.
@@ -57,8 +59,8 @@
 /// cover `amount`.
 bool beyond_everything(share_state const& state, token_count amount)
 {
-    auto const used = state.settled + state.unsettled + state.reserved;
-    return amount > state.seen->row.paid - state.seen->row.retired - used;
+    return amount >
+           state.seen->row.paid - state.seen->row.retired - used_tokens(state);
 }
 
 bool waited_in_vain(share_state const& state, token_count amount)
@@ -159,10 +161,23 @@
     return row;
 }
 
+token_count used_tokens(share_state const& state)
+{
+    return state.settled + state.unsettled + state.reserved;
+}
+
+share_state inherit(share_state state, token_count granted, token_count spent,
+                    std::uint64_t version)
+{
+    state.share = {granted, 0};
+    state.share_version = version;
+    state.settled = spent;
+    return state;
+}
+
 token_count free_tokens(share_state const& state)
 {
-    auto const used = state.settled + state.unsettled + state.reserved;
-    return std::max<token_count>(0, usable(state).granted - used);
+    return std::max<token_count>(0, usable(state).granted - used_tokens(state));
 }
 
 token_count reservable(share_state const& state)
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -230,7 +230,8 @@
 
 duration look_pause(share_state const& state)
 {
-    if (!state.waiting.empty())
+    // A router that stops has little time to give its share back.
+    if (!state.waiting.empty() || state.closing)
     {
         return state.sizes.waiting_look;
     }
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -80,6 +80,10 @@
 
 token_count fair_part(budget_row const& row, sizing const& sizes, bool newcomer)
 {
+    if (sizes.rest_divisor > 0)
+    {
+        return ungranted(row) / sizes.rest_divisor;
+    }
     auto const holders =
         std::max<std::int64_t>(1, row.holders + (newcomer ? 1 : 0));
     return ungranted(row) / (sizes.end_divisor * holders);
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -15,23 +15,30 @@
 {
 
 constexpr auto policy = config::budget_policy::false_refusals_first;
-/// A router without the store lives on its shares. The store is away for up to
-/// 9 s in the users' list of troubles, so at the lowest level of refill a share
-/// still covers 9.8 s. A deeper one strands more when a router dies.
-constexpr duration share_horizon{14'000};
-constexpr double lowest_level = 0.7;
+/// A router without the store lives on its shares, and a router that dies
+/// strands them. The store is away for up to 9 s in the users' list of
+/// troubles; at the lowest level of refill a share covers 7.5 s.
+constexpr duration share_horizon{10'000};
+constexpr double lowest_level = 0.75;
 constexpr double highest_level = 0.9;
 constexpr duration row_fresh{150};
 constexpr duration idle_look{4'000};
 constexpr duration near_end_look{400};
 constexpr std::chrono::milliseconds tick_time{40};
 /// The least share, as a part of what was paid: enough for some requests of a
-/// small customer while the store is away, and 36 in 100 of its budget at nine
+/// small customer while the store is away, and 15 in 100 of its budget at nine
 /// routers. A share by the size of single requests scattered all of a small
 /// budget over idle routers within 5 s.
-constexpr token_count least_share_part = 25;
-/// Each router may hold an even part of what is left.
-constexpr std::int64_t end_divisor = 1;
+constexpr token_count least_share_part = 60;
+/// Callers keep their connections, so one router may have most of a customer's
+/// traffic. With an even part of the rest a customer's only router ran out 2 s
+/// into an outage of 8 s with 5.5 of 6 million tokens left.
+constexpr std::int64_t rest_divisor = 3;
+
+/// How far a ceiling is ahead of the use. The store answers within 0.3 s also
+/// when it is slow, and a write that is lost is sent again within 1 s.
+constexpr duration ceiling_ahead{3'000};
+constexpr double ms_per_second = 1'000;
 
 budget::sizing sizes()
 {
@@ -40,7 +47,7 @@
     all.exposure = duration{0};
     all.requests_ahead = 1;
     all.requests_in_draw = 0;
-    all.end_divisor = end_divisor;
+    all.rest_divisor = rest_divisor;
     all.lowest_level = lowest_level;
     all.highest_level = highest_level;
     all.fresh = row_fresh;
@@ -63,14 +70,44 @@
 } // namespace
 
 budget_book::budget_book(boost::asio::any_io_executor const& executor,
-                         store::async_port port, incarnation_id incarnation,
+                         store::async_port port, std::string vm,
+                         std::string address, incarnation_id incarnation,
                          decision_log& log)
-    : timer{executor}, port{std::move(port)}, holder{std::move(incarnation), 1},
-      log{log}
+    : timer{executor}, port{port}, incarnation{incarnation}, log{log},
+      spending{executor,
+               std::move(port),
+               std::move(vm),
+               std::move(address),
+               std::move(incarnation),
+               {[this] { return this->wanted_ceilings(); },
+                [this] { this->pass_on(); },
+                [this](auto const& dead, auto const& ceilings, auto done)
+                {
+                    this->inherit(dead, ceilings, done);
+                }},
+               log}
+{
+}
+
+void budget_book::start()
 {
+    this->spending.start();
     this->tick();
 }
 
+budget_book::account& budget_book::open_account(budget_id const& budget)
+{
+    auto const [found, added] = this->accounts.try_emplace(budget);
+    auto& of = found->second;
+    if (added)
+    {
+        of.share = budget::make_share(budget, policy, sizes());
+        of.share.last_amount = 1; // a first share before any request
+        of.holder = {this->incarnation, 1};
+    }
+    return of;
+}
+
 void budget_book::apply(fleet::site const& site)
 {
     for (auto const& customer : site.customers())
@@ -80,13 +117,7 @@
             continue;
         }
         budget_id const id{customer.id.value};
-        auto const [found, added] = this->accounts.try_emplace(id);
-        auto& of = found->second;
-        if (added)
-        {
-            of.share = budget::make_share(id, policy, sizes());
-            of.share.last_amount = 1; // a first share before any request
-        }
+        auto& of = this->open_account(id);
         if (*customer.paid > of.paid)
         {
             of.paid = *customer.paid;
@@ -102,6 +133,113 @@
     }
 }
 
+/// A few seconds of traffic ahead of the use, and all that waits.
+std::map<budget_id, token_count> budget_book::wanted_ceilings() const
+{
+    std::map<budget_id, token_count> all;
+    for (auto const& [id, of] : this->accounts)
+    {
+        auto const& share = of.share;
+        auto ahead = static_cast<token_count>(
+            share.rate.per_second * static_cast<double>(ceiling_ahead.ms) /
+            ms_per_second);
+        for (auto const& one : share.waiting)
+        {
+            ahead += one.amount;
+        }
+        all[id] =
+            std::min(share.share.granted, budget::used_tokens(share) + ahead);
+    }
+    return all;
+}
+
+/// The share rows of `dead` get this router's name, with what they hold. The
+/// budget rows stay as they are, so that routers which all start at once do not
+/// contend for them.
+void budget_book::inherit(incarnation_id const& dead,
+                          std::map<budget_id, token_count> const& ceilings,
+                          std::function<void()> const& done)
+{
+    std::shared_ptr<void> const pending{nullptr, [done](void*)
+                                        {
+                                            done();
+                                        }};
+    for (auto const& [budget, spent] : ceilings)
+    {
+        this->port.read(budget::share_key(budget, dead),
+                        [this, budget, spent, pending](auto const& reply)
+                        {
+                            if (auto const* fault = std::get_if<error>(&reply))
+                            {
+                                this->log.fault(*fault);
+                                return;
+                            }
+                            this->take_over(budget, spent,
+                                            std::get<store::row>(reply),
+                                            pending);
+                        });
+    }
+}
+
+void budget_book::take_over(budget_id const& budget, token_count spent,
+                            store::row const& found,
+                            std::shared_ptr<void> const& pending)
+{
+    auto const old =
+        value_or_error([&] { return budget::decode_share(found.value); });
+    auto const* const share = std::get_if<budget::share_row>(&old);
+    if (found.version == 0 || share == nullptr)
+    {
+        return; // given back at a planned stop
+    }
+    auto& of = this->open_account(budget);
+    auto const own = budget::share_key(budget, of.holder.incarnation);
+    store::transaction txn;
+    txn.conditions = {{found.key, found.version}, {own, 0}};
+    txn.writes = {{own, found.value}, {found.key, std::nullopt}};
+    this->port.commit(
+        txn,
+        [this, budget, spent, granted = share->granted,
+         pending](store::commit_result const& result)
+        {
+            auto& of = this->accounts.at(budget);
+            if (result.outcome == store::commit_outcome::applied)
+            {
+                of.share = budget::inherit(std::move(of.share), granted, spent,
+                                           result.version);
+            }
+            else
+            {
+                // If it is applied later, the row has this router's name and
+                // nothing would tell that part of it is spent: this router
+                // goes on under another one.
+                of.holder.incarnation.value += "-2";
+            }
+            this->log.write(
+                log_weight::notable, "inherit",
+                {{"budget", budget.value},
+                 {"granted", std::to_string(granted)},
+                 {"spent", std::to_string(spent)},
+                 {"outcome", result.outcome == store::commit_outcome::applied
+                                 ? "applied"
+                                 : std::string{to_string(result.fault.kind)}}});
+        });
+}
+
+void budget_book::set_limit(account& of) const
+{
+    of.share.spend_limit =
+        this->spending.limit(of.share.budget, of.share.share.granted);
+}
+
+void budget_book::pass_on()
+{
+    for (auto& [id, of] : this->accounts)
+    {
+        this->settle_waiting(of);
+    }
+}
+
 void budget_book::reserve(request_id const& request, budget_id const& budget,
                           token_count amount, duration wait,
                           std::function<void(budget::reserve_reply)> done)
@@ -113,6 +251,7 @@
         return;
     }
     auto& of = found->second;
+    this->set_limit(of);
     auto outcome = budget::reserve(std::move(of.share),
                                    {request, budget, policy, amount, wait},
                                    this->now.now());
@@ -124,6 +263,7 @@
     else
     {
         this->waiting.emplace(request, std::move(done));
+        this->raise_ceiling(of);
     }
     this->step(budget);
 }
@@ -176,6 +316,13 @@
     }
 }
 
+bool budget_book::closed() const
+{
+    return std::all_of(this->accounts.begin(), this->accounts.end(),
+                       [](auto const& entry)
+                       { return budget::is_closed(entry.second.share); });
+}
+
 bool budget_book::ready() const
 {
     return std::all_of(this->accounts.begin(), this->accounts.end(),
@@ -189,9 +336,13 @@
 
 void budget_book::step(budget_id const& budget)
 {
+    if (!this->spending.ready())
+    {
+        return; // shares of the router before may still be taken over
+    }
     auto& of = this->accounts.at(budget);
     auto next =
-        budget::next_step(std::move(of.share), this->holder, this->now.now());
+        budget::next_step(std::move(of.share), of.holder, this->now.now());
     of.share = std::move(next.state);
     switch (next.kind)
     {
@@ -211,7 +362,7 @@
 void budget_book::look(account& of)
 {
     auto const id = of.share.budget;
-    auto const share_name = budget::share_key(id, this->holder.incarnation);
+    auto const share_name = budget::share_key(id, of.holder.incarnation);
     auto const finish_look =
         [this, id](std::variant<store::row, error> const& budget_reply,
                    store::row const& share)
@@ -228,9 +379,9 @@
         std::vector<store::row> const rows{
             std::get<store::row>(budget_reply),
             share,
-            {budget::holder_key(this->holder.incarnation), this->holder.version,
-             ""}};
-        account.share = budget::looked(std::move(account.share), this->holder,
+            {budget::holder_key(account.holder.incarnation),
+             account.holder.version, ""}};
+        account.share = budget::looked(std::move(account.share), account.holder,
                                        rows, this->now.now());
         raise_paid(account.share, account.paid);
         this->settle_waiting(account);
@@ -265,8 +416,8 @@
     // Nobody takes shares back here, so there is no holder row to check.
     auto own = txn;
     std::erase_if(
-        own.conditions, [this](store::condition const& one)
-        { return one.key == budget::holder_key(this->holder.incarnation); });
+        own.conditions, [&of](store::condition const& one)
+        { return one.key == budget::holder_key(of.holder.incarnation); });
     auto const id = of.share.budget;
     this->port.commit(own,
                       [this, id](store::commit_result const& result)
@@ -274,7 +425,7 @@
                           auto& account = this->accounts.at(id);
                           this->note_write(account, result);
                           account.share = budget::wrote(
-                              std::move(account.share), this->holder, result,
+                              std::move(account.share), account.holder, result,
                               this->now.now());
                           raise_paid(account.share, account.paid);
                           this->settle_waiting(account);
@@ -305,6 +456,7 @@
 
 void budget_book::settle_waiting(account& of)
 {
+    this->set_limit(of);
     auto answered =
         budget::answer_waiting(std::move(of.share), this->now.now());
     of.share = std::move(answered.state);
@@ -319,6 +471,22 @@
         this->waiting.erase(found);
         done(one.reply);
     }
+    this->raise_ceiling(of);
+}
+
+/// A reservation that the share covers and only its ceiling holds back does not
+/// wait for the next regular write.
+void budget_book::raise_ceiling(account const& of)
+{
+    auto const& share = of.share;
+    auto const covered = [&share](budget::waiting_reservation const& one)
+    {
+        return one.amount <= budget::free_tokens(share);
+    };
+    if (std::any_of(share.waiting.begin(), share.waiting.end(), covered))
+    {
+        this->spending.hurry();
+    }
 }
 
 void budget_book::tick()
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -2,6 +2,7 @@
 #define CAPERPATH_SRC_GATEWAY_BUDGET_BOOK_HPP
 
 #include "gateway/decision_log.hpp"
+#include "gateway/spend_keeper.hpp"
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/budget/share.hpp>
@@ -13,22 +14,27 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <string>
 #include <unordered_map>
 
 namespace caperpath::gateway
 {
 
 /// The shares that this router holds of the customers' budgets: carries out
-/// over the store what the share core asks for. Shares of a router that dies
-/// are not taken back, since nothing here proves its death or what it had
-/// spent; so they are kept small. Loop thread only; outlives its calls, and
-/// `log` outlives it.
+/// over the store what the share core asks for. The shares of a router that
+/// dies are taken over by its successor at the same address, as far as its
+/// spend row shows that they were not spent. Loop thread only; outlives its
+/// calls, and `log` outlives it.
 class budget_book
 {
 public:
     budget_book(boost::asio::any_io_executor const& executor,
-                store::async_port port, incarnation_id incarnation,
-                decision_log& log);
+                store::async_port port, std::string vm, std::string address,
+                incarnation_id incarnation, decision_log& log);
+
+    /// Begins; call once the own address is bound.
+    void start();
 
     /// A configuration is in force: budgets are opened, and paid amounts are
     /// raised (never lowered: what was paid before may be spent already).
@@ -50,6 +56,9 @@
     /// Gives back what is free, now and as requests end; admits nothing more.
     void close();
 
+    /// True when everything was given back. @pre `close` was called.
+    bool closed() const;
+
     /// True when each budget's first share is here, or was tried for.
     bool ready() const;
 
@@ -58,9 +67,21 @@
     {
         budget::share_state share;
         token_count paid{};
+        budget::holder_view holder;
     };
     using replies = std::function<void(budget::reserve_reply)>;
 
+    account& open_account(budget_id const& budget);
+    std::map<budget_id, token_count> wanted_ceilings() const;
+    void inherit(incarnation_id const& dead,
+                 std::map<budget_id, token_count> const& ceilings,
+                 std::function<void()> const& done);
+    void take_over(budget_id const& budget, token_count spent,
+                   store::row const& found,
+                   std::shared_ptr<void> const& pending);
+    void set_limit(account& of) const;
+    void pass_on();
+    void raise_ceiling(account const& of);
     void step(budget_id const& budget);
     void look(account& of);
     void write(account& of, store::transaction const& txn);
@@ -70,8 +91,9 @@
 
     boost::asio::steady_timer timer;
     store::async_port port;
-    budget::holder_view holder;
+    incarnation_id incarnation;
     decision_log& log;
+    spend_keeper spending;
     caperpath::clock now{caperpath::clock::monotonic()};
     std::map<budget_id, account> accounts;
     std::unordered_map<request_id, replies> waiting;
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -18,8 +18,13 @@
            incarnation_id incarnation, int log_descriptor)
     : loop{loop}, settings{settings}, names{std::move(names)},
       log{loop, log_descriptor, settings.vm}, prompts{remembered_parts},
-      repeats{settings.retries},
-      budgets{loop, store, std::move(incarnation), this->log}, pool{loop}
+      repeats{settings.retries}, budgets{loop,
+                                         store,
+                                         settings.vm,
+                                         settings.callers,
+                                         std::move(incarnation),
+                                         this->log},
+      pool{loop}
 {
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,8 +26,10 @@
 constexpr std::chrono::milliseconds tick_time{100};
 /// The balancer asks once a second and takes a router out after two misses.
 constexpr duration balancer_notices{3'000};
+/// Giving shares back takes two round trips for each budget, all at once.
+constexpr duration longest_return{1'500};
 /// What is left of the grace time for the process to end by itself.
-constexpr duration exit_margin{400};
+constexpr duration exit_margin{800};
 /// A router without a first share of some budget serves the other customers.
 constexpr duration longest_wait_for_shares{1'500};
 constexpr std::chrono::seconds page_timeout{5};
@@ -88,6 +90,7 @@
     this->accept_callers();
     this->accept_pages(this->readiness);
     this->accept_pages(this->metrics);
+    this->shared.budgets.start();
     this->sites->start();
     this->servers->start();
     this->roster.start();
@@ -395,7 +398,9 @@
     auto const since = this->shared.now.now() - this->stop_began;
     auto const done = this->shared.open_requests == 0 &&
                       this->shared.connections == 0 &&
-                      since >= balancer_notices;
+                      since >= balancer_notices &&
+                      (this->shared.budgets.closed() ||
+                       since >= balancer_notices + longest_return);
     return done || since >= this->shared.settings.grace - exit_margin;
 }
 
--- /dev/null
+++ b/src/gateway/spend_keeper.hpp
@@ -0,0 +1,89 @@
+#ifndef CAPERPATH_SRC_GATEWAY_SPEND_KEEPER_HPP
+#define CAPERPATH_SRC_GATEWAY_SPEND_KEEPER_HPP
+
+#include "gateway/decision_log.hpp"
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/budget/spend_journal.hpp>
+#include <caperpath/store/async_port.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace caperpath::gateway
+{
+
+/// Whom a spend keeper asks and tells.
+struct spend_listener
+{
+    /// The ceilings that the budgets need now.
+    std::function<std::map<budget_id, token_count>()> wanted;
+
+    /// The limits may have changed.
+    std::function<void()> changed;
+
+    /// Called once, before the first limit above zero: the dead router that had
+    /// this address, with ceilings that held until its end. Call `done` when
+    /// its shares were taken over.
+    std::function<void(incarnation_id const& dead,
+                       std::map<budget_id, token_count> const& ceilings,
+                       std::function<void()> done)>
+        inherit;
+};
+
+/// Keeps this router's spend row in the store and reads that of the router
+/// before it. Loop thread only; outlives its calls, and `log` outlives it.
+class spend_keeper
+{
+public:
+    spend_keeper(boost::asio::any_io_executor const& executor,
+                 store::async_port port, std::string vm, std::string address,
+                 incarnation_id self, spend_listener listener,
+                 decision_log& log);
+
+    /// Begins; call once the own address is bound: that proves that the router
+    /// which had it is dead.
+    void start();
+
+    /// A reservation waits for a higher ceiling.
+    void hurry();
+
+    token_count limit(budget_id const& budget, token_count granted) const;
+
+    /// True when limits above zero may be given.
+    bool ready() const;
+
+private:
+    void read_old();
+    void take_old(store::row const& row);
+    void first_write();
+    void first_wrote(budget::spend_row const& row,
+                     store::commit_result const& result);
+    void write();
+    void wrote(budget::spend_row const& row,
+               store::commit_result const& result);
+    void refused(store::commit_result const& result);
+    void after(duration pause, std::function<void()> next);
+    store::transaction transaction_of(budget::spend_row const& row) const;
+
+    boost::asio::steady_timer timer;
+    store::async_port port;
+    std::string vm;
+    spend_listener listener;
+    decision_log& log;
+    caperpath::clock now{caperpath::clock::monotonic()};
+    budget::spend_journal journal;
+    std::optional<budget::spend_row> old; ///< of the router before
+    bool writing{false};
+    bool started{false};
+    bool hurried{false};
+};
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/tests/fleet/rules_test.cpp
@@ -0,0 +1,160 @@
+#include <caperpath/fleet/attempt.hpp>
+#include <caperpath/fleet/event_scan.hpp>
+#include <caperpath/fleet/retry_window.hpp>
+#include <caperpath/fleet/roster.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace caperpath;
+using namespace caperpath::fleet;
+
+/// The small rules of the core: attempts, repeats, events, the roster.
+class rules_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(rules_test);
+    CPPUNIT_TEST(an_order_in_doubt_is_never_sent_again);
+    CPPUNIT_TEST(not_run_is_said_only_when_nothing_can_have_run);
+    CPPUNIT_TEST(a_request_that_may_repeat_moves_on_within_its_servers);
+    CPPUNIT_TEST(repeats_of_all_routers_stay_within_the_limit);
+    CPPUNIT_TEST(events_are_passed_on_whole_however_they_are_cut);
+    CPPUNIT_TEST(a_half_event_is_held_back);
+    CPPUNIT_TEST(a_router_without_heartbeats_is_counted_out);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr instant start{100'000};
+
+    // An engine takes an order and the connection breaks before it answers.
+    // Sent again, the order would be placed twice and paid twice.
+    void an_order_in_doubt_is_never_sent_again()
+    {
+        attempt_state state;
+        state.kind = request_kind::non_idempotent;
+        state.sends = 1;
+        state.runs = 1;
+        CPPUNIT_ASSERT(!may_send_again(state, attempt_end::in_doubt));
+        CPPUNIT_ASSERT(!may_send_again(state, attempt_end::failed));
+        state.kind = request_kind::streaming;
+        CPPUNIT_ASSERT(!may_send_again(state, attempt_end::in_doubt));
+        state.resumable = true;
+        state.max_servers = 2;
+        CPPUNIT_ASSERT(may_send_again(state, attempt_end::in_doubt));
+    }
+
+    // A caller that is told "not run" sends its order again. If it had run, the
+    // customer gets two.
+    void not_run_is_said_only_when_nothing_can_have_run()
+    {
+        attempt_state state;
+        state.sends = 2;
+        CPPUNIT_ASSERT_EQUAL(503, final_status(state, attempt_end::not_run));
+        CPPUNIT_ASSERT_EQUAL(503, final_status(state, attempt_end::expired));
+        state.runs = 1;
+        CPPUNIT_ASSERT_EQUAL(502, final_status(state, attempt_end::not_run));
+        CPPUNIT_ASSERT_EQUAL(504, final_status(state, attempt_end::expired));
+    }
+
+    void a_request_that_may_repeat_moves_on_within_its_servers()
+    {
+        attempt_state state;
+        state.kind = request_kind::idempotent;
+        state.max_servers = 2;
+        state.sends = 1;
+        state.runs = 1;
+        CPPUNIT_ASSERT(may_send_again(state, attempt_end::failed));
+        state.runs = 2;
+        CPPUNIT_ASSERT(!may_send_again(state, attempt_end::failed));
+        state.runs = 0;
+        state.sends = most_sends;
+        CPPUNIT_ASSERT(!may_send_again(state, attempt_end::not_reached));
+    }
+
+    // Engines fail a part of their requests. Without a limit for all routers
+    // together the repeats alone keep the engines overloaded.
+    void repeats_of_all_routers_stay_within_the_limit()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                retry_limit const limit{0.2, 58, {10'000}};
+                auto const routers = *rc::gen::inRange(1, 12);
+                auto const requests = *rc::gen::inRange(0, 200);
+                std::int64_t taken = 0;
+                for (int router = 0; router < routers; ++router)
+                {
+                    retry_window window{limit};
+                    for (int i = 0; i < requests; ++i)
+                    {
+                        window.note_request({"s"}, start);
+                    }
+                    while (window.take({"s"}, routers, start))
+                    {
+                        taken += 1;
+                    }
+                    RC_ASSERT(window.left({"s"}, routers,
+                                          start + limit.window + duration{1}) >=
+                              0);
+                }
+                RC_ASSERT(static_cast<double>(taken) <=
+                          limit.ratio * requests * routers + limit.slack);
+            }));
+    }
+
+    void events_are_passed_on_whole_however_they_are_cut()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                std::string const all =
+                    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                    "id: 3\ndata: c\ndata: d\n\n";
+                event_scan scan;
+                std::string passed;
+                for (std::size_t at = 0; at < all.size();)
+                {
+                    auto const size =
+                        static_cast<std::size_t>(*rc::gen::inRange(1, 12));
+                    passed += scan.feed(std::string_view{all}.substr(at, size));
+                    RC_ASSERT(passed.empty() || passed.ends_with("\n"));
+                    at += size;
+                }
+                RC_ASSERT(passed == all);
+                RC_ASSERT(scan.last_id() == "3");
+                RC_ASSERT(scan.events() == 3);
+                RC_ASSERT(scan.take_rest().empty());
+            }));
+    }
+
+    // An engine stops in the middle of an event, and another one goes on after
+    // the last whole event. Had the half been passed on, the caller would read
+    // a mix of both.
+    void a_half_event_is_held_back()
+    {
+        event_scan scan;
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"},
+                             scan.feed("id: 1\ndata: a\n\nid: 2\ndata: b"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b"}, scan.take_rest());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, scan.last_id());
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: c\n\n"},
+                             scan.feed("id: 2\ndata: c\n\n"));
+    }
+
+    // A router loses power. Counted for ever, its part of the fleet's repeats
+    // would be lost to the others.
+    void a_router_without_heartbeats_is_counted_out()
+    {
+        std::vector<heartbeat> rows{{{"a"}, "x", 1}, {{"b"}, "y", 2}};
+        auto known = seen({}, rows, start);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, alive(known, start));
+        rows[0].version = 3;
+        auto const later = start + member_lifetime + duration{1};
+        known = seen(known, rows, later);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, alive(known, later));
+        CPPUNIT_ASSERT(dead(known, later).empty());
+        auto const end = start + row_lifetime + duration{1};
+        CPPUNIT_ASSERT_EQUAL(std::string{"b"}, dead(known, end).at(0).value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, alive({}, start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rules_test);
--- /dev/null
+++ b/tests/gateway/fake_server.cpp
@@ -0,0 +1,130 @@
+#include "gateway/fake_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <chrono>
+#include <sstream>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds piece_pause{2};
+
+} // namespace
+
+fake_server::fake_server(boost::asio::io_context& loop, answerer answer)
+    : loop{loop}, answer{std::move(answer)},
+      acceptor{loop, {boost::asio::ip::make_address("127.0.0.1"), 0}}
+{
+    this->accept();
+}
+
+std::string fake_server::address() const
+{
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+}
+
+void fake_server::accept()
+{
+    this->acceptor.async_accept(
+        [this](boost::system::error_code fault, tcp::socket socket)
+        {
+            if (fault)
+            {
+                return;
+            }
+            this->connections += 1;
+            boost::asio::co_spawn(this->loop, this->serve(std::move(socket)),
+                                  boost::asio::detached);
+            this->accept();
+        });
+}
+
+boost::asio::awaitable<void> fake_server::serve(tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    boost::asio::steady_timer timer{this->loop};
+    while (true)
+    {
+        boost::system::error_code fault;
+        request got;
+        co_await boost::beast::http::async_read(
+            socket, buffer, got,
+            asio::redirect_error(asio::use_awaitable, fault));
+        if (fault)
+        {
+            co_return;
+        }
+        this->requests.push_back(got);
+        auto const play = this->answer(got);
+        for (auto const& piece : play.pieces)
+        {
+            co_await asio::async_write(
+                socket, asio::buffer(piece),
+                asio::redirect_error(asio::use_awaitable, fault));
+            timer.expires_after(piece_pause);
+            co_await timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, fault));
+        }
+        if (play.after == script::end::reset)
+        {
+            socket.set_option(asio::socket_base::linger{true, 0}, fault);
+            socket.close(fault); // the destructor would not reset
+        }
+        if (play.after == script::end::silent)
+        {
+            char byte{};
+            co_await socket.async_read_some(
+                asio::buffer(&byte, 1),
+                asio::redirect_error(asio::use_awaitable, fault));
+            this->closed_by_router += fault ? 1 : 0;
+        }
+        if (play.after != script::end::keep)
+        {
+            co_return;
+        }
+    }
+}
+
+std::string whole_answer(fake_server::request const& to, int status,
+                         std::string const& body, std::string const& headers)
+{
+    std::ostringstream text;
+    text << "HTTP/1.1 " << status
+         << " Status\r\nRequest-Id: " << to["Request-Id"]
+         << "\r\nUpstream-Signature: s1\r\n"
+         << headers << "Content-Length: " << body.size() << "\r\n\r\n"
+         << body;
+    return text.str();
+}
+
+std::string stream_head(fake_server::request const& to)
+{
+    std::ostringstream text;
+    text << "HTTP/1.1 200 OK\r\nRequest-Id: " << to["Request-Id"]
+         << "\r\nUpstream-Signature: s1\r\n"
+         << "Content-Type: text/event-stream\r\n"
+         << "Transfer-Encoding: chunked\r\n\r\n";
+    return text.str();
+}
+
+std::string chunk_of(std::string const& bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/tests/gateway/fake_store.cpp
@@ -0,0 +1,200 @@
+#include "gateway/fake_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+error const no_answer{error_kind::timeout, "call", "store", "no answer"};
+constexpr std::chrono::milliseconds call_timeout{50};
+
+} // namespace
+
+fake_store::fake_store(boost::asio::io_context& loop) : loop{loop}
+{
+}
+
+void fake_store::later(std::function<void()> call)
+{
+    if (this->reachable)
+    {
+        boost::asio::post(this->loop, std::move(call));
+        return;
+    }
+    auto const timer =
+        std::make_shared<boost::asio::steady_timer>(this->loop, call_timeout);
+    timer->async_wait([timer, call = std::move(call)](auto const&) { call(); });
+}
+
+store::commit_result fake_store::commit(store::transaction const& txn)
+{
+    store::commit_result refused{store::commit_outcome::refused, {}, no_answer};
+    for (auto const& one : txn.conditions)
+    {
+        auto const found = this->rows.find(one.key);
+        auto const now = found == this->rows.end() ? store::row{one.key, 0, ""}
+                                                   : found->second;
+        if (now.version != one.version)
+        {
+            refused.failed.push_back(now);
+        }
+    }
+    if (!refused.failed.empty())
+    {
+        return refused;
+    }
+    this->version += 1;
+    for (auto const& one : txn.writes)
+    {
+        if (one.value)
+        {
+            this->rows[one.key] = {one.key, this->version, *one.value};
+        }
+        else
+        {
+            this->rows.erase(one.key);
+        }
+    }
+    return {
+        store::commit_outcome::applied, {}, {}, this->version, this->now_ms};
+}
+
+void fake_store::put(std::string const& table, std::string const& key,
+                     std::optional<std::string> value)
+{
+    this->version += 1;
+    if (value)
+    {
+        this->tables[table][key] = *value;
+    }
+    else
+    {
+        this->tables[table].erase(key);
+    }
+    this->history.push_back(
+        {this->version, table, {key, value.value_or(""), !value}});
+    this->answer_waiting();
+}
+
+std::string fake_store::own(std::string const& key) const
+{
+    auto const found = this->rows.find(key);
+    return found == this->rows.end() ? std::string{} : found->second.value;
+}
+
+store::feed_page fake_store::list(std::string const& table) const
+{
+    store::feed_page page;
+    page.version = this->version;
+    auto const found = this->tables.find(table);
+    if (found != this->tables.end())
+    {
+        for (auto const& [key, value] : found->second)
+        {
+            page.rows.push_back({key, value, false});
+        }
+    }
+    return page;
+}
+
+store::feed_page fake_store::changes(std::string const& table,
+                                     std::uint64_t since) const
+{
+    store::feed_page page;
+    page.version = this->version;
+    for (auto const& one : this->history)
+    {
+        if (one.table == table && one.version > since)
+        {
+            page.rows.push_back(one.row);
+        }
+    }
+    return page;
+}
+
+void fake_store::answer_waiting()
+{
+    if (!this->reachable)
+    {
+        return;
+    }
+    auto const all = std::exchange(this->waiters, {});
+    for (auto const& one : all)
+    {
+        auto const page = this->changes(one.table, one.since);
+        if (page.rows.empty())
+        {
+            this->waiters.push_back(one);
+            continue;
+        }
+        this->later([done = one.done, page] { done(page); });
+    }
+}
+
+store::async_port fake_store::port()
+{
+    store::async_port port;
+    port.commit = [this](store::transaction const& txn,
+                         std::function<void(store::commit_result)> done)
+    {
+        auto const applied = this->reachable;
+        auto result = applied ? this->commit(txn) : store::commit_result{};
+        if (!applied || this->loses_answers)
+        {
+            result = {store::commit_outcome::unknown, {}, no_answer};
+        }
+        this->later([done, result] { done(result); });
+    };
+    port.read = [this](std::string const& key, store::reply<store::row> done)
+    {
+        auto const found = this->rows.find(key);
+        auto const row =
+            found == this->rows.end() ? store::row{key, 0, ""} : found->second;
+        auto const lost = !this->reachable;
+        this->later([done, row, lost] { lost ? done(no_answer) : done(row); });
+    };
+    port.scan = [this](std::string const& first, std::string const& last,
+                       store::reply<std::vector<store::row>> done)
+    {
+        std::vector<store::row> found;
+        for (auto const& [key, row] : this->rows)
+        {
+            if (key >= first && key < last)
+            {
+                found.push_back(row);
+            }
+        }
+        auto const lost = !this->reachable;
+        this->later([done, found, lost]
+                    { lost ? done(no_answer) : done(found); });
+    };
+    port.list =
+        [this](std::string const& table, store::reply<store::feed_page> done)
+    {
+        auto const lost = !this->reachable;
+        this->later([done, page = this->list(table), lost]
+                    { lost ? done(no_answer) : done(page); });
+    };
+    port.follow = [this](std::string const& table, std::uint64_t since,
+                         duration, store::reply<store::feed_page> done)
+    {
+        if (!this->reachable)
+        {
+            this->later([done] { done(no_answer); });
+            return;
+        }
+        this->waiters.push_back({table, since, std::move(done)});
+        this->answer_waiting();
+    };
+    return port;
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/tests/gateway/fleet_site.cpp
@@ -0,0 +1,210 @@
+#include "gateway/fleet_site.hpp"
+
+#include "platform/dialect.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <fcntl.h>
+
+#include <chrono>
+#include <sstream>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{10};
+constexpr std::chrono::milliseconds slice{2};
+
+std::string route(std::string const& prefix, std::string const& kind,
+                  std::string const& service, int servers,
+                  std::string const& more)
+{
+    std::ostringstream text;
+    text << R"({"name":")" << prefix << R"(","hostname":"site.example",)"
+         << R"("prefix":"/)" << prefix << R"(/","route-type":")" << kind
+         << R"(","backend":")" << service << R"(","attempts":)" << servers
+         << R"(,"timeout-ms":600,"target-latency-ms":300,"priority":1)" << more
+         << "}";
+    return text.str();
+}
+
+} // namespace
+
+fleet_site::fleet_site(bool with_configuration)
+    : log_descriptor{::open("/dev/null", O_WRONLY)}
+{
+    if (with_configuration)
+    {
+        this->put_configuration(1);
+    }
+    this->start_router();
+}
+
+fleet_site::~fleet_site()
+{
+    this->loop.stop();
+    this->router.reset();
+}
+
+void fleet_site::start_router()
+{
+    settings all;
+    all.vm = "vm-1";
+    all.failure_domain = "z";
+    all.callers = "127.0.0.1:" + std::to_string(this->port);
+    all.readiness = "127.0.0.1:0";
+    all.metrics = "127.0.0.1:0";
+    all.store_address = "127.0.0.1:1";
+    all.retries = {0.2, 50, {10'000}};
+    this->lives += 1;
+    this->router = std::make_unique<gateway_server>(
+        this->loop, all, platform::make_dialect(), this->store.port(),
+        incarnation_id{"vm-1-" + std::to_string(this->lives)},
+        this->log_descriptor);
+    boost::leaf::try_handle_all([this] { return this->router->start(); },
+                                [](error const& fault)
+                                { throw std::runtime_error(to_string(fault)); },
+                                [] { throw std::runtime_error("start"); });
+    this->port = this->router->callers_port();
+}
+
+void fleet_site::put_configuration(std::int64_t version, std::int64_t paid)
+{
+    std::ostringstream text;
+    text << R"({"version":)" << version << R"(,"route-table":[)"
+         << route("order", "non_idempotent", "app", 1, "") << ","
+         << route("read", "idempotent", "app", 2, "") << ","
+         << route("chat", "streaming", "llm", 1, R"(,"session-affinity":true)")
+         << ","
+         << route("resume", "streaming", "llm", 2,
+                  R"(,"session-affinity":true,"stream-resume":true)")
+         << R"(],"backends":[{"name":"app"},{"name":"llm","engine-type":)"
+         << R"({"batch-slots":8,"kv-capacity":444000,"stride":2}}],)"
+         << R"("limits":{"max-body-bytes":2000},)"
+         << R"("tenants":[{"name":"taller","api-keys":["key"],"reserved":)"
+         << paid << "}]}";
+    this->store.put("op", "config", text.str());
+}
+
+fake_server& fleet_site::add_server(std::string const& id,
+                                    std::string const& service,
+                                    fake_server::answerer answer)
+{
+    auto one = std::make_unique<fake_server>(this->loop, std::move(answer));
+    this->store.put("servers", id,
+                    R"({"backend":")" + service + R"(","address":")" +
+                        one->address() +
+                        R"(","zone":"z","batch-slots":4,"state":"healthy"})");
+    auto& added = *one;
+    this->servers[id] = std::move(one);
+    return added;
+}
+
+void fleet_site::restart()
+{
+    this->router.reset();
+    this->loop.restart();
+    this->start_router();
+}
+
+bool fleet_site::run_until(std::function<bool()> const& done)
+{
+    auto const end = std::chrono::steady_clock::now() + patience;
+    while (!done())
+    {
+        if (std::chrono::steady_clock::now() > end)
+        {
+            return false;
+        }
+        this->loop.run_for(slice);
+        this->store.now_ms += slice.count();
+    }
+    return true;
+}
+
+got_answer fleet_site::call(std::uint16_t to, std::string const& bytes)
+{
+    namespace http = boost::beast::http;
+    tcp::socket socket{this->loop};
+    socket.connect({asio::ip::make_address("127.0.0.1"), to});
+    auto const one = std::make_shared<connection>(std::move(socket),
+                                                  std::chrono::seconds{10});
+    one->start();
+    one->send(bytes);
+    got_answer got;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    auto const read = [&]
+    {
+        boost::system::error_code fault;
+        auto& input = one->input();
+        if (input.size() > 0)
+        {
+            auto const used = parser.put(input.data(), fault);
+            input.consume(used);
+        }
+        got.closed = one->end() != peer_end::open;
+        return parser.is_done() || got.closed;
+    };
+    this->run_until(read);
+    got.whole = parser.is_done();
+    if (parser.is_header_done())
+    {
+        got.status = static_cast<int>(parser.get().result_int());
+        std::ostringstream head;
+        for (auto const& field : parser.get())
+        {
+            head << field.name_string() << ": " << field.value() << "\n";
+        }
+        got.head = head.str();
+        got.body = parser.get().body();
+    }
+    one->close();
+    return got;
+}
+
+got_answer fleet_site::send(std::string const& bytes)
+{
+    return this->call(this->port, bytes);
+}
+
+std::string fleet_site::request(std::string const& method,
+                                std::string const& path,
+                                std::string const& headers,
+                                std::string const& body)
+{
+    static int number = 0;
+    number += 1;
+    std::ostringstream text;
+    text << method << " " << path << " HTTP/1.1\r\nHost: site.example\r\n"
+         << "Request-Id: r" << number << "\r\nDeadline-Ms: 1500\r\n"
+         << "Authorization: Bearer key\r\n"
+         << headers << "Content-Length: " << body.size() << "\r\n\r\n"
+         << body;
+    return text.str();
+}
+
+std::string fleet_site::prompt(std::string const& path, int prompt_tokens,
+                               int output_tokens)
+{
+    return request(
+        "POST", path,
+        "Model-Name: m\r\nToken-Count: " + std::to_string(prompt_tokens) + "," +
+            std::to_string(output_tokens) + "\r\nPrefix-Hash: aa:100,bb:50\r\n",
+        "question");
+}
+
+int fleet_site::readiness()
+{
+    return this
+        ->call(this->router->readiness_port(),
+               "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        .status;
+}
+
+} // namespace caperpath::gateway
--- /dev/null
+++ b/tests/gateway/fleet_site.hpp
@@ -0,0 +1,83 @@
+#ifndef CAPERPATH_TESTS_GATEWAY_FLEET_SITE_HPP
+#define CAPERPATH_TESTS_GATEWAY_FLEET_SITE_HPP
+
+#include "gateway/fake_server.hpp"
+#include "gateway/fake_store.hpp"
+#include "gateway/gateway.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace caperpath::gateway
+{
+
+/// What a caller got on its connection.
+struct got_answer
+{
+    int status{};     ///< 0 if no answer came
+    std::string head; ///< status line and headers
+    std::string body;
+    bool whole{false};  ///< the answer was complete
+    bool closed{false}; ///< the router closed the connection
+};
+
+/// One router with a fake store and fake servers on one loop. The store holds a
+/// configuration with these routes of host `site.example`:
+///
+///     /order/   non-idempotent      /read/    idempotent, two servers
+///     /chat/    streaming           /resume/  streaming, resumable
+///
+/// and a customer with key `key` and 100,000 tokens.
+class fleet_site
+{
+public:
+    explicit fleet_site(bool with_configuration = true);
+    ~fleet_site();
+
+    /// Adds a server of `service` ("app" or "llm") that answers by `answer`.
+    fake_server& add_server(std::string const& id, std::string const& service,
+                            fake_server::answerer answer);
+
+    void put_configuration(std::int64_t version, std::int64_t paid = 100'000);
+
+    /// Starts the router again as a process would after a crash.
+    void restart();
+
+    /// Runs the loop until `done` or for some seconds; false if it was not.
+    bool run_until(std::function<bool()> const& done);
+
+    /// Sends raw bytes over a new connection and reads one answer.
+    got_answer send(std::string const& bytes);
+
+    /// A request with the usual headers.
+    static std::string request(std::string const& method,
+                               std::string const& path,
+                               std::string const& headers = "",
+                               std::string const& body = "");
+
+    /// A request to a model engine.
+    static std::string prompt(std::string const& path, int prompt_tokens,
+                              int output_tokens);
+
+    /// The status that the balancer sees.
+    int readiness();
+
+    asio::io_context loop;
+    fake_store store{loop};
+    std::unique_ptr<gateway_server> router;
+    int log_descriptor{-1};
+
+private:
+    void start_router();
+    got_answer call(std::uint16_t port, std::string const& bytes);
+
+    std::map<std::string, std::unique_ptr<fake_server>> servers;
+    int lives{};
+    std::uint16_t port{};
+};
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/tests/gateway/stream_test.cpp
@@ -0,0 +1,213 @@
+#include "gateway/fleet_site.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace caperpath;
+using namespace caperpath::gateway;
+
+/// Streams, budgets, and the end and restart of a router.
+class gateway_stream_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gateway_stream_test);
+    CPPUNIT_TEST(events_come_through_in_order);
+    CPPUNIT_TEST(a_stream_that_breaks_off_does_not_look_whole);
+    CPPUNIT_TEST(a_resumable_stream_goes_on_at_another_server);
+    CPPUNIT_TEST(no_more_is_served_than_was_paid);
+    CPPUNIT_TEST(a_budget_lasts_through_an_outage_of_the_store);
+    CPPUNIT_TEST(a_successor_takes_over_what_was_not_spent);
+    CPPUNIT_TEST(a_lost_draw_is_not_spent_twice);
+    CPPUNIT_TEST(a_planned_stop_finishes_what_is_open);
+    CPPUNIT_TEST_SUITE_END();
+
+    using request = fake_server::request;
+
+    static std::string event(int id)
+    {
+        return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) +
+               "\n\n";
+    }
+
+    static script three_events(request const& got)
+    {
+        return {{stream_head(got), chunk_of(event(1)),
+                 chunk_of(event(2) + event(3)), chunk_of("")}};
+    }
+
+    static void wait_ready(fleet_site& here)
+    {
+        CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
+    }
+
+    void events_come_through_in_order()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        auto const got = here.send(fleet_site::prompt("/chat/1", 500, 20));
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), got.body);
+    }
+
+    // An engine dies in the middle of a stream that may not be resumed. If the
+    // caller could not tell, a diagnosis would lack its end.
+    void a_stream_that_breaks_off_does_not_look_whole()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm",
+                        [](request const& got)
+                        {
+                            return script{{stream_head(got), chunk_of(event(1)),
+                                           "20\r\nid: 2"},
+                                          script::end::reset};
+                        });
+        wait_ready(here);
+        auto const got = here.send(fleet_site::prompt("/chat/1", 500, 20));
+        CPPUNIT_ASSERT(!got.whole);
+        CPPUNIT_ASSERT(got.closed);
+    }
+
+    // An engine dies in the middle of an event. Another one goes on after the
+    // last whole event, and the caller reads one stream without a gap.
+    void a_resumable_stream_goes_on_at_another_server()
+    {
+        fleet_site here;
+        std::string resumed_after;
+        auto const breaks_first = [&resumed_after](request const& got)
+        {
+            if (got.find("Last-Event-Id") == got.end())
+            {
+                return script{{stream_head(got), chunk_of(event(1)),
+                               chunk_of(event(2) + "id: 3\nda")},
+                              script::end::reset};
+            }
+            resumed_after = std::string{got["Last-Event-Id"]};
+            return script{{stream_head(got), chunk_of(event(3)), chunk_of("")}};
+        };
+        here.add_server("i-1", "llm", breaks_first);
+        here.add_server("i-2", "llm", breaks_first);
+        wait_ready(here);
+        auto const got = here.send(fleet_site::prompt("/resume/1", 500, 20));
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), got.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, resumed_after);
+    }
+
+    void no_more_is_served_than_was_paid()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        int served = 0;
+        for (int i = 0; i < 12; ++i)
+        {
+            auto const got =
+                here.send(fleet_site::prompt("/chat/1", 10'000, 20));
+            served += got.status == 200 ? 1 : 0;
+            CPPUNIT_ASSERT(got.status == 200 || got.status == 402 ||
+                           got.status == 429 || got.status == 503);
+        }
+        // Each uses 10,000 and six for its three events of two.
+        CPPUNIT_ASSERT_EQUAL(9, served);
+    }
+
+    // The store is away for seconds. Callers with budget left are served from
+    // the router's share.
+    void a_budget_lasts_through_an_outage_of_the_store()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        CPPUNIT_ASSERT_EQUAL(
+            200, here.send(fleet_site::prompt("/chat/1", 1'000, 20)).status);
+        here.store.reachable = false;
+        auto const served = [&]
+        {
+            return here.send(fleet_site::prompt("/chat/1", 500, 20)).status ==
+                   200;
+        };
+        CPPUNIT_ASSERT(here.run_until(served));
+    }
+
+    // A router is killed and starts again at once. What it had drawn and not
+    // spent would be lost to the customer, whose last requests are refused.
+    void a_successor_takes_over_what_was_not_spent()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        int served = 0;
+        for (int i = 0; i < 3; ++i)
+        {
+            served +=
+                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
+                        200
+                    ? 1
+                    : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, served);
+        auto const journaled = [&]
+        {
+            return here.store.own("spend/vm-1").find("\"acknowledged_ms\":0") ==
+                   std::string::npos;
+        };
+        CPPUNIT_ASSERT(here.run_until(journaled));
+        here.restart();
+        wait_ready(here);
+        for (int i = 0; i < 9; ++i)
+        {
+            served +=
+                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
+                        200
+                    ? 1
+                    : 0;
+        }
+        CPPUNIT_ASSERT(served <= 9);
+        CPPUNIT_ASSERT(served >= 8);
+    }
+
+    // A draw takes effect and its answer is lost. Drawn again as if it had not,
+    // the budget would be given out twice.
+    void a_lost_draw_is_not_spent_twice()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        here.store.loses_answers = true;
+        static_cast<void>(here.send(fleet_site::prompt("/chat/1", 30'000, 20)));
+        here.store.loses_answers = false;
+        int served = 0;
+        for (int i = 0; i < 12; ++i)
+        {
+            served +=
+                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
+                        200
+                    ? 1
+                    : 0;
+        }
+        CPPUNIT_ASSERT(served <= 9);
+        CPPUNIT_ASSERT(served >= 6);
+    }
+
+    // A machine is stopped for maintenance. A request that is open then gets
+    // its whole answer, and the balancer sends no new ones.
+    void a_planned_stop_finishes_what_is_open()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm",
+                        [&here](request const& got)
+                        {
+                            here.router->stop();
+                            return three_events(got);
+                        });
+        wait_ready(here);
+        auto const got = here.send(fleet_site::prompt("/chat/1", 500, 20));
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(503, here.readiness());
+        CPPUNIT_ASSERT(here.run_until([&] { return here.router->stopped(); }));
+        CPPUNIT_ASSERT(here.store.own("share/vm-1-1/taller").empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stream_test);
