--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -72,6 +72,10 @@
         token_count paid{};
         budget::holder_view holder;
         instant draws_from{}; ///< no draw before this without need
+
+        /// The paid amount stands in the configuration and not in the row, so
+        /// that a top-up needs no write of ours.
+        void raise_paid();
     };
     using replies = std::function<void(budget::reserve_reply)>;
 
--- /dev/null
+++ b/src/gateway/gateway_views.cpp
@@ -0,0 +1,155 @@
+#include "gateway/gateway.hpp"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+/// How the gateway's views of configuration and servers follow the store.
+namespace caperpath::gateway
+{
+
+void gateway_server::follow_store(store::async_port const& store)
+{
+    auto const& names = this->shared.names;
+    auto const reached = [this](bool reachable, error const& why)
+    {
+        this->note_store(reachable, why);
+    };
+    auto const on_site = [this](store::feed_page const& page)
+    {
+        this->apply_site(page);
+    };
+    this->sites = std::make_unique<table_follower>(
+        this->loop.get_executor(), store, names.site_table,
+        table_listener{on_site, on_site, reached});
+    auto const on_servers = [this](store::feed_page const& page)
+    {
+        for (auto const& row : page.rows)
+        {
+            this->apply_server(row);
+        }
+    };
+    this->servers = std::make_unique<table_follower>(
+        this->loop.get_executor(), store, names.server_table,
+        table_listener{[this](store::feed_page const& page)
+                       { this->replace_servers(page); },
+                       on_servers, reached});
+}
+
+/// A configuration never goes back in one life of the process: an older one
+/// could bring back a key that was revoked.
+void gateway_server::apply_site(store::feed_page const& page)
+{
+    for (auto const& row : page.rows)
+    {
+        if (row.key != this->shared.names.site_key || row.deleted)
+        {
+            continue;
+        }
+        auto read = this->shared.names.read_site(row.value);
+        if (auto const* fault = std::get_if<error>(&read))
+        {
+            this->shared.log.fault(*fault);
+            continue;
+        }
+        auto& parts = std::get<fleet::site_parts>(read);
+        auto const known = this->shared.site ? this->shared.site->version() : 0;
+        if (this->shared.site && parts.version <= known)
+        {
+            continue;
+        }
+        if (!this->shared.site)
+        {
+            this->site_known_at = this->shared.now.now();
+        }
+        this->shared.site =
+            std::make_shared<fleet::site const>(std::move(parts));
+        this->shared.budgets.apply(*this->shared.site);
+        this->shared.metrics.site_version(this->shared.site->version());
+        this->shared.log.write(
+            log_weight::notable, "configuration",
+            {{"version", std::to_string(this->shared.site->version())},
+             {"before", std::to_string(known)}});
+    }
+}
+
+/// The entry in a row, or nothing if it cannot be read: then nothing is known
+/// of that server any more, and it is not used.
+std::optional<fleet::server_entry>
+gateway_server::read_entry(store::feed_row const& row)
+{
+    auto const read = this->shared.names.read_server(row.key, row.value);
+    if (auto const* fault = std::get_if<error>(&read))
+    {
+        this->shared.log.fault(*fault);
+        return std::nullopt;
+    }
+    return std::get<fleet::server_entry>(read);
+}
+
+void gateway_server::note_listed(fleet::server_entry const& entry, bool is_new)
+{
+    if (is_new)
+    {
+        this->shared.pool.forget(entry.id);
+        this->shared.prompts.forget(entry.id);
+    }
+    if (is_new || entry.leaving)
+    {
+        this->shared.log.write(log_weight::notable, "server",
+                               {{"server", entry.id.value},
+                                {"state", entry.leaving ? "leaving" : "listed"},
+                                {"service", entry.service.value}});
+    }
+}
+
+void gateway_server::apply_server(store::feed_row const& row)
+{
+    auto const now = this->shared.now.now();
+    auto const entry = row.deleted ? std::nullopt : this->read_entry(row);
+    if (!entry)
+    {
+        fleet::unlist_server(this->shared.servers, {row.key}, now);
+        this->shared.log.write(log_weight::notable, "server",
+                               {{"server", row.key}, {"state", "unlisted"}});
+        return;
+    }
+    this->note_listed(*entry,
+                      fleet::list_server(this->shared.servers, *entry, now));
+}
+
+void gateway_server::replace_servers(store::feed_page const& page)
+{
+    std::vector<fleet::server_entry> entries;
+    for (auto const& row : page.rows)
+    {
+        if (auto entry = this->read_entry(row))
+        {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    auto const added = fleet::replace_servers(this->shared.servers, entries,
+                                              this->shared.now.now());
+    for (auto const& id : added)
+    {
+        this->note_listed(this->shared.servers.servers.at(id).entry, true);
+    }
+    this->shared.servers_listed = true;
+    this->shared.metrics.servers_listed(entries.size());
+}
+
+void gateway_server::note_store(bool reachable, error const& why)
+{
+    fleet::note_store(this->shared.servers, reachable, this->shared.now.now());
+    this->shared.metrics.store_call(reachable);
+    if (reachable != this->was_reachable)
+    {
+        this->was_reachable = reachable;
+        this->shared.log.write(log_weight::notable, "store",
+                               {{"state", reachable ? "regained" : "lost"},
+                                {"peer", why.peer},
+                                {"detail", why.detail}});
+    }
+}
+
+} // namespace caperpath::gateway
