Answer whoever still comes to a router that stops

Cause: a stopping router closes idle connections after 3 s and may live on until its grace time is over, when the store is away and its shares cannot go back. A connection made in that time was closed before its request was read; the balancer uses such machines when few others are left.

Ruled out: the machine being dead (it logged its stop and ended 7 s later), and refusals by budget (no request line at all in that time).

Change: a connection counts as idle only a second after it was made.

The new test failed before.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -17,6 +17,10 @@
 
 /// A caller that acknowledges nothing for so long has left.
 constexpr std::chrono::milliseconds caller_silence{5'000};
+/// A caller's first request follows its connection within a round trip.
+constexpr duration first_request_time{1'000};
+/// How often a stopping process looks whether a connection may be closed.
+constexpr duration stop_look{250};
 constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int request_timeout = 408;
 constexpr int header_too_large = 431;
@@ -61,7 +65,8 @@
     caller_session(core& shared, tcp::socket socket)
         : shared{shared}, sleeper{std::make_shared<waker>(shared.loop)},
           caller{
-              std::make_shared<connection>(std::move(socket), caller_silence)}
+              std::make_shared<connection>(std::move(socket), caller_silence)},
+          began{shared.now.now()}
     {
         this->caller->notify(this->sleeper);
         this->caller->start();
@@ -115,20 +120,27 @@
         auto const until = this->now() + this->limits().idle_timeout;
         while (this->caller->input().size() == 0)
         {
-            if (this->caller->end() != peer_end::open ||
-                this->shared.closing_idle)
+            auto const over = this->now() >= until || this->may_close();
+            if (this->caller->end() != peer_end::open || over)
             {
                 co_return false;
             }
-            if (this->now() >= until)
-            {
-                co_return false;
-            }
-            static_cast<void>(co_await this->wait(until));
+            auto const look =
+                this->shared.stopping ? stop_look : until - this->now();
+            static_cast<void>(co_await this->wait(this->now() + look));
         }
         co_return true;
     }
 
+    /// A process that ends closes idle connections. One that was just made is
+    /// about to bring a request: closed without a word, its caller would not
+    /// know whether it ran.
+    bool may_close() const
+    {
+        return this->shared.closing_idle &&
+               this->now() - this->began >= first_request_time;
+    }
+
     asio::awaitable<reading> read()
     {
         reading got;
@@ -229,6 +241,7 @@
     core& shared;
     waker_ptr sleeper;
     connection_ptr caller;
+    instant began;
 };
 
 } // namespace
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
+
 using namespace caperpath;
 using namespace caperpath::gateway;
 
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(a_successor_takes_over_what_was_not_spent);
     CPPUNIT_TEST(a_lost_draw_is_not_spent_twice);
     CPPUNIT_TEST(a_planned_stop_finishes_what_is_open);
+    CPPUNIT_TEST(a_router_that_stops_answers_whoever_still_comes);
     CPPUNIT_TEST_SUITE_END();
 
     using request = fake_server::request;
@@ -208,6 +211,30 @@
         CPPUNIT_ASSERT(here.run_until([&] { return here.router->stopped(); }));
         CPPUNIT_ASSERT(here.store.own("share/vm-1-1/taller").empty());
     }
+
+    // A machine is stopped while the store is away, so that the router waits to
+    // give its shares back. The balancer has few other routers left and sends
+    // callers on. Closed without a word, an order's caller cannot know whether
+    // it ran.
+    void a_router_that_stops_answers_whoever_still_comes()
+    {
+        fleet_site here;
+        here.add_server("i-1", "llm", three_events);
+        wait_ready(here);
+        // From now on it holds a share that it has to give back.
+        CPPUNIT_ASSERT_EQUAL(
+            200, here.send(fleet_site::prompt("/chat/1", 500, 20)).status);
+        here.store.reachable = false;
+        here.router->stop();
+        auto const closing =
+            std::chrono::steady_clock::now() + std::chrono::milliseconds{3'300};
+        CPPUNIT_ASSERT(here.run_until(
+            [&] { return std::chrono::steady_clock::now() > closing; }));
+        CPPUNIT_ASSERT(!here.router->stopped());
+        auto const got = here.send(fleet_site::prompt("/chat/1", 500, 20));
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT(got.status == 200 || got.status == 503);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stream_test);
