Let a test's router die with its loop, end the process without teardown

The process has the same order at its end when requests are open beyond the grace time: the gateway is destroyed, then the loop with requests that refer to it.

Ruled out: a fault while serving; the freed memory is the gateway itself, and the other loop tests are clean.

Change: the test gives the successor a site of its own with the dead one's store and address, and now also checks that the share row was renamed unchanged. The process ends by quick_exit after its log is flushed.

--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -22,6 +22,15 @@
 {
 }
 
+void fake_store::take_contents(fake_store const& before)
+{
+    this->version = before.version;
+    this->rows = before.rows;
+    this->tables = before.tables;
+    this->history = before.history;
+    this->now_ms = before.now_ms;
+}
+
 void fake_store::later(std::function<void()> call)
 {
     if (this->reachable)
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -21,6 +21,10 @@
 public:
     explicit fake_store(boost::asio::io_context& loop);
 
+    /// Takes over what another store holds, as the one store that outlives its
+    /// routers. @pre nobody uses `before` any more.
+    void take_contents(fake_store const& before);
+
     store::async_port port();
 
     /// Writes a row of a table that others write; no value deletes it.
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -33,10 +33,21 @@
     return text.str();
 }
 
+std::uint16_t free_port()
+{
+    asio::io_context loop;
+    tcp::acceptor const probe{loop, {asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
 } // namespace
 
-fleet_site::fleet_site(bool with_configuration)
-    : log_descriptor{::open("/dev/null", O_WRONLY)}
+fleet_site::fleet_site(empty)
+    : log_descriptor{::open("/dev/null", O_WRONLY)}, port{free_port()}
+{
+}
+
+fleet_site::fleet_site(bool with_configuration) : fleet_site{empty{}}
 {
     if (with_configuration)
     {
@@ -105,11 +116,16 @@
     return added;
 }
 
-void fleet_site::restart()
+std::unique_ptr<fleet_site>
+fleet_site::after_crash(std::unique_ptr<fleet_site> dead)
 {
-    this->router.reset();
-    this->loop.restart();
-    this->start_router();
+    std::unique_ptr<fleet_site> next{new fleet_site{empty{}}};
+    next->store.take_contents(dead->store);
+    next->port = dead->port;
+    next->lives = dead->lives;
+    dead.reset();
+    next->start_router();
+    return next;
 }
 
 bool fleet_site::run_until(std::function<bool()> const& done)
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -42,8 +42,10 @@
 
     void put_configuration(std::int64_t version, std::int64_t paid = 100'000);
 
-    /// Starts the router again as a process would after a crash.
-    void restart();
+    /// A site with the store and the address of one whose router has crashed.
+    /// Its servers have to be added anew.
+    static std::unique_ptr<fleet_site>
+    after_crash(std::unique_ptr<fleet_site> dead);
 
     /// Runs the loop until `done` or for some seconds; false if it was not.
     bool run_until(std::function<bool()> const& done);
@@ -70,6 +72,10 @@
     int log_descriptor{-1};
 
 private:
+    struct empty
+    {
+    };
+    explicit fleet_site(empty);
     void start_router();
     got_answer call(std::uint16_t port, std::string const& bytes);
 
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -41,6 +41,19 @@
         CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
     }
 
+    /// How many of `count` prompts of 10,000 tokens are served.
+    static int served_of(fleet_site& here, int count)
+    {
+        int served = 0;
+        for (int i = 0; i < count; ++i)
+        {
+            auto const got =
+                here.send(fleet_site::prompt("/chat/1", 10'000, 20));
+            served += got.status == 200 ? 1 : 0;
+        }
+        return served;
+    }
+
     void events_come_through_in_order()
     {
         fleet_site here;
@@ -136,35 +149,25 @@
     // spent would be lost to the customer, whose last requests are refused.
     void a_successor_takes_over_what_was_not_spent()
     {
-        fleet_site here;
-        here.add_server("i-1", "llm", three_events);
-        wait_ready(here);
-        int served = 0;
-        for (int i = 0; i < 3; ++i)
-        {
-            served +=
-                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
-                        200
-                    ? 1
-                    : 0;
-        }
-        CPPUNIT_ASSERT_EQUAL(3, served);
+        auto here = std::make_unique<fleet_site>();
+        here->add_server("i-1", "llm", three_events);
+        wait_ready(*here);
+        CPPUNIT_ASSERT_EQUAL(3, served_of(*here, 3));
         auto const journaled = [&]
         {
-            return here.store.own("spend/vm-1").find("\"acknowledged_ms\":0") ==
-                   std::string::npos;
+            auto const row = here->store.own("spend/vm-1");
+            return row.find("\"acknowledged_ms\":0") == std::string::npos &&
+                   row.find("taller") != std::string::npos;
         };
-        CPPUNIT_ASSERT(here.run_until(journaled));
-        here.restart();
-        wait_ready(here);
-        for (int i = 0; i < 9; ++i)
-        {
-            served +=
-                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
-                        200
-                    ? 1
-                    : 0;
-        }
+        CPPUNIT_ASSERT(here->run_until(journaled));
+        auto const share = here->store.own("share/vm-1-1/taller");
+        CPPUNIT_ASSERT(!share.empty());
+        here = fleet_site::after_crash(std::move(here));
+        here->add_server("i-1", "llm", three_events);
+        wait_ready(*here);
+        CPPUNIT_ASSERT(here->store.own("share/vm-1-1/taller").empty());
+        CPPUNIT_ASSERT_EQUAL(share, here->store.own("share/vm-1-2/taller"));
+        auto const served = 3 + served_of(*here, 9);
         CPPUNIT_ASSERT(served <= 9);
         CPPUNIT_ASSERT(served >= 8);
     }
@@ -179,15 +182,7 @@
         here.store.loses_answers = true;
         static_cast<void>(here.send(fleet_site::prompt("/chat/1", 30'000, 20)));
         here.store.loses_answers = false;
-        int served = 0;
-        for (int i = 0; i < 12; ++i)
-        {
-            served +=
-                here.send(fleet_site::prompt("/chat/1", 10'000, 20)).status ==
-                        200
-                    ? 1
-                    : 0;
-        }
+        auto const served = served_of(here, 12);
         CPPUNIT_ASSERT(served <= 9);
         CPPUNIT_ASSERT(served >= 6);
     }
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -114,7 +114,9 @@
     wait_for_signals(signals, loop, timer, serving);
     loop.run();
     serving.flush_log();
-    return 0;
+    // Requests that are open beyond the grace time refer to the gateway from
+    // the loop, and neither can be destroyed before the other.
+    std::quick_exit(0);
 }
 
 } // namespace
