Drop two fields that nothing reads

Cause: attempt_state::answer_begun and exchange::reserved were written and never read; the exchange's own answer_begun decides.

Measured: the gateway's, fleet's and adapter's 8 test programs pass.

--- a/include/caperpath/fleet/attempt.hpp
+++ b/include/caperpath/fleet/attempt.hpp
@@ -31,7 +31,6 @@
     std::int64_t runs{0};        ///< servers that ran it or may have run it
     std::int64_t max_servers{1}; ///< how many may
     std::int64_t sends{0};       ///< attempts of any result so far
-    bool answer_begun{false};    ///< part of an answer went to the caller
 
     friend bool operator==(attempt_state const&,
                            attempt_state const&) = default;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -85,7 +85,6 @@
     auto& shared = of.shared;
     of.attempts.sends += 1;
     of.attempts.runs += counts_as_run(end) ? 1 : 0;
-    of.attempts.answer_begun = of.answer_begun;
     of.tried.push_back(where.server);
     if (end == attempt_end::answered || end == attempt_end::caller_gone)
     {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -226,7 +226,6 @@
     {
     case budget::reserve_verdict::admitted:
         of.reservation = id;
-        of.reserved = amount;
         co_return std::nullopt;
     case budget::reserve_verdict::exhausted:
         // Tokens that other routers hold may come back; without any the
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -61,7 +61,6 @@
 
     request_id reservation; ///< empty if no tokens are set aside
     budget_id budget;
-    token_count reserved{};
 
     fleet::attempt_state attempts;
     std::vector<backend_server_id> tried;
