Bound a router's spend by lines instead of ceilings, draw by traffic

Ruled out: servers (first parts in time), the customers' end (left > 0). Change: the spend row holds a line for each budget, a successor follows it to the store's time of its own start, whatever the age; a holder draws by its part of the traffic, learnt from the changes of the budget row. A crash strands too much: next.

--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -104,6 +104,7 @@
     std::optional<fruitless_wait> fruitless;
 
     rate_meter rate;
+    rate_meter others; ///< what the other holders draw, less what they return
     token_count last_amount{}; ///< of the latest reservation
     bool busy{false};          ///< a step is under way
     bool closing{false};       ///< returns everything, admits nothing
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -50,9 +50,9 @@
     std::int64_t end_divisor{2}; ///< no draw ahead takes more than the
                                  ///< remainder / (end_divisor * holders)
     /// Where the traffic of a customer goes to few routers, an even part of the
-    /// remainder starves those: if set, a draw ahead takes at most the
-    /// remainder divided by this, however many holders there are.
-    std::int64_t rest_divisor{0};
+    /// remainder starves those: if set, a holder keeps up to this many times
+    /// the part of the remainder that its traffic is of all traffic.
+    double part_by_traffic{0};
     /// If set, a holder with more than this many times what it needs ahead
     /// gives the rest back, also far from the end: its traffic has moved
     /// elsewhere.
@@ -84,16 +84,18 @@
 /// safe.
 bool near_end(budget_row const& row, sizing const& sizes);
 
-/// The most that one of the holders may draw ahead of need. Thread safe.
-/// `newcomer` counts a holder that has no share row yet.
+/// The most that one of the holders may draw ahead of need when all holders
+/// count the same. Thread safe. `newcomer` counts a holder that has no share
+/// row yet.
 token_count fair_part(budget_row const& row, sizing const& sizes,
                       bool newcomer);
 
-/// What to draw when waiting reservations lack `need` tokens, `free` are idle
-/// and the traffic of the horizon is `ahead`. Never more than is ungranted;
-/// `need` comes before all else. Thread safe. @pre `need` >= 0.
-token_count draw_size(budget_row const& row, sizing const& sizes, bool newcomer,
-                      token_count need, token_count free, token_count ahead);
+/// What to draw when waiting reservations lack `need` tokens, `free` are idle,
+/// the traffic of the horizon is `ahead` and at most `most` may be held ahead
+/// of need. Never more than is ungranted; `need` comes before all else. Thread
+/// safe. @pre `need` >= 0.
+token_count draw_size(budget_row const& row, token_count need, token_count free,
+                      token_count ahead, token_count most);
 
 /// Pause after `conflicts` in a row with other writers of a row: none after the
 /// first when somebody waits, then up to twice as long each time, spread by
--- a/include/caperpath/budget/spend_journal.hpp
+++ b/include/caperpath/budget/spend_journal.hpp
@@ -14,30 +14,40 @@
 /// address reads it after a crash.
 ///
 /// A share has to be deep enough for an outage of the store, and a router that
-/// dies would strand all of it. So each router keeps one row with a ceiling for
-/// each budget, a few seconds of traffic ahead of its use, and spends no more
-/// than that while the store answers. When the store has not answered for
-/// `deep_after` it may spend its whole shares. The row also says when the store
-/// last acknowledged one: a successor that reads it sooner than `deep_after`
-/// later knows that the ceilings held until the end, and takes over what lies
-/// above them. Read later, the shares count as spent.
+/// dies would strand all of it. So each router keeps one row with a line for
+/// each budget: the most that it may have spent at a store time, and how much
+/// more with each second after it. It never spends above its lines. A successor
+/// reads the row, follows the lines to the store's time of its own first write
+/// and takes over what lies above them, however old the row is. While the store
+/// is away the lines go on rising, so that nobody is refused for want of a
+/// write.
 ///
-/// The clocks: the row's times are the store's; `deep_after` is measured on the
-/// router's monotonic clock from the moment the acknowledgement came in, which
-/// is later than the store's time in it. That clock stands still while the
-/// machine is suspended, so the wait can only get longer.
+/// The clocks: a router knows the store's time only as that of the latest
+/// acknowledgement plus its own monotonic time since that came in. This is
+/// never later than the real one, since the answer took time to come and the
+/// monotonic clock stands still while the machine is suspended. So the line is
+/// never higher for the router than for its successor.
 namespace caperpath::budget
 {
 
+/// The most that may be spent of one budget, as a function of store time.
+/// Immutable value.
+struct spend_line
+{
+    token_count spent{};      ///< at most, at the time of the row
+    token_count per_second{}; ///< more with each second after it
+
+    friend bool operator==(spend_line const&, spend_line const&) = default;
+};
+
 /// Row `spend/<vm>`. Immutable value.
 struct spend_row
 {
     incarnation_id router;
     std::string address; ///< "IP:port" that the process has bound
-    /// Store time at which the latest acknowledged row before this one was
-    /// written; 0 if there was none.
-    std::int64_t acknowledged_ms{};
-    std::map<budget_id, token_count> ceilings;
+    /// Store time at which the lines begin; 0 before the first acknowledgement.
+    std::int64_t at_ms{};
+    std::map<budget_id, spend_line> lines;
 
     friend bool operator==(spend_row const&, spend_row const&) = default;
 };
@@ -53,7 +63,9 @@
 /// A router's own row as it stands. Value type.
 struct spend_journal
 {
-    spend_row written;                        ///< as last acknowledged
+    spend_row written; ///< as last acknowledged
+    /// Sent and not acknowledged: it may be in the store, or get there later.
+    std::optional<spend_row> pending;
     std::optional<instant> last_acknowledged; ///< on this router's clock
     std::int64_t acknowledged_ms{};           ///< the same on the store's clock
     std::uint64_t version{};                  ///< of the row, 0: none
@@ -63,12 +75,9 @@
                            spend_journal const&) = default;
 };
 
-/// From then on without an acknowledgement the whole shares may be spent. A
-/// crash of all routers takes a successor some 2 s until it reads the row, and
-/// the row in it may be 1 s old.
-inline constexpr duration deep_after{3'000};
-/// A successor trusts ceilings only if it reads them this much sooner, for
-/// clocks that run at slightly different rates.
+/// A successor counts the lines this much longer, for clocks that run at
+/// slightly different rates: 1 in 100 over the half minute that the longest
+/// outage of the store lasts.
 inline constexpr duration clock_margin{300};
 
 /// The most that may be spent of `budget` now, of `granted` tokens. Thread
@@ -76,20 +85,31 @@
 token_count spend_limit(spend_journal const& journal, budget_id const& budget,
                         token_count granted, instant now);
 
-/// The row to write next: each ceiling is at least what it was. Thread safe.
+/// The row to send next. One that was sent before and is not decided is sent
+/// again as it was, so that there are never more than two that the store may
+/// hold. Thread safe.
 spend_row next_row(spend_journal const& journal,
-                   std::map<budget_id, token_count> const& wanted);
+                   std::map<budget_id, spend_line> const& wanted, instant now);
+
+/// `row` is under way: from now on its lines bind too. Thread safe.
+spend_journal sent(spend_journal journal, spend_row const& row);
+
+/// The store acknowledged the row under way at its time `store_ms`. Thread
+/// safe.
+spend_journal acknowledged(spend_journal journal, std::uint64_t version,
+                           std::int64_t store_ms, instant now);
 
-/// The store acknowledged `row` at its time `store_ms`. Thread safe.
-spend_journal acknowledged(spend_journal journal, spend_row const& row,
-                           std::uint64_t version, std::int64_t store_ms,
-                           instant now);
+/// The store holds `row` of this router under `version`, written at a time that
+/// is not known. Thread safe.
+spend_journal found_own(spend_journal journal, spend_row const& row,
+                        std::uint64_t version);
 
-/// The ceilings of a dead router that held until its end; nothing if it may
-/// have spent more. `read_ms` is a store time after its death. Thread safe.
+/// The most that a dead router at the same address can have spent of each
+/// budget; nothing if the row is of another address or names no time. `read_ms`
+/// is a store time after its death. Thread safe.
 std::optional<std::map<budget_id, token_count>>
-trusted_ceilings(spend_row const& of, std::string const& own_address,
-                 std::int64_t read_ms);
+spent_at_most(spend_row const& of, std::string const& own_address,
+              std::int64_t read_ms);
 
 } // namespace caperpath::budget
 
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -22,6 +22,17 @@
     return row != nullptr ? std::optional<Row>{*row} : std::nullopt;
 }
 
+/// What was granted since the row was last seen went to other holders: own
+/// draws were noted when they were written.
+void note_others(share_state& state, budget_row const& row, instant now)
+{
+    if (state.seen && state.seen->version > 0)
+    {
+        state.others = metered(
+            state.others, row.granted - state.seen->row.granted, now);
+    }
+}
+
 void take_budget(share_state& state, store::row const& found, instant now)
 {
     if (found.version == 0)
@@ -32,6 +43,7 @@
     auto const row = row_of(found, &decode_budget);
     if (row)
     {
+        note_others(state, *row, now);
         state.seen = seen_budget{*row, found.version, now};
     }
 }
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -86,6 +86,23 @@
     return wanted > 0 && wanted != state.wanting;
 }
 
+/// The most to hold ahead of need.
+token_count most_ahead(share_state const& state)
+{
+    auto const& row = state.seen->row;
+    auto const& sizes = state.sizes;
+    if (sizes.part_by_traffic == 0)
+    {
+        return fair_part(row, sizes, is_newcomer(state));
+    }
+    auto const own = std::max(0.0, state.rate.per_second);
+    auto const others = std::max(0.0, state.others.per_second);
+    auto const part = own > 0 ? own / (own + others) : 0;
+    auto const by_traffic = static_cast<token_count>(
+        static_cast<double>(ungranted(row)) * part * sizes.part_by_traffic);
+    return std::max(by_traffic, spare_tokens(state));
+}
+
 /// Idle tokens that another router has more use for.
 token_count surplus(share_state const& state)
 {
@@ -121,8 +138,8 @@
 {
     auto const free = free_tokens(state);
     auto const amount =
-        draw_size(state.seen->row, state.sizes, is_newcomer(state), 0, free,
-                  tokens_ahead(state));
+        draw_size(state.seen->row, 0, free, tokens_ahead(state),
+                  most_ahead(state));
     // Near the end each draw ahead gets smaller; below one request it only
     // scatters what is left.
     auto const least = std::max({token_count{1},
@@ -323,8 +340,8 @@
     if (wish.need > 0)
     {
         auto const amount =
-            draw_size(state.seen->row, state.sizes, is_newcomer(state),
-                      wish.need, free_tokens(state), tokens_ahead(state));
+            draw_size(state.seen->row, wish.need, free_tokens(state),
+                      tokens_ahead(state), most_ahead(state));
         return move_step(std::move(state), holder, amount, wish.unmet);
     }
     if (back > 0)
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -80,17 +80,13 @@
 
 token_count fair_part(budget_row const& row, sizing const& sizes, bool newcomer)
 {
-    if (sizes.rest_divisor > 0)
-    {
-        return ungranted(row) / sizes.rest_divisor;
-    }
     auto const holders =
         std::max<std::int64_t>(1, row.holders + (newcomer ? 1 : 0));
     return ungranted(row) / (sizes.end_divisor * holders);
 }
 
-token_count draw_size(budget_row const& row, sizing const& sizes, bool newcomer,
-                      token_count need, token_count free, token_count ahead)
+token_count draw_size(budget_row const& row, token_count need, token_count free,
+                      token_count ahead, token_count most)
 {
     auto const left = ungranted(row);
     if (need > left)
@@ -106,7 +102,7 @@
     auto const idle = need > 0 ? 0 : free;
     auto const missing = std::max<token_count>(0, ahead - idle);
     auto const room =
-        std::max<token_count>(0, fair_part(row, sizes, newcomer) - need - idle);
+        std::max<token_count>(0, most - need - idle);
     return std::min(left, need + std::min(missing, room));
 }
 
--- a/src/budget/spend_journal.cpp
+++ b/src/budget/spend_journal.cpp
@@ -15,6 +15,46 @@
 
 constexpr auto most = std::numeric_limits<std::int64_t>::max();
 
+constexpr std::int64_t ms_per_second = 1'000;
+
+std::optional<spend_line> line_of(nlohmann::json const& text)
+{
+    auto const good = text.is_array() && text.size() == 2 &&
+                      text[0].is_number_integer() &&
+                      text[1].is_number_integer();
+    if (!good)
+    {
+        return std::nullopt;
+    }
+    return spend_line{text[0].get<token_count>(), text[1].get<token_count>()};
+}
+
+/// Rounded up for a successor, and never for the router itself: see the
+/// margin.
+token_count value_at(spend_line const& line, std::int64_t ms_later)
+{
+    return line.spent +
+           line.per_second * std::max<std::int64_t>(0, ms_later) /
+               ms_per_second;
+}
+
+/// The store's time is at least this.
+std::int64_t store_time(spend_journal const& journal, instant now)
+{
+    return journal.last_acknowledged
+               ? journal.acknowledged_ms + (now - *journal.last_acknowledged).ms
+               : 0;
+}
+
+token_count limit_by(spend_row const& row, budget_id const& budget,
+                     std::int64_t store_ms)
+{
+    auto const found = row.lines.find(budget);
+    return found == row.lines.end()
+               ? 0
+               : value_at(found->second, store_ms - row.at_ms);
+}
+
 } // namespace
 
 std::string spend_key(std::string const& vm)
@@ -24,15 +64,15 @@
 
 std::string encode(spend_row const& row)
 {
-    auto ceilings = nlohmann::json::object();
-    for (auto const& [budget, ceiling] : row.ceilings)
+    auto lines = nlohmann::json::object();
+    for (auto const& [budget, line] : row.lines)
     {
-        ceilings[budget.value] = ceiling;
+        lines[budget.value] = {line.spent, line.per_second};
     }
     return nlohmann::json{{"router", row.router.value},
                           {"address", row.address},
-                          {"acknowledged_ms", row.acknowledged_ms},
-                          {"ceilings", std::move(ceilings)}}
+                          {"at_ms", row.at_ms},
+                          {"lines", std::move(lines)}}
         .dump();
 }
 
@@ -49,19 +89,20 @@
     spend_row row;
     row.router = {reader.text("router")};
     row.address = reader.text("address");
-    row.acknowledged_ms =
-        reader.whole("acknowledged_ms", "milliseconds", 0, most);
-    reader.each_member("ceilings",
+    row.at_ms = reader.whole("at_ms", "milliseconds", 0, most);
+    reader.each_member("lines",
                        [&row, &faults](std::string const& name,
-                                       nlohmann::json const& ceiling,
+                                       nlohmann::json const& text,
                                        std::string const& path)
                        {
-                           if (!ceiling.is_number_integer())
+                           auto const line = line_of(text);
+                           if (!line)
                            {
-                               faults.push_back({path, "expected tokens"});
+                               faults.push_back(
+                                   {path, "expected tokens, tokens/s"});
                                return;
                            }
-                           row.ceilings[{name}] = ceiling.get<token_count>();
+                           row.lines[{name}] = *line;
                        });
     if (!faults.empty())
     {
@@ -78,52 +119,71 @@
     {
         return 0;
     }
-    if (now - *journal.last_acknowledged >= deep_after)
+    auto const store_ms = store_time(journal, now);
+    auto limit = std::min(granted, limit_by(journal.written, budget, store_ms));
+    if (journal.pending)
     {
-        return granted;
+        limit =
+            std::min(limit, limit_by(*journal.pending, budget, store_ms));
     }
-    auto const found = journal.written.ceilings.find(budget);
-    auto const ceiling =
-        found == journal.written.ceilings.end() ? 0 : found->second;
-    return std::min(granted, ceiling);
+    return limit;
 }
 
 spend_row next_row(spend_journal const& journal,
-                   std::map<budget_id, token_count> const& wanted)
+                   std::map<budget_id, spend_line> const& wanted, instant now)
 {
-    auto row = journal.written;
-    row.acknowledged_ms = journal.acknowledged_ms;
-    for (auto const& [budget, ceiling] : wanted)
+    if (journal.pending)
     {
-        auto& known = row.ceilings[budget];
-        known = std::max(known, ceiling);
+        return *journal.pending;
     }
+    auto row = journal.written;
+    row.at_ms = store_time(journal, now);
+    row.lines = wanted;
     return row;
 }
 
-spend_journal acknowledged(spend_journal journal, spend_row const& row,
-                           std::uint64_t version, std::int64_t store_ms,
-                           instant now)
+spend_journal sent(spend_journal journal, spend_row const& row)
 {
-    journal.written = row;
+    journal.pending = row;
+    return journal;
+}
+
+spend_journal acknowledged(spend_journal journal, std::uint64_t version,
+                           std::int64_t store_ms, instant now)
+{
+    if (journal.pending)
+    {
+        journal.written = *std::exchange(journal.pending, std::nullopt);
+    }
     journal.version = version;
     journal.acknowledged_ms = store_ms;
     journal.last_acknowledged = now;
     return journal;
 }
 
+spend_journal found_own(spend_journal journal, spend_row const& row,
+                        std::uint64_t version)
+{
+    journal.written = row;
+    journal.version = version;
+    journal.pending.reset();
+    return journal;
+}
+
 std::optional<std::map<budget_id, token_count>>
-trusted_ceilings(spend_row const& of, std::string const& own_address,
-                 std::int64_t read_ms)
+spent_at_most(spend_row const& of, std::string const& own_address,
+              std::int64_t read_ms)
 {
-    auto const in_time =
-        of.acknowledged_ms > 0 &&
-        read_ms - of.acknowledged_ms <= (deep_after - clock_margin).ms;
-    if (of.address != own_address || !in_time)
+    if (of.address != own_address || of.at_ms <= 0)
     {
         return std::nullopt;
     }
-    return of.ceilings;
+    std::map<budget_id, token_count> all;
+    for (auto const& [budget, line] : of.lines)
+    {
+        all[budget] = value_at(line, read_ms - of.at_ms + clock_margin.ms);
+    }
+    return all;
 }
 
 } // namespace caperpath::budget
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -32,9 +32,10 @@
 /// budget over idle routers within 5 s.
 constexpr token_count least_share_part = 60;
 /// Callers keep their connections, so one router may have most of a customer's
-/// traffic. With an even part of the rest a customer's only router ran out 2 s
-/// into an outage of 8 s with 5.5 of 6 million tokens left.
-constexpr std::int64_t rest_divisor = 3;
+/// traffic, and its share has to last through an outage of 8 s. Two parts of
+/// three of what is left are held in shares then, one part stays for those that
+/// run out first.
+constexpr double part_by_traffic = 2;
 /// A router whose callers had moved on kept 285,000 of 1.96 million tokens
 /// until it was killed, and they were lost.
 constexpr double idle_factor = 1.6;
@@ -48,10 +49,14 @@
 /// 2 tries for each budget.
 constexpr std::uint64_t first_draw_spread_ms = 5'000;
 
-/// How far a ceiling is ahead of the use. The store answers within 0.3 s also
-/// when it is slow, and a write that is lost is sent again within 1 s.
-constexpr duration ceiling_ahead{3'000};
+/// A spend line begins a tenth of the free share, or the largest request of
+/// late, above the use and would reach the whole share in 8 s: an outage takes
+/// up to 9 s and arrivals are uneven. A router that dies and is back after 1 s
+/// then strands a quarter of its free share.
 constexpr double ms_per_second = 1'000;
+constexpr token_count line_start_part = 10;
+constexpr token_count line_seconds = 8;
+constexpr duration largest_kept{10'000};
 
 budget::sizing sizes()
 {
@@ -60,7 +65,7 @@
     all.exposure = duration{0};
     all.requests_ahead = 1;
     all.requests_in_draw = 0;
-    all.rest_divisor = rest_divisor;
+    all.part_by_traffic = part_by_traffic;
     all.idle_factor = idle_factor;
     all.spare_divisor = spare_divisor;
     all.look_per_holder = look_per_holder;
@@ -95,11 +100,11 @@
                std::move(vm),
                std::move(address),
                std::move(incarnation),
-               {[this] { return this->wanted_ceilings(); },
+               {[this] { return this->wanted_lines(); },
                 [this] { this->pass_on(); },
-                [this](auto const& dead, auto const& ceilings, auto done)
+                [this](auto const& dead, auto const& spent, auto done)
                 {
-                    this->inherit(dead, ceilings, done);
+                    this->inherit(dead, spent, done);
                 }},
                log}
 {
@@ -154,25 +159,40 @@
     }
 }
 
-/// A few seconds of traffic ahead of the use, and all that waits.
-std::map<budget_id, token_count> budget_book::wanted_ceilings() const
+/// What the traffic will use of the share while the store is away, and all that
+/// waits.
+std::map<budget_id, budget::spend_line> budget_book::wanted_lines() const
 {
-    std::map<budget_id, token_count> all;
+    std::map<budget_id, budget::spend_line> all;
     for (auto const& [id, of] : this->accounts)
     {
         auto const& share = of.share;
-        auto ahead = static_cast<token_count>(
-            share.rate.per_second * static_cast<double>(ceiling_ahead.ms) /
+        auto const traffic = static_cast<token_count>(
+            share.rate.per_second * static_cast<double>(share_horizon.ms) /
             ms_per_second);
+        auto const ahead = std::max(budget::free_tokens(share), traffic);
+        auto const start = std::max(ahead / line_start_part, of.largest);
+        budget::spend_line line{budget::used_tokens(share) + start,
+                                ahead / line_seconds};
         for (auto const& one : share.waiting)
         {
-            ahead += one.amount;
+            line.spent += one.amount;
         }
-        all[id] =
-            std::min(share.share.granted, budget::used_tokens(share) + ahead);
+        all[id] = line;
     }
     return all;
 }
+
+void budget_book::note_size(account& of, token_count amount) const
+{
+    auto const at = this->now.now();
+    if (amount >= of.largest || at - of.largest_at > largest_kept)
+    {
+        of.largest = amount;
+        of.largest_at = at;
+    }
+}
+
 void budget_book::set_limit(account& of) const
 {
     of.share.spend_limit =
@@ -198,6 +218,7 @@
         return;
     }
     auto& of = found->second;
+    note_size(of, amount);
     this->set_limit(of);
     auto outcome = budget::reserve(std::move(of.share),
                                    {request, budget, policy, amount, wait},
@@ -210,7 +231,7 @@
     else
     {
         this->waiting.emplace(request, std::move(done));
-        this->raise_ceiling(of);
+        this->raise_line(of);
     }
     this->step(budget);
 }
@@ -265,7 +286,7 @@
     auto const age = share.seen ? (this->now.now() - share.seen->at).ms : -1;
     return {
         {"free", std::to_string(budget::free_tokens(share))},
-        {"below_ceiling", std::to_string(limit - budget::used_tokens(share))},
+        {"below_line", std::to_string(limit - budget::used_tokens(share))},
         {"left",
          std::to_string(share.seen ? budget::ungranted(share.seen->row) : 0)},
         {"wanted", std::to_string(share.seen ? share.seen->row.wanted : 0)},
@@ -346,12 +367,12 @@
         this->waiting.erase(found);
         done(one.reply);
     }
-    this->raise_ceiling(of);
+    this->raise_line(of);
 }
 
-/// A reservation that the share covers and only its ceiling holds back does not
+/// A reservation that the share covers and only its line holds back does not
 /// wait for the next regular write.
-void budget_book::raise_ceiling(account const& of)
+void budget_book::raise_line(account const& of)
 {
     auto const& share = of.share;
     auto const covered = [&share](budget::waiting_reservation const& one)
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -72,6 +72,8 @@
         token_count paid{};
         budget::holder_view holder;
         instant draws_from{}; ///< no draw before this without need
+        token_count largest{}; ///< reservation of late
+        instant largest_at{};
 
         /// The paid amount stands in the configuration and not in the row, so
         /// that a top-up needs no write of ours.
@@ -80,16 +82,17 @@
     using replies = std::function<void(budget::reserve_reply)>;
 
     account& open_account(budget_id const& budget);
-    std::map<budget_id, token_count> wanted_ceilings() const;
+    std::map<budget_id, budget::spend_line> wanted_lines() const;
+    void note_size(account& of, token_count amount) const;
     void inherit(incarnation_id const& dead,
-                 std::map<budget_id, token_count> const& ceilings,
+                 std::map<budget_id, token_count> const& spent_at_most,
                  std::function<void()> const& done);
     void take_over(budget_id const& budget, token_count spent,
                    store::row const& found,
                    std::shared_ptr<void> const& pending);
     void set_limit(account& of) const;
     void pass_on();
-    void raise_ceiling(account const& of);
+    void raise_line(account const& of);
     void step(budget_id const& budget);
     void look(account& of);
     void write(account& of, store::transaction const& txn);
--- a/src/gateway/budget_book_store.cpp
+++ b/src/gateway/budget_book_store.cpp
@@ -2,6 +2,7 @@
 
 #include <caperpath/budget/rows.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -13,14 +14,14 @@
 /// budget rows stay as they are, so that routers which all start at once do not
 /// contend for them.
 void budget_book::inherit(incarnation_id const& dead,
-                          std::map<budget_id, token_count> const& ceilings,
+                          std::map<budget_id, token_count> const& spent_at_most,
                           std::function<void()> const& done)
 {
     std::shared_ptr<void> const pending{nullptr, [done](void*)
                                         {
                                             done();
                                         }};
-    for (auto const& entry : ceilings)
+    for (auto const& entry : spent_at_most)
     {
         this->port.read(budget::share_key(entry.first, dead),
                         [this, budget = entry.first, spent = entry.second,
@@ -56,8 +57,8 @@
     txn.writes = {{own, found.value}, {found.key, std::nullopt}};
     this->port.commit(
         txn,
-        [this, budget, spent, granted = share->granted,
-         pending](store::commit_result const& result)
+        [this, budget, granted = share->granted,
+         spent = std::min(spent, share->granted), pending](store::commit_result const& result)
         {
             auto& of = this->accounts.at(budget);
             if (result.outcome == store::commit_outcome::applied)
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -9,9 +9,8 @@
 namespace
 {
 
-/// A successor sees the row of two writes ago at worst; with this interval that
-/// leaves it 1.3 s of the 2.7 s in which the ceilings are trusted.
-constexpr duration write_interval{700};
+/// What a dead router strands grows with the age of its row.
+constexpr duration write_interval{500};
 constexpr duration retry_pause{150};
 
 } // namespace
@@ -83,28 +82,28 @@
     this->first_write();
 }
 
-store::transaction
-spend_keeper::transaction_of(budget::spend_row const& row) const
+void spend_keeper::send(
+    std::map<budget_id, budget::spend_line> const& lines,
+    std::function<void(store::commit_result const&)> done)
 {
+    auto const row = budget::next_row(this->journal, lines, this->now.now());
+    this->journal = budget::sent(std::move(this->journal), row);
     auto const key = budget::spend_key(this->vm);
     store::transaction txn;
     txn.conditions.push_back({key, this->journal.version});
     txn.writes.push_back({key, budget::encode(row)});
-    return txn;
+    this->port.commit(txn, std::move(done));
 }
 
-/// The first write tells the store's time, which shows whether the ceilings of
-/// the router before can be trusted.
+/// The first write tells the store's time, which bounds what the router before
+/// can have spent.
 void spend_keeper::first_write()
 {
-    auto const row = budget::next_row(this->journal, {});
-    this->port.commit(this->transaction_of(row),
-                      [this, row](store::commit_result const& result)
-                      { this->first_wrote(row, result); });
+    this->send({}, [this](store::commit_result const& result)
+               { this->first_wrote(result); });
 }
 
-void spend_keeper::first_wrote(budget::spend_row const& row,
-                               store::commit_result const& result)
+void spend_keeper::first_wrote(store::commit_result const& result)
 {
     if (result.outcome != store::commit_outcome::applied)
     {
@@ -113,26 +112,26 @@
         return;
     }
     this->journal =
-        budget::acknowledged(std::move(this->journal), row, result.version,
+        budget::acknowledged(std::move(this->journal), result.version,
                              result.store_ms, this->now.now());
-    auto const trusted =
-        this->old
-            ? budget::trusted_ceilings(*this->old, row.address, result.store_ms)
-            : std::nullopt;
-    auto const age =
-        this->old ? result.store_ms - this->old->acknowledged_ms : 0;
+    auto const spent =
+        this->old ? budget::spent_at_most(*this->old,
+                                          this->journal.written.address,
+                                          result.store_ms)
+                  : std::nullopt;
+    auto const age = this->old ? result.store_ms - this->old->at_ms : 0;
     this->log.write(log_weight::notable, "spend_row",
                     {{"before", this->old ? this->old->router.value : "none"},
-                     {"trusted", trusted ? "yes" : "no"},
+                     {"known", spent ? "yes" : "no"},
                      {"age_ms", std::to_string(age)}});
     auto const go_on = [this]
     {
         this->started = true;
         this->write();
     };
-    if (trusted)
+    if (spent)
     {
-        this->listener.inherit(this->old->router, *trusted, go_on);
+        this->listener.inherit(this->old->router, *spent, go_on);
         return;
     }
     go_on();
@@ -159,32 +158,30 @@
         return;
     }
     this->writing = true;
-    this->hurried = false;
-    auto const row = budget::next_row(this->journal, this->listener.wanted());
-    this->port.commit(this->transaction_of(row),
-                      [this, row](store::commit_result const& result)
-                      { this->wrote(row, result); });
+    // A row that is sent again was meant for an earlier moment.
+    this->hurried = this->journal.pending.has_value();
+    this->send(this->listener.wanted(), [this](auto const& result)
+               { this->wrote(result); });
 }
 
-void spend_keeper::wrote(budget::spend_row const& row,
-                         store::commit_result const& result)
+void spend_keeper::wrote(store::commit_result const& result)
 {
     this->writing = false;
-    if (result.outcome == store::commit_outcome::applied)
+    if (result.outcome != store::commit_outcome::applied)
     {
-        this->journal =
-            budget::acknowledged(std::move(this->journal), row, result.version,
-                                 result.store_ms, this->now.now());
-        this->listener.changed();
-        if (this->hurried)
-        {
-            this->write();
-            return;
-        }
-        this->after(write_interval, [this] { this->write(); });
+        this->refused(result);
+        return;
+    }
+    this->journal =
+        budget::acknowledged(std::move(this->journal), result.version,
+                             result.store_ms, this->now.now());
+    this->listener.changed();
+    if (this->hurried)
+    {
+        this->write();
         return;
     }
-    this->refused(result);
+    this->after(write_interval, [this] { this->write(); });
 }
 
 /// A write without an answer may be applied later. Its row is our own then, and
@@ -195,19 +192,25 @@
     {
         auto const found =
             value_or_error([&] { return budget::decode_spend(row.value); });
-        auto const* const other = std::get_if<budget::spend_row>(&found);
-        this->journal.fenced =
-            other != nullptr && other->router != this->journal.written.router;
+        auto const* const in_store = std::get_if<budget::spend_row>(&found);
+        auto const is_own =
+            in_store != nullptr &&
+            in_store->router == this->journal.written.router;
+        this->journal.fenced = in_store != nullptr && !is_own;
         this->journal.version = row.version;
+        if (is_own)
+        {
+            this->journal = budget::found_own(std::move(this->journal),
+                                              *in_store, row.version);
+        }
     }
+    this->listener.changed();
     if (this->journal.fenced)
     {
         this->log.write(log_weight::notable, "spend_row",
                         {{"outcome", "another process has this address"}});
-        this->listener.changed();
         return;
     }
-    this->listener.changed();
     this->after(retry_pause, [this] { this->write(); });
 }
 
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -21,17 +21,17 @@
 /// Whom a spend keeper asks and tells.
 struct spend_listener
 {
-    /// The ceilings that the budgets need now.
-    std::function<std::map<budget_id, token_count>()> wanted;
+    /// The lines that the budgets need now.
+    std::function<std::map<budget_id, budget::spend_line>()> wanted;
 
     /// The limits may have changed.
     std::function<void()> changed;
 
     /// Called once, before the first limit above zero: the dead router that had
-    /// this address, with ceilings that held until its end. Call `done` when
-    /// its shares were taken over.
+    /// this address, with the most that it can have spent. Call `done` when its
+    /// shares were taken over.
     std::function<void(incarnation_id const& dead,
-                       std::map<budget_id, token_count> const& ceilings,
+                       std::map<budget_id, token_count> const& spent,
                        std::function<void()> done)>
         inherit;
 };
@@ -50,7 +50,7 @@
     /// which had it is dead.
     void start();
 
-    /// A reservation waits for a higher ceiling.
+    /// A reservation waits for a higher line.
     void hurry();
 
     token_count limit(budget_id const& budget, token_count granted) const;
@@ -62,14 +62,13 @@
     void read_old();
     void take_old(store::row const& row);
     void first_write();
-    void first_wrote(budget::spend_row const& row,
-                     store::commit_result const& result);
+    void first_wrote(store::commit_result const& result);
+    void send(std::map<budget_id, budget::spend_line> const& lines,
+              std::function<void(store::commit_result const&)> done);
     void write();
-    void wrote(budget::spend_row const& row,
-               store::commit_result const& result);
+    void wrote(store::commit_result const& result);
     void refused(store::commit_result const& result);
     void after(duration pause, std::function<void()> next);
-    store::transaction transaction_of(budget::spend_row const& row) const;
 
     boost::asio::steady_timer timer;
     store::async_port port;
