--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -57,11 +57,13 @@
     /// gives the rest back, also far from the end: its traffic has moved
     /// elsewhere.
     double idle_factor{0};
-    /// While another holder wants more than is ungranted, each gives back this
-    /// part of what it has free; all of it would only be drawn again.
-    std::int64_t wanted_divisor{1};
-    /// A return to another holder that wants tokens is not worth its write if
-    /// it is less than this part of what is wanted; 0: each is.
+    /// While another holder wants more than is ungranted, each gives back what
+    /// it has free; of few holders each keeps some, since all of it would only
+    /// be drawn again: half at this number of holders, a tenth at nine times as
+    /// many. 0: all goes back.
+    std::int64_t half_kept_at{0};
+    /// Such a return is not worth its write if it is less than what is wanted,
+    /// divided by this and the number of holders; 0: each is.
     std::int64_t least_return_part{0};
     /// After a wait without any result, requests for as much are refused at
     /// once for so long, times the number of holders.
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -103,6 +103,20 @@
     return std::max(by_traffic, spare_tokens(state));
 }
 
+/// What goes back for another holder that wants tokens.
+token_count wanted_return(share_state const& state, token_count free)
+{
+    auto const& sizes = state.sizes;
+    auto const& row = state.seen->row;
+    auto const holders = std::max<std::int64_t>(1, row.holders);
+    auto const kept = free * sizes.half_kept_at / (holders + sizes.half_kept_at);
+    auto const back = free - kept;
+    auto const least = sizes.least_return_part > 0
+                           ? row.wanted / (sizes.least_return_part * holders)
+                           : 0;
+    return back >= least ? back : 0;
+}
+
 /// Idle tokens that another router has more use for.
 token_count surplus(share_state const& state)
 {
@@ -113,13 +127,7 @@
     }
     if (wanted_by_another(state))
     {
-        auto const& sizes = state.sizes;
-        auto const back =
-            (free + sizes.wanted_divisor - 1) / sizes.wanted_divisor;
-        auto const least = sizes.least_return_part > 0
-                               ? state.seen->row.wanted / sizes.least_return_part
-                               : 0;
-        return back >= least ? back : 0;
+        return wanted_return(state, free);
     }
     auto const ahead = static_cast<double>(tokens_ahead(state));
     auto const idle_factor = state.sizes.idle_factor;
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -40,9 +40,9 @@
 /// A router whose callers had moved on kept 285,000 of 1.96 million tokens
 /// until it was killed, and they were lost.
 constexpr double idle_factor = 1.6;
-constexpr std::int64_t wanted_divisor = 2;
+constexpr std::int64_t half_kept_at = 9;
 /// At the end of a budget routers returned 12 tokens to one that wanted 20,000.
-constexpr std::int64_t least_return_part = 20;
+constexpr std::int64_t least_return_part = 2;
 /// 0.1 s at nine routers, 1 s at 81: the time in which the others look.
 constexpr duration refuse_at_once{12};
 /// With 81 routers spare tokens of a sixtieth each were more than all that was
@@ -81,7 +81,7 @@
     all.requests_in_draw = 0;
     all.part_by_traffic = part_by_traffic;
     all.idle_factor = idle_factor;
-    all.wanted_divisor = wanted_divisor;
+    all.half_kept_at = half_kept_at;
     all.least_return_part = least_return_part;
     all.refuse_at_once = refuse_at_once;
     all.spare_divisor = spare_divisor;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -99,6 +99,7 @@
         fields.push_back({"tokens", std::to_string(of.work.prompt_tokens)});
         fields.push_back({"used", std::to_string(used_tokens(of))});
         fields.push_back({"events", std::to_string(of.events.events())});
+        fields.push_back({"budget_ms", std::to_string(of.reserve_wait.ms)});
         fields.push_back({"expected_ms", std::to_string(of.expected.ms)});
     }
     if (of.first_part)
@@ -230,7 +231,8 @@
     {
         static_cast<void>(co_await sleep(of, began + wait + duration{100}));
     }
-    shared.metrics.reserve_wait((shared.now.now() - began).ms);
+    of.reserve_wait = shared.now.now() - began;
+    shared.metrics.reserve_wait(of.reserve_wait.ms);
     if (!*reply)
     {
         shared.budgets.cancel(id, of.budget);
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -67,6 +67,7 @@
     std::int64_t arrivals{}; ///< sends that may have reached a server
     fleet::event_scan events;
     bool answer_begun{false};
+    duration reserve_wait{}; ///< for tokens of the budget
     bool prompt_read{false}; ///< a server began to run it
     bool keep_connection{true};
 
