Take shares over until it is decided

Cause (all lines of 81 routers): after a crash of all, 293 of 1,944 renames were refused or timed out and never tried again; 10 to 24% of what many customers had paid was lost with them, 79% of one. Change: each rename is tried up to eight times, the new router's own row holds the dead one's line meanwhile. Test: a store that refuses the first writes.

--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -119,9 +119,9 @@
                std::move(incarnation),
                {[this] { return this->wanted_lines(); },
                 [this] { this->pass_on(); },
-                [this](auto const& dead, auto const& spent, auto done)
+                [this](auto const& dead, auto const& spent)
                 {
-                    this->inherit(dead, spent, done);
+                    this->inherit(dead, spent);
                 }},
                log}
 {
@@ -188,6 +188,12 @@
         auto const start = traffic * line_start_seconds +
                            of.mean_request * line_start_requests;
         budget::spend_line line;
+        if (of.taking)
+        {
+            // Renamed at any moment, its share row is read with this line.
+            all[id] = {of.taking->spent, 0};
+            continue;
+        }
         line.spent =
             budget::used_tokens(share) + static_cast<token_count>(start);
         for (auto const& one : share.waiting)
@@ -355,6 +361,10 @@
         return; // shares of the router before may still be taken over
     }
     auto& of = this->accounts.at(budget);
+    if (of.taking)
+    {
+        return;
+    }
     auto const early = this->now.now() < of.draws_from;
     if (early && of.share.waiting.empty() && !of.share.closing)
     {
@@ -415,6 +425,10 @@
     for (auto& [id, of] : this->accounts)
     {
         this->settle_waiting(of);
+        if (of.taking)
+        {
+            this->try_take_over(of);
+        }
         this->step(id);
     }
     this->timer.expires_after(tick_time);
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -74,12 +74,24 @@
     bool ready() const;
 
 private:
+    /// The share of the dead router before, on its way to this one. Nothing is
+    /// drawn of the budget meanwhile.
+    struct take_over
+    {
+        incarnation_id dead;
+        token_count spent{}; ///< at most, of the dead router's share
+        instant next_try{};
+        int tries{};
+        bool busy{false};
+        bool in_doubt{false}; ///< a rename without an answer
+    };
     struct account
     {
         budget::share_state share;
         token_count paid{};
         budget::holder_view holder;
         instant draws_from{}; ///< no draw before this without need
+        std::optional<take_over> taking;
         double mean_request{}; ///< tokens that a request sets aside, of late
 
         /// The paid amount stands in the configuration and not in the row, so
@@ -91,11 +103,14 @@
     account& open_account(budget_id const& budget);
     std::map<budget_id, budget::spend_line> wanted_lines() const;
     void inherit(incarnation_id const& dead,
-                 std::map<budget_id, token_count> const& spent_at_most,
-                 std::function<void()> const& done);
-    void take_over(budget_id const& budget, token_count spent,
-                   store::row const& found,
-                   std::shared_ptr<void> const& pending);
+                 std::map<budget_id, token_count> const& spent_at_most);
+    void try_take_over(account& of);
+    void rename_share(budget_id const& budget, store::row const& found);
+    void take_over_failed(budget_id const& budget);
+    void took_over(budget_id const& budget, store::row const& row,
+                   std::uint64_t version);
+    void note_take_over(account const& of, token_count granted,
+                        std::string outcome);
     void set_limit(account& of) const;
     void pass_on();
     void raise_line(account const& of);
--- a/src/gateway/budget_book_store.cpp
+++ b/src/gateway/budget_book_store.cpp
@@ -2,7 +2,6 @@
 
 #include <caperpath/budget/rows.hpp>
 
-#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -10,80 +9,6 @@
 namespace caperpath::gateway
 {
 
-/// The share rows of `dead` get this router's name, with what they hold. The
-/// budget rows stay as they are, so that routers which all start at once do not
-/// contend for them.
-void budget_book::inherit(incarnation_id const& dead,
-                          std::map<budget_id, token_count> const& spent_at_most,
-                          std::function<void()> const& done)
-{
-    std::shared_ptr<void> const pending{nullptr, [done](void*)
-                                        {
-                                            done();
-                                        }};
-    for (auto const& entry : spent_at_most)
-    {
-        this->port.read(budget::share_key(entry.first, dead),
-                        [this, budget = entry.first, spent = entry.second,
-                         pending](auto const& reply)
-                        {
-                            if (auto const* fault = std::get_if<error>(&reply))
-                            {
-                                this->log.fault(*fault);
-                                return;
-                            }
-                            this->take_over(budget, spent,
-                                            std::get<store::row>(reply),
-                                            pending);
-                        });
-    }
-}
-
-void budget_book::take_over(budget_id const& budget, token_count spent,
-                            store::row const& found,
-                            std::shared_ptr<void> const& pending)
-{
-    auto const old =
-        value_or_error([&] { return budget::decode_share(found.value); });
-    auto const* const share = std::get_if<budget::share_row>(&old);
-    if (found.version == 0 || share == nullptr)
-    {
-        return; // given back at a planned stop
-    }
-    auto& of = this->open_account(budget);
-    auto const own = budget::share_key(budget, of.holder.incarnation);
-    store::transaction txn;
-    txn.conditions = {{found.key, found.version}, {own, 0}};
-    txn.writes = {{own, found.value}, {found.key, std::nullopt}};
-    this->port.commit(
-        txn,
-        [this, budget, granted = share->granted,
-         spent = std::min(spent, share->granted), pending](store::commit_result const& result)
-        {
-            auto& of = this->accounts.at(budget);
-            if (result.outcome == store::commit_outcome::applied)
-            {
-                of.share = budget::inherit(std::move(of.share), granted, spent,
-                                           result.version);
-            }
-            else
-            {
-                // If it is applied later, the row has this router's name and
-                // nothing would tell that part of it is spent: this router
-                // goes on under another one.
-                of.holder.incarnation.value += "-2";
-            }
-            this->log.write(
-                log_weight::notable, "inherit",
-                {{"budget", budget.value},
-                 {"granted", std::to_string(granted)},
-                 {"spent", std::to_string(spent)},
-                 {"outcome", result.outcome == store::commit_outcome::applied
-                                 ? "applied"
-                                 : std::string{to_string(result.fault.kind)}}});
-        });
-}
-
 /// The budget row is read; the own share row has no other writer and is read
 /// too only when the answer to a write of it was lost.
 void budget_book::look(account& of)
--- /dev/null
+++ b/src/gateway/budget_take_over.cpp
@@ -0,0 +1,171 @@
+#include "gateway/budget_book.hpp"
+
+#include <caperpath/budget/rows.hpp>
+#include <caperpath/fleet/placement.hpp>
+
+#include <algorithm>
+#include <utility>
+
+/// How a budget book takes over the shares of the dead router before it. The
+/// share rows get this router's name, with what they hold; the budget rows stay
+/// as they are, so that routers which all start at once do not contend for
+/// them.
+///
+/// After a crash of 81 routers 1,900 rows are renamed at once, 81 of them in
+/// each partition of the store, which takes one after the other: calls time out
+/// or are refused for too many. Tried once, renames that failed cost customers
+/// 10 to 24 in 100 of what they had paid, so each is tried until it is decided.
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+/// Eight tries take some 4 s; a store that is away for longer keeps the shares
+/// from everybody.
+constexpr int most_tries = 8;
+constexpr std::int64_t first_pause_ms = 100;
+constexpr std::int64_t longest_pause_ms = 800;
+
+/// Spread over a whole pause, since all routers may have started together.
+duration pause_before(int tries, std::uint64_t salt)
+{
+    auto const longest = std::min(longest_pause_ms, first_pause_ms << tries);
+    return {longest / 2 +
+            static_cast<std::int64_t>(
+                salt % static_cast<std::uint64_t>(longest))};
+}
+
+} // namespace
+
+void budget_book::inherit(
+    incarnation_id const& dead,
+    std::map<budget_id, token_count> const& spent_at_most)
+{
+    for (auto const& [budget, spent] : spent_at_most)
+    {
+        auto& of = this->open_account(budget);
+        of.taking = take_over{dead, spent, this->now.now()};
+        this->try_take_over(of);
+    }
+}
+
+void budget_book::try_take_over(account& of)
+{
+    auto& taking = *of.taking;
+    if (taking.busy || this->now.now() < taking.next_try)
+    {
+        return;
+    }
+    taking.busy = true;
+    taking.tries += 1;
+    auto const id = of.share.budget;
+    this->port.read(budget::share_key(id, taking.dead),
+                    [this, id](auto const& reply)
+                    {
+                        if (auto const* fault = std::get_if<error>(&reply))
+                        {
+                            this->log.fault(*fault);
+                            this->take_over_failed(id);
+                            return;
+                        }
+                        this->rename_share(id, std::get<store::row>(reply));
+                    });
+}
+
+void budget_book::rename_share(budget_id const& budget, store::row const& found)
+{
+    auto& of = this->accounts.at(budget);
+    auto const own = budget::share_key(budget, of.holder.incarnation);
+    if (found.version == 0)
+    {
+        // Given back at a planned stop, or renamed by a try whose answer was
+        // lost.
+        this->port.read(own,
+                        [this, budget](auto const& reply)
+                        {
+                            if (auto const* fault = std::get_if<error>(&reply))
+                            {
+                                this->log.fault(*fault);
+                                this->take_over_failed(budget);
+                                return;
+                            }
+                            auto const& row = std::get<store::row>(reply);
+                            this->took_over(budget, row, row.version);
+                        });
+        return;
+    }
+    store::transaction txn;
+    txn.conditions = {{found.key, found.version}, {own, 0}};
+    txn.writes = {{own, found.value}, {found.key, std::nullopt}};
+    this->port.commit(
+        txn,
+        [this, budget, found](store::commit_result const& result)
+        {
+            if (result.outcome == store::commit_outcome::applied)
+            {
+                this->took_over(budget, found, result.version);
+                return;
+            }
+            this->accounts.at(budget).taking->in_doubt |=
+                result.outcome == store::commit_outcome::unknown;
+            this->take_over_failed(budget);
+        });
+}
+
+void budget_book::take_over_failed(budget_id const& budget)
+{
+    auto& of = this->accounts.at(budget);
+    auto& taking = *of.taking;
+    taking.busy = false;
+    auto const salt =
+        fleet::stable_hash(this->incarnation.value + "/" + budget.value);
+    taking.next_try = this->now.now() + pause_before(taking.tries, salt);
+    if (taking.tries < most_tries)
+    {
+        return;
+    }
+    if (taking.in_doubt)
+    {
+        // If it is applied later, the row has this router's name and nothing
+        // would tell that part of it is spent: this router goes on under
+        // another one.
+        of.holder.incarnation.value += "-2";
+    }
+    this->note_take_over(of, 0, "given up");
+    of.taking.reset();
+}
+
+void budget_book::took_over(budget_id const& budget, store::row const& row,
+                            std::uint64_t version)
+{
+    auto& of = this->accounts.at(budget);
+    auto const text =
+        value_or_error([&] { return budget::decode_share(row.value); });
+    auto const* const share = std::get_if<budget::share_row>(&text);
+    if (version == 0 || share == nullptr)
+    {
+        of.taking.reset();
+        return;
+    }
+    auto const spent = std::min(of.taking->spent, share->granted);
+    of.share = budget::inherit(std::move(of.share), share->granted, spent,
+                               version);
+    this->note_take_over(of, share->granted, "applied");
+    of.taking.reset();
+    this->settle_waiting(of);
+    this->step(budget);
+}
+
+void budget_book::note_take_over(account const& of, token_count granted,
+                                 std::string outcome)
+{
+    this->log.write(log_weight::notable, "inherit",
+                    {{"budget", of.share.budget.value},
+                     {"granted", std::to_string(granted)},
+                     {"spent", std::to_string(of.taking->spent)},
+                     {"tries", std::to_string(of.taking->tries)},
+                     {"outcome", std::move(outcome)}});
+}
+
+} // namespace caperpath::gateway
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -130,17 +130,12 @@
                     {{"before", this->old ? this->old->router.value : "none"},
                      {"known", spent ? "yes" : "no"},
                      {"age_ms", std::to_string(age)}});
-    auto const go_on = [this]
-    {
-        this->started = true;
-        this->write();
-    };
     if (spent)
     {
-        this->listener.inherit(this->old->router, *spent, go_on);
-        return;
+        this->listener.inherit(this->old->router, *spent);
     }
-    go_on();
+    this->started = true;
+    this->write();
 }
 
 void spend_keeper::hurry()
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -28,11 +28,11 @@
     std::function<void()> changed;
 
     /// Called once, before the first limit above zero: the dead router that had
-    /// this address, with the most that it can have spent. Call `done` when its
-    /// shares were taken over.
+    /// this address, with the most that it can have spent. From then on `wanted`
+    /// holds at least that for each budget whose share may be renamed: read
+    /// with a lower line, what the dead router had spent would be spent again.
     std::function<void(incarnation_id const& dead,
-                       std::map<budget_id, token_count> const& spent,
-                       std::function<void()> done)>
+                       std::map<budget_id, token_count> const& spent)>
         inherit;
 };
 
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -154,6 +154,14 @@
     port.commit = [this](store::transaction const& txn,
                          std::function<void(store::commit_result)> const& done)
     {
+        if (this->refuses_writes > 0)
+        {
+            this->refuses_writes -= 1;
+            store::commit_result const busy{
+                store::commit_outcome::refused, {}, no_answer};
+            this->later([done, busy] { done(busy); });
+            return;
+        }
         auto const applied = this->reachable;
         auto result = applied ? this->commit(txn) : store::commit_result{};
         if (!applied || this->loses_answers)
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -40,6 +40,9 @@
     /// Reads of rows whose key begins so are not answered; empty: all are.
     std::string silent_for;
 
+    /// So many of the next writes are refused: the store has too many.
+    int refuses_writes{0};
+
     /// Applied, and the answer is lost, while true.
     bool loses_answers{false};
 
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(no_more_is_served_than_was_paid);
     CPPUNIT_TEST(a_budget_lasts_through_an_outage_of_the_store);
     CPPUNIT_TEST(a_successor_takes_over_what_was_not_spent);
+    CPPUNIT_TEST(a_share_is_taken_over_by_a_busy_store_too);
     CPPUNIT_TEST(a_lost_draw_is_not_spent_twice);
     CPPUNIT_TEST(a_router_that_knows_no_budget_is_not_ready);
     CPPUNIT_TEST(a_planned_stop_finishes_what_is_open);
@@ -181,6 +182,42 @@
         CPPUNIT_ASSERT(served >= 8);
     }
 
+    // All routers of a large site are killed at the same moment and their
+    // successors rename thousands of share rows at once: the store refuses some
+    // of the writes and loses the answers of others. Each share that is not
+    // taken over is lost to its customer, who is refused with tokens unspent.
+    void a_share_is_taken_over_by_a_busy_store_too()
+    {
+        auto here = std::make_unique<fleet_site>();
+        here->add_server("i-1", "llm", three_events);
+        wait_ready(*here);
+        CPPUNIT_ASSERT_EQUAL(3, served_of(*here, 3));
+        auto const journaled = [&]
+        {
+            return here->store.own("spend/vm-1").find("taller") !=
+                   std::string::npos;
+        };
+        CPPUNIT_ASSERT(here->run_until(journaled));
+        here = fleet_site::after_crash(std::move(here));
+        here->add_server("i-1", "llm", three_events);
+        auto const read = [&]
+        {
+            return here->store.own("spend/vm-1").find("vm-1-2") !=
+                   std::string::npos;
+        };
+        CPPUNIT_ASSERT(here->run_until(read));
+        here->store.refuses_writes = 2;
+        wait_ready(*here);
+        auto const taken = [&]
+        {
+            return here->store.own("share/vm-1-1/taller").empty();
+        };
+        CPPUNIT_ASSERT(here->run_until(taken));
+        auto const served = 3 + served_of(*here, 9);
+        CPPUNIT_ASSERT(served <= 9);
+        CPPUNIT_ASSERT(served >= 8);
+    }
+
     // A draw takes effect and its answer is lost. Drawn again as if it had not,
     // the budget would be given out twice.
     void a_lost_draw_is_not_spent_twice()
