--- a/include/caperpath/budget/spend_journal.hpp
+++ b/include/caperpath/budget/spend_journal.hpp
@@ -16,11 +16,11 @@
 /// A share has to be deep enough for an outage of the store, and a router that
 /// dies would strand all of it. So each router keeps one row with a line for
 /// each budget: the most that it may have spent at a store time, and how much
-/// more with each second some time after it. It never spends above its lines. A successor
-/// reads the row, follows the lines to the store's time of its own first write
-/// and takes over what lies above them, however old the row is. The lines are
-/// flat for as long as a crash is likelier than an outage of the store, and
-/// rise afterwards, so that few are refused for want of a write.
+/// more with each second some time after it. It never spends above its lines. A
+/// successor reads the row, follows the lines to the store's time of its own
+/// first write and takes over what lies above them, however old the row is. The
+/// lines are flat for as long as a crash is likelier than an outage of the
+/// store, and rise afterwards, so that few are refused for want of a write.
 ///
 /// The clocks: a router knows the store's time only as that of the latest
 /// acknowledgement plus its own monotonic time since that came in. This is
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -28,8 +28,8 @@
 {
     if (state.seen && state.seen->version > 0)
     {
-        state.others = metered(
-            state.others, row.granted - state.seen->row.granted, now);
+        state.others =
+            metered(state.others, row.granted - state.seen->row.granted, now);
     }
 }
 
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -109,7 +109,8 @@
     auto const& sizes = state.sizes;
     auto const& row = state.seen->row;
     auto const holders = std::max<std::int64_t>(1, row.holders);
-    auto const kept = free * sizes.half_kept_at / (holders + sizes.half_kept_at);
+    auto const kept =
+        free * sizes.half_kept_at / (holders + sizes.half_kept_at);
     auto const back = free - kept;
     auto const least = sizes.least_return_part > 0
                            ? row.wanted / (sizes.least_return_part * holders)
@@ -155,9 +156,8 @@
 token_count refill(share_state const& state)
 {
     auto const free = free_tokens(state);
-    auto const amount =
-        draw_size(state.seen->row, 0, free, tokens_ahead(state),
-                  most_ahead(state));
+    auto const amount = draw_size(state.seen->row, 0, free, tokens_ahead(state),
+                                  most_ahead(state));
     // Near the end each draw ahead gets smaller; below one request it only
     // scatters what is left.
     auto const least = std::max({token_count{1},
--- a/src/budget/sizing.cpp
+++ b/src/budget/sizing.cpp
@@ -101,8 +101,7 @@
     }
     auto const idle = need > 0 ? 0 : free;
     auto const missing = std::max<token_count>(0, ahead - idle);
-    auto const room =
-        std::max<token_count>(0, most - need - idle);
+    auto const room = std::max<token_count>(0, most - need - idle);
     return std::min(left, need + std::min(missing, room));
 }
 
--- a/src/budget/spend_journal.cpp
+++ b/src/budget/spend_journal.cpp
@@ -19,9 +19,10 @@
 
 std::optional<spend_line> line_of(nlohmann::json const& text)
 {
-    auto const good = text.is_array() && text.size() == 2 &&
-                      std::all_of(text.begin(), text.end(), [](auto const& one)
-                                  { return one.is_number_integer(); });
+    auto const good =
+        text.is_array() && text.size() == 2 &&
+        std::all_of(text.begin(), text.end(),
+                    [](auto const& one) { return one.is_number_integer(); });
     if (!good)
     {
         return std::nullopt;
@@ -87,20 +88,19 @@
     row.router = {reader.text("router")};
     row.address = reader.text("address");
     row.at_ms = reader.whole("at_ms", "milliseconds", 0, most);
-    reader.each_member("lines",
-                       [&row, &faults](std::string const& name,
-                                       nlohmann::json const& text,
-                                       std::string const& path)
-                       {
-                           auto const line = line_of(text);
-                           if (!line)
-                           {
-                               faults.push_back(
-                                   {path, "expected tokens, tokens/s"});
-                               return;
-                           }
-                           row.lines[{name}] = *line;
-                       });
+    reader.each_member(
+        "lines",
+        [&row, &faults](std::string const& name, nlohmann::json const& text,
+                        std::string const& path)
+        {
+            auto const line = line_of(text);
+            if (!line)
+            {
+                faults.push_back({path, "expected tokens, tokens/s"});
+                return;
+            }
+            row.lines[{name}] = *line;
+        });
     if (!faults.empty())
     {
         return fail({error_kind::invalid, "decode spend row", "store",
@@ -120,8 +120,7 @@
     auto limit = std::min(granted, limit_by(journal.written, budget, store_ms));
     if (journal.pending)
     {
-        limit =
-            std::min(limit, limit_by(*journal.pending, budget, store_ms));
+        limit = std::min(limit, limit_by(*journal.pending, budget, store_ms));
     }
     return limit;
 }
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -34,8 +34,8 @@
 /// Callers keep their connections, so one router may have most of a customer's
 /// traffic, and its share has to last through an outage of 8 s. Four parts of
 /// five of what is left are held in shares then, one part stays for those that
-/// run out first. With two parts of three, 390 to 490 callers were refused in an
-/// outage at the end of a calm day.
+/// run out first. With two parts of three, 390 to 490 callers were refused in
+/// an outage at the end of a calm day.
 constexpr double part_by_traffic = 2;
 /// A router whose callers had moved on kept 285,000 of 1.96 million tokens
 /// until it was killed, and they were lost.
@@ -306,16 +306,15 @@
     auto const& share = found->second.share;
     auto const limit = share.spend_limit.value_or(share.share.granted);
     auto const age = share.seen ? (this->now.now() - share.seen->at).ms : -1;
-    return {
-        {"free", std::to_string(budget::free_tokens(share))},
-        {"below_line", std::to_string(limit - budget::used_tokens(share))},
-        {"paid", std::to_string(found->second.paid)},
-        {"left",
-         std::to_string(share.seen ? budget::ungranted(share.seen->row) : 0)},
-        {"wanted", std::to_string(share.seen ? share.seen->row.wanted : 0)},
-        {"row_age_ms", std::to_string(age)},
-        {"busy", share.busy ? "yes" : "no"},
-        {"store_failures", std::to_string(share.failures)}};
+    return {{"free", std::to_string(budget::free_tokens(share))},
+            {"below_line", std::to_string(limit - budget::used_tokens(share))},
+            {"paid", std::to_string(found->second.paid)},
+            {"left", std::to_string(
+                         share.seen ? budget::ungranted(share.seen->row) : 0)},
+            {"wanted", std::to_string(share.seen ? share.seen->row.wanted : 0)},
+            {"row_age_ms", std::to_string(age)},
+            {"busy", share.busy ? "yes" : "no"},
+            {"store_failures", std::to_string(share.failures)}};
 }
 
 void budget_book::close()
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -62,8 +62,8 @@
     /// True when everything was given back. @pre `close` was called.
     bool closed() const;
 
-    /// True when this router's share has so much free: only its spend line, which
-    /// rises, can hold a reservation back.
+    /// True when this router's share has so much free: only its spend line,
+    /// which rises, can hold a reservation back.
     bool covers(budget_id const& budget, token_count amount) const;
 
     /// False until a budget's row was read: before that this router can only
--- a/src/gateway/budget_take_over.cpp
+++ b/src/gateway/budget_take_over.cpp
@@ -31,16 +31,14 @@
 duration pause_before(int tries, std::uint64_t salt)
 {
     auto const longest = std::min(longest_pause_ms, first_pause_ms << tries);
-    return {longest / 2 +
-            static_cast<std::int64_t>(
-                salt % static_cast<std::uint64_t>(longest))};
+    return {longest / 2 + static_cast<std::int64_t>(
+                              salt % static_cast<std::uint64_t>(longest))};
 }
 
 } // namespace
 
-void budget_book::inherit(
-    incarnation_id const& dead,
-    std::map<budget_id, token_count> const& spent_at_most)
+void budget_book::inherit(incarnation_id const& dead,
+                          std::map<budget_id, token_count> const& spent_at_most)
 {
     for (auto const& [budget, spent] : spent_at_most)
     {
@@ -98,19 +96,18 @@
     store::transaction txn;
     txn.conditions = {{found.key, found.version}, {own, 0}};
     txn.writes = {{own, found.value}, {found.key, std::nullopt}};
-    this->port.commit(
-        txn,
-        [this, budget, found](store::commit_result const& result)
-        {
-            if (result.outcome == store::commit_outcome::applied)
-            {
-                this->took_over(budget, found, result.version);
-                return;
-            }
-            this->accounts.at(budget).taking->in_doubt |=
-                result.outcome == store::commit_outcome::unknown;
-            this->take_over_failed(budget);
-        });
+    this->port.commit(txn,
+                      [this, budget, found](store::commit_result const& result)
+                      {
+                          if (result.outcome == store::commit_outcome::applied)
+                          {
+                              this->took_over(budget, found, result.version);
+                              return;
+                          }
+                          this->accounts.at(budget).taking->in_doubt |=
+                              result.outcome == store::commit_outcome::unknown;
+                          this->take_over_failed(budget);
+                      });
 }
 
 void budget_book::take_over_failed(budget_id const& budget)
@@ -149,8 +146,8 @@
         return;
     }
     auto const spent = std::min(of.taking->spent, share->granted);
-    of.share = budget::inherit(std::move(of.share), share->granted, spent,
-                               version);
+    of.share =
+        budget::inherit(std::move(of.share), share->granted, spent, version);
     this->note_take_over(of, share->granted, "applied");
     of.taking.reset();
     this->settle_waiting(of);
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -60,10 +60,9 @@
         std::move(request), wait_for_answer(this->patience, longest),
         [this, began = this->now.now(), done = std::move(done)](auto result)
         {
-            this->patience =
-                result.answer
-                    ? answered(this->patience, this->now.now() - began)
-                    : unanswered(this->patience);
+            this->patience = result.answer ? answered(this->patience,
+                                                      this->now.now() - began)
+                                           : unanswered(this->patience);
             done(std::move(result));
         });
 }
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -1,9 +1,9 @@
 #ifndef CAPERPATH_SRC_GATEWAY_HTTP_CALL_HPP
 #define CAPERPATH_SRC_GATEWAY_HTTP_CALL_HPP
 
+#include <caperpath/base/call_patience.hpp>
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/error.hpp>
-#include <caperpath/base/call_patience.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -83,9 +83,8 @@
     this->first_write();
 }
 
-void spend_keeper::send(
-    std::map<budget_id, budget::spend_line> const& lines,
-    std::function<void(store::commit_result const&)> done)
+void spend_keeper::send(std::map<budget_id, budget::spend_line> const& lines,
+                        std::function<void(store::commit_result const&)> done)
 {
     auto const row = budget::next_row(this->journal, lines, this->now.now());
     this->journal = budget::sent(std::move(this->journal), row);
@@ -119,8 +118,7 @@
     // The router before was dead when this one had its address, which is at
     // least so long before the store wrote the row. A store that is away for
     // long after a crash would otherwise make the whole share count as spent.
-    auto const dead_ms =
-        result.store_ms - (this->first_sent - this->began).ms;
+    auto const dead_ms = result.store_ms - (this->first_sent - this->began).ms;
     auto const spent =
         this->old ? budget::spent_at_most(
                         *this->old, this->journal.written.address, dead_ms)
@@ -161,8 +159,8 @@
     this->writing = true;
     // A row that is sent again was meant for an earlier moment.
     this->hurried = this->journal.pending.has_value();
-    this->send(this->listener.wanted(), [this](auto const& result)
-               { this->wrote(result); });
+    this->send(this->listener.wanted(),
+               [this](auto const& result) { this->wrote(result); });
 }
 
 void spend_keeper::wrote(store::commit_result const& result)
@@ -195,9 +193,8 @@
         auto const found =
             value_or_error([&] { return budget::decode_spend(row.value); });
         auto const* const in_store = std::get_if<budget::spend_row>(&found);
-        auto const is_own =
-            in_store != nullptr &&
-            in_store->router == this->journal.written.router;
+        auto const is_own = in_store != nullptr &&
+                            in_store->router == this->journal.written.router;
         this->journal.fenced = in_store != nullptr && !is_own;
         this->journal.version = row.version;
         if (is_own)
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -28,9 +28,10 @@
     std::function<void()> changed;
 
     /// Called once, before the first limit above zero: the dead router that had
-    /// this address, with the most that it can have spent. From then on `wanted`
-    /// holds at least that for each budget whose share may be renamed: read
-    /// with a lower line, what the dead router had spent would be spent again.
+    /// this address, with the most that it can have spent. From then on
+    /// `wanted` holds at least that for each budget whose share may be renamed:
+    /// read with a lower line, what the dead router had spent would be spent
+    /// again.
     std::function<void(incarnation_id const& dead,
                        std::map<budget_id, token_count> const& spent)>
         inherit;
@@ -78,8 +79,8 @@
     caperpath::clock now{caperpath::clock::monotonic()};
     budget::spend_journal journal;
     std::optional<budget::spend_row> old; ///< of the router before
-    instant began{};      ///< the own address was bound
-    instant first_sent{}; ///< the latest try of the first write
+    instant began{};                      ///< the own address was bound
+    instant first_sent{};                 ///< the latest try of the first write
     bool writing{false};
     bool started{false};
     bool hurried{false};
--- a/tests/budget/spend_journal_test.cpp
+++ b/tests/budget/spend_journal_test.cpp
@@ -76,17 +76,14 @@
     void an_outage_of_the_store_opens_the_share()
     {
         auto const journal = acknowledged_at(start, 5'000, {300, 100});
-        CPPUNIT_ASSERT_EQUAL(
-            token_count{300},
-            spend_limit(journal, taller, 900, start + flat_for));
-        CPPUNIT_ASSERT_EQUAL(
-            token_count{550},
-            spend_limit(journal, taller, 900,
-                        start + flat_for + duration{2'500}));
-        CPPUNIT_ASSERT_EQUAL(
-            token_count{900},
-            spend_limit(journal, taller, 900,
-                        start + flat_for + duration{8'000}));
+        CPPUNIT_ASSERT_EQUAL(token_count{300}, spend_limit(journal, taller, 900,
+                                                           start + flat_for));
+        CPPUNIT_ASSERT_EQUAL(token_count{550},
+                             spend_limit(journal, taller, 900,
+                                         start + flat_for + duration{2'500}));
+        CPPUNIT_ASSERT_EQUAL(token_count{900},
+                             spend_limit(journal, taller, 900,
+                                         start + flat_for + duration{8'000}));
     }
 
     // A write that no answer came to may be in the store, with a lower line
@@ -117,13 +114,13 @@
         auto journal = acknowledged_at(start, 5'000, {300, 100});
         auto const row = next_row(journal, {{taller, {320, 10}}}, start);
         journal = sent(std::move(journal), row);
-        auto const again = next_row(journal, {{taller, {700, 90}}},
-                                    start + duration{400});
+        auto const again =
+            next_row(journal, {{taller, {700, 90}}}, start + duration{400});
         CPPUNIT_ASSERT(row == again);
         journal = found_own(std::move(journal), row, 7);
         CPPUNIT_ASSERT(!journal.pending);
-        auto const fresh = next_row(journal, {{taller, {700, 90}}},
-                                    start + duration{400});
+        auto const fresh =
+            next_row(journal, {{taller, {700, 90}}}, start + duration{400});
         CPPUNIT_ASSERT_EQUAL(std::int64_t{5'400}, fresh.at_ms);
     }
 
@@ -131,8 +128,8 @@
     // whole, and customers near their end were refused with tokens unspent.
     void a_late_successor_takes_over_what_the_line_leaves()
     {
-        spend_row const row{{"a-1"}, "10.0.0.1:80", 5'000,
-                            {{taller, {300, 100}}}};
+        spend_row const row{
+            {"a-1"}, "10.0.0.1:80", 5'000, {{taller, {300, 100}}}};
         auto const spent = spent_at_most(row, "10.0.0.1:80", 10'100);
         CPPUNIT_ASSERT(spent);
         CPPUNIT_ASSERT_EQUAL(token_count{750}, spent->at(taller));
@@ -176,19 +173,19 @@
                     auto const pause = duration{*rc::gen::inRange(0, 2'500)};
                     store_now = store_now + pause;
                     // Suspended, the router's clock stands still.
-                    now = now + (*rc::gen::inRange(0, 5) == 0 ? duration{0}
-                                                              : pause);
+                    now = now +
+                          (*rc::gen::inRange(0, 5) == 0 ? duration{0} : pause);
                     auto const limit =
                         spend_limit(journal, taller, granted, now);
                     used += std::min<token_count>(
                         std::max<token_count>(0, limit - used),
                         *rc::gen::inRange(0, 20'000));
-                    auto const row = next_row(
-                        journal,
-                        {{taller,
-                          {used + *rc::gen::inRange(0, 15'000),
-                           *rc::gen::inRange(0, 9'000)}}},
-                        now);
+                    auto const row =
+                        next_row(journal,
+                                 {{taller,
+                                   {used + *rc::gen::inRange(0, 15'000),
+                                    *rc::gen::inRange(0, 9'000)}}},
+                                 now);
                     journal = sent(std::move(journal), row);
                     auto const fate = *rc::gen::inRange(0, 4);
                     if (fate == 0)
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -233,9 +233,9 @@
         CPPUNIT_ASSERT(served >= 6);
     }
 
-    // A router comes back after a crash, reads the configuration, and is cut off
-    // from the store. It said it was ready after 1.5 s, the balancer sent it
-    // callers, and all of them were refused for want of a budget.
+    // A router comes back after a crash, reads the configuration, and is cut
+    // off from the store. It said it was ready after 1.5 s, the balancer sent
+    // it callers, and all of them were refused for want of a budget.
     void a_router_that_knows_no_budget_is_not_ready()
     {
         fleet_site here;
