Count a lapsed entry's return from the store's return

Requests reached it 2,010 to 2,086 ms after it had left, bound 2,000. Ruled out: the follower (the change was logged at once), connections kept open. Change: an entry that goes after an outage is gone from 2.2 s after the store's return.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -64,9 +64,9 @@
     instant set_aside_until{};
     double slowness{1.0}; ///< measured against expected time, smoothed
     instant listed_at{};
-    /// When the store first showed the entry as gone while that may only be an
-    /// effect of an outage of the store.
-    std::optional<instant> missing_since;
+    /// The store shows the entry as gone. That proves something from this
+    /// moment on; before it may only be an effect of an outage of the store.
+    std::optional<instant> gone_from;
 
     friend bool operator==(server const&, server const&) = default;
 };
@@ -89,8 +89,9 @@
 bool list_server(server_table& table, server_entry const& entry, instant now);
 
 /// The store says that the entry is gone. Right after an outage of the store it
-/// is kept for `entry_return_time`, since live servers write it again; at any
-/// other time the server is leaving from now on. Thread safe.
+/// is kept until `entry_return_time` after the store's return, since live
+/// servers write it again; at any other time the server is leaving from now on.
+/// Thread safe.
 void unlist_server(server_table& table, backend_server_id const& id,
                    instant now);
 
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -34,7 +34,7 @@
         one.listed_at = now;
     }
     one.entry = entry;
-    one.missing_since.reset();
+    one.gone_from.reset();
     return added || reborn;
 }
 
@@ -47,14 +47,18 @@
         return;
     }
     auto& one = found->second;
-    auto const returning =
-        !table.store_reachable ||
-        (table.store_back_at && now - *table.store_back_at < entry_return_time);
-    if (!returning)
+    if (!table.store_reachable)
     {
-        one.entry.leaving = true;
+        one.gone_from = one.gone_from.value_or(now + entry_return_time);
+        return;
     }
-    one.missing_since = one.missing_since.value_or(now);
+    // Counted from the store's return and not from now: an entry that goes
+    // late in this time is as likely that of a server which leaves, and that
+    // may get no requests two seconds later.
+    auto const settled_at =
+        table.store_back_at ? *table.store_back_at + entry_return_time : now;
+    one.entry.leaving = one.entry.leaving || now >= settled_at;
+    one.gone_from = std::max(now, settled_at);
 }
 
 std::vector<backend_server_id>
@@ -95,7 +99,7 @@
     std::vector<backend_server_id> gone;
     for (auto& [id, one] : table.servers)
     {
-        if (is_leaving(one, now) && one.missing_since && one.own.open == 0)
+        if (is_leaving(one, now) && one.gone_from && one.own.open == 0)
         {
             gone.push_back(id);
         }
@@ -109,9 +113,8 @@
 
 bool is_leaving(server const& one, instant now)
 {
-    auto const overdue =
-        one.missing_since && now - *one.missing_since >= entry_return_time;
-    return one.entry.leaving || overdue;
+    auto const gone = one.gone_from && now >= *one.gone_from;
+    return one.entry.leaving || gone;
 }
 
 bool usable(server const& one, instant now)
--- a/tests/fleet/server_table_test.cpp
+++ b/tests/fleet/server_table_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_server_that_starts_again_under_its_id_is_a_new_one);
     CPPUNIT_TEST(a_server_that_cannot_be_reached_is_left_out_for_a_time);
     CPPUNIT_TEST(a_server_with_open_requests_is_not_swept);
+    CPPUNIT_TEST(an_entry_that_goes_late_in_an_outage_s_wake_is_not_kept_long);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr instant start{100'000};
@@ -120,6 +121,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                              sweep_servers(table, start).size());
     }
+
+    // The store was out of reach of this router alone. 1.5 s after it is back a
+    // server leaves, and its entry goes. Kept for as long as an entry that
+    // lapsed in the outage, counted from then, the server got requests more
+    // than two seconds after it had left.
+    void an_entry_that_goes_late_in_an_outage_s_wake_is_not_kept_long()
+    {
+        server_table table;
+        server_entry one;
+        one.id = {"i-1"};
+        list_server(table, one, start);
+        note_store(table, false, start);
+        auto const back = start + duration{5'000};
+        note_store(table, true, back);
+        unlist_server(table, {"i-1"}, back + duration{1'500});
+        auto const& server = table.servers.at({"i-1"});
+        CPPUNIT_ASSERT(usable(server, back + duration{2'100}));
+        CPPUNIT_ASSERT(!usable(server, back + entry_return_time));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_table_test);
