Refuse at once what a line will not cover, ask a refusing store with pauses

Change: the line's value at the end of the wait decides; a retry's pause holds; the first and the latest vain wait are kept; budget::backoff serves both. Tests: gateway.spend_keeper, budget.share_end (a_row_that_stays_unchanged_ends_the_waits failed before).

--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -41,9 +41,10 @@
 /// What a whole wait could not bring together.
 struct fruitless_wait
 {
-    token_count amount{};
+    token_count amount{}; ///< the least of those waits
     std::uint64_t budget_version{};
-    instant since{};
+    instant since{}; ///< end of the first wait at this version
+    instant last{};  ///< end of the latest
 
     friend bool operator==(fruitless_wait const&,
                            fruitless_wait const&) = default;
@@ -127,6 +128,9 @@
 /// safe.
 token_count used_tokens(share_state const& state);
 
+/// The sum of the reservations that wait. Thread safe.
+token_count waiting_tokens(share_state const& state);
+
 /// The share of a dead holder with `granted` tokens, of which up to `spent` may
 /// be gone, as this holder's own: its row was renamed in one transaction that
 /// gave it `version`. @pre nothing was drawn or reserved yet. Thread safe.
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -77,7 +77,7 @@
                          instant now)
 {
     return state.fruitless && amount >= state.fruitless->amount &&
-           now - state.fruitless->since <
+           now - state.fruitless->last <
                state.sizes.refuse_at_once * state.seen->row.holders;
 }
 
@@ -99,13 +99,13 @@
 void note_fruitless(share_state& state, token_count amount, instant now)
 {
     auto const version = state.seen->version;
-    if (state.fruitless && state.fruitless->budget_version == version &&
-        !(state.sizes.refuse_at_once > duration{0}))
+    if (!state.fruitless || state.fruitless->budget_version != version)
     {
-        state.fruitless->amount = std::min(state.fruitless->amount, amount);
+        state.fruitless = fruitless_wait{amount, version, now, now};
         return;
     }
-    state.fruitless = fruitless_wait{amount, version, now};
+    state.fruitless->amount = std::min(state.fruitless->amount, amount);
+    state.fruitless->last = now;
 }
 
 /// The reply to a reservation that does not fit now, if it is time for one.
@@ -173,6 +173,16 @@
     return row;
 }
 
+token_count waiting_tokens(share_state const& state)
+{
+    token_count all = 0;
+    for (auto const& one : state.waiting)
+    {
+        all += one.amount;
+    }
+    return all;
+}
+
 token_count used_tokens(share_state const& state)
 {
     return state.settled + state.unsettled + state.reserved;
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -193,12 +193,9 @@
             all[id] = {of.taking->spent, 0};
             continue;
         }
-        line.spent =
-            budget::used_tokens(share) + static_cast<token_count>(start);
-        for (auto const& one : share.waiting)
-        {
-            line.spent += one.amount;
-        }
+        line.spent = budget::used_tokens(share) +
+                     budget::waiting_tokens(share) +
+                     static_cast<token_count>(start);
         line.per_second = static_cast<token_count>(traffic * line_rise) +
                           budget::free_tokens(share) / open_seconds;
         all[id] = line;
@@ -208,8 +205,8 @@
 
 void budget_book::set_limit(account& of) const
 {
-    of.share.spend_limit =
-        this->spending.limit(of.share.budget, of.share.share.granted);
+    of.share.spend_limit = this->spending.limit(
+        of.share.budget, of.share.share.granted, this->now.now());
 }
 
 void budget_book::pass_on()
@@ -288,11 +285,19 @@
     this->settle_waiting(of);
 }
 
-bool budget_book::covers(budget_id const& budget, token_count amount) const
+bool budget_book::opens_within(budget_id const& budget, token_count amount,
+                               duration wait) const
 {
     auto const found = this->accounts.find(budget);
-    return found != this->accounts.end() &&
-           budget::free_tokens(found->second.share) >= amount;
+    if (found == this->accounts.end())
+    {
+        return false;
+    }
+    auto const& share = found->second.share;
+    auto const needed =
+        budget::used_tokens(share) + budget::waiting_tokens(share) + amount;
+    return this->spending.limit(budget, share.share.granted,
+                                this->now.now() + wait) >= needed;
 }
 
 std::vector<log_field> budget_book::describe(budget_id const& budget) const
@@ -328,9 +333,12 @@
 
 bool budget_book::closed() const
 {
+    // A share on its way here has to arrive before it can be given back.
     return std::all_of(this->accounts.begin(), this->accounts.end(),
-                       [](auto const& entry)
-                       { return budget::is_closed(entry.second.share); });
+                       [](auto const& entry) {
+                           return budget::is_closed(entry.second.share) &&
+                                  !entry.second.taking;
+                       });
 }
 
 bool budget_book::knows_a_budget() const
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -62,9 +62,10 @@
     /// True when everything was given back. @pre `close` was called.
     bool closed() const;
 
-    /// True when this router's share has so much free: only its spend line,
-    /// which rises, can hold a reservation back.
-    bool covers(budget_id const& budget, token_count amount) const;
+    /// True when the share covers `amount` behind all that waits, and the spend
+    /// line will have risen to it within `wait` without any word of the store.
+    bool opens_within(budget_id const& budget, token_count amount,
+                      duration wait) const;
 
     /// False until a budget's row was read: before that this router can only
     /// refuse. True when no customer has a budget.
--- a/src/gateway/budget_take_over.cpp
+++ b/src/gateway/budget_take_over.cpp
@@ -20,24 +20,6 @@
 namespace caperpath::gateway
 {
 
-namespace
-{
-
-constexpr std::int64_t first_pause_ms = 100;
-constexpr std::int64_t longest_pause_ms = 800;
-constexpr int most_doublings = 3;
-
-/// Spread over a whole pause, since all routers may have started together.
-duration pause_before(int tries, std::uint64_t salt)
-{
-    auto const longest = std::min(
-        longest_pause_ms, first_pause_ms << std::min(tries, most_doublings));
-    return {longest / 2 + static_cast<std::int64_t>(
-                              salt % static_cast<std::uint64_t>(longest))};
-}
-
-} // namespace
-
 void budget_book::inherit(incarnation_id const& dead,
                           std::map<budget_id, token_count> const& spent_at_most)
 {
@@ -116,7 +98,7 @@
     taking.busy = false;
     auto const salt =
         fleet::stable_hash(this->incarnation.value + "/" + budget.value);
-    taking.next_try = this->now.now() + pause_before(taking.tries, salt);
+    taking.next_try = this->now.now() + budget::backoff(taking.tries, salt);
 }
 
 void budget_book::took_over(budget_id const& budget, store::row const& row,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,8 +23,9 @@
 /// With the store out of reach nothing can come but what other requests of this
 /// router give back.
 constexpr duration wait_without_store{20};
-/// A share that covers a request is opened to it by the next spend row, or some
-/// time after the last one: late for the caller, and sooner than a retry.
+/// A spend line opens the share some time after the last row: late for the
+/// caller, and sooner than a retry. What it will not cover by then is known at
+/// once.
 constexpr duration wait_for_line = budget::flat_for + duration{300};
 /// When to ask again while this process does not know the configuration.
 constexpr duration not_ready_retry{500};
@@ -41,7 +42,7 @@
 duration longest_wait(exchange const& of, token_count amount)
 {
     auto const& shared = of.shared;
-    if (shared.budgets.covers(of.budget, amount))
+    if (shared.budgets.opens_within(of.budget, amount, wait_for_line))
     {
         return wait_for_line;
     }
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -142,7 +142,9 @@
     {
         return;
     }
-    if (this->writing)
+    // After a failed write its next try comes by itself: sent at each wish for
+    // a higher line, a store that refuses at once would get 25 a second.
+    if (this->writing || this->journal.pending)
     {
         this->hurried = true;
         return;
@@ -219,12 +221,12 @@
     this->after(retry_pause, [this] { this->write(); });
 }
 
-token_count spend_keeper::limit(budget_id const& budget,
-                                token_count granted) const
+token_count spend_keeper::limit(budget_id const& budget, token_count granted,
+                                instant at) const
 {
-    return this->started ? budget::spend_limit(this->journal, budget, granted,
-                                               this->now.now())
-                         : 0;
+    return this->started
+               ? budget::spend_limit(this->journal, budget, granted, at)
+               : 0;
 }
 
 bool spend_keeper::ready() const
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -54,7 +54,10 @@
     /// A reservation waits for a higher line.
     void hurry();
 
-    token_count limit(budget_id const& budget, token_count granted) const;
+    /// The most that may be spent of `granted` tokens at `at`, now or later,
+    /// if the store is not heard until then.
+    token_count limit(budget_id const& budget, token_count granted,
+                      instant at) const;
 
     /// True when limits above zero may be given.
     bool ready() const;
--- a/tests/budget/share_end_test.cpp
+++ b/tests/budget/share_end_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(few_holders_keep_half_of_what_another_wants);
     CPPUNIT_TEST(a_tiny_return_is_not_written);
     CPPUNIT_TEST(after_a_wait_in_vain_the_next_is_refused_at_once);
+    CPPUNIT_TEST(a_row_that_stays_unchanged_ends_the_waits);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr instant start{100'000};
@@ -129,6 +130,45 @@
         request.amount = 5'000;
         CPPUNIT_ASSERT(
             !reserve(ended.state, request, later + duration{450}).reply);
+        // One that waited in vain too is remembered as well.
+        request.amount = 2'000;
+        waiting = reserve(ended.state, request, later);
+        auto const last = later + duration{250};
+        waiting.state.seen->at = last;
+        ended = answer_waiting(waiting.state, last);
+        request.request = {"r-4"};
+        CPPUNIT_ASSERT(
+            reserve(ended.state, request, last + duration{50}).reply);
+    }
+
+    /// A request that waits from `at` on, in vain, with the row unchanged.
+    static share_state waited(share_state state, std::string const& id,
+                              instant at)
+    {
+        reserve_request const request{
+            {id}, taller, policy, 5'000, duration{250}};
+        auto waiting = reserve(std::move(state), request, at);
+        CPPUNIT_ASSERT(!waiting.reply);
+        auto const end = at + duration{250};
+        waiting.state.seen->at = end;
+        auto ended = answer_waiting(std::move(waiting.state), end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.answers.size());
+        return ended.state;
+    }
+
+    // Nobody gives tokens back to a used up budget. When each wait in vain
+    // counted as the first one, every caller was kept waiting for a quarter of
+    // a second for the rest of the day.
+    void a_row_that_stays_unchanged_ends_the_waits()
+    {
+        auto state = with_row(row_of(90'000, 90'000, 9), 24);
+        state = waited(std::move(state), "r-1", start);
+        state = waited(std::move(state), "r-2", start + duration{4'700});
+        auto const later = start + duration{5'700};
+        state.seen->at = later;
+        reserve_request const request{
+            {"r-3"}, taller, policy, 5'000, duration{250}};
+        CPPUNIT_ASSERT(reserve(std::move(state), request, later).reply);
     }
 };
 
