Write once what an order makes of a request, and two test setups

Engine and service refused by the same sixteen lines; two tests each set up a silent server and a router about to draw. No assertion changed.

--- a/src/stand_in/admin_routes.cpp
+++ b/src/stand_in/admin_routes.cpp
@@ -11,6 +11,18 @@
 namespace caperpath::stand_in
 {
 
+namespace
+{
+
+/// A leaving backend server takes no new work: nothing was run.
+void reply_leaving(httplib::Response& response)
+{
+    reply_not_run(response, "leaving, takes no new work");
+    response.set_header("Caperpath-Leaving", "true");
+}
+
+} // namespace
+
 void add_fault_routes(httplib::Server& server, fault_board& board,
                       std::vector<std::string> kinds,
                       std::function<void(ordered_fault const&)> accept)
@@ -82,10 +94,24 @@
         });
 }
 
-void reply_leaving(httplib::Response& response)
+bool refused_by_order(fault_board& faults, order_desk const& orders,
+                      stop_signal& stopping, httplib::Response& response)
 {
-    reply_not_run(response, "leaving, takes no new work");
-    response.set_header("Caperpath-Leaving", "true");
+    if (auto const delay = faults.take("delay"))
+    {
+        stopping.wait(delay->span);
+    }
+    if (faults.take("error"))
+    {
+        reply_error(response, 500, "server_error", "ordered by a fault");
+        return true;
+    }
+    if (orders.leaving())
+    {
+        reply_leaving(response);
+        return true;
+    }
+    return false;
 }
 
 } // namespace caperpath::stand_in
--- a/src/stand_in/admin_routes.hpp
+++ b/src/stand_in/admin_routes.hpp
@@ -3,6 +3,7 @@
 
 #include "stand_in/fault_board.hpp"
 #include "stand_in/order_desk.hpp"
+#include "stand_in/stop_signal.hpp"
 
 #include <httplib.h>
 
@@ -31,8 +32,11 @@
 void add_order_route(httplib::Server& server, order_desk& desk,
                      std::function<void()> changed);
 
-/// Says that a leaving backend server takes no new work: nothing was run.
-void reply_leaving(httplib::Response& response);
+/// What was ordered for every request, chat or call: a delay, then an error or
+/// the refusal of a leaving server. True when `response` is the answer. Thread
+/// safe.
+bool refused_by_order(fault_board& faults, order_desk const& orders,
+                      stop_signal& stopping, httplib::Response& response);
 
 } // namespace caperpath::stand_in
 
--- a/src/stand_in/engine.cpp
+++ b/src/stand_in/engine.cpp
@@ -167,18 +167,8 @@
 
 bool engine::refuse_chat(std::string const& model, httplib::Response& response)
 {
-    if (auto const delay = this->faults.take("delay"))
+    if (refused_by_order(this->faults, this->orders, this->stopping, response))
     {
-        this->stopping.wait(delay->span);
-    }
-    if (this->faults.take("error"))
-    {
-        reply_error(response, 500, "server_error", "ordered by a fault");
-        return true;
-    }
-    if (this->orders.leaving())
-    {
-        reply_leaving(response);
         return true;
     }
     if (!this->orders.has_model(model))
--- a/src/stand_in/service.cpp
+++ b/src/stand_in/service.cpp
@@ -126,21 +126,8 @@
 
 bool service::refuse(httplib::Response& response)
 {
-    if (auto const delay = this->faults.take("delay"))
-    {
-        this->stopping.wait(delay->span);
-    }
-    if (this->faults.take("error"))
-    {
-        reply_error(response, 500, "server_error", "ordered by a fault");
-        return true;
-    }
-    if (this->orders.leaving())
-    {
-        reply_leaving(response);
-        return true;
-    }
-    return false;
+    return refused_by_order(this->faults, this->orders, this->stopping,
+                            response);
 }
 
 void service::run(httplib::Request const& request, httplib::Response& response)
--- a/tests/budget/share_test.cpp
+++ b/tests/budget/share_test.cpp
@@ -261,19 +261,27 @@
         CPPUNIT_ASSERT(holds);
     }
 
-    // A router gives idle tokens back; the call is held up on its way and the
-    // router gives up waiting. It reads its row, finds nothing changed, and the
-    // write lands afterwards. Had it taken the tokens for its own again, it and
-    // another router would both spend them.
-    void a_late_return_is_not_spent_again()
+    /// One router that has looked at a budget of 1,000 tokens for a request of
+    /// 400 and is about to draw.
+    static simulated_router& a_router_that_draws(world& all)
     {
-        world all;
         all.add_router();
         CPPUNIT_ASSERT(top_up(all.direct, budgets[0], "first", 1'000));
         auto& router = all.routers.front();
         all.reserve_at(router, budgets[0], budget_policy::overspend_first, 400,
                        {1'000});
         all.pump(router, mishap::none);
+        return router;
+    }
+
+    // A router gives idle tokens back; the call is held up on its way and the
+    // router gives up waiting. It reads its row, finds nothing changed, and the
+    // write lands afterwards. Had it taken the tokens for its own again, it and
+    // another router would both spend them.
+    void a_late_return_is_not_spent_again()
+    {
+        world all;
+        auto& router = a_router_that_draws(all);
         all.pump(router, mishap::none);
         all.finish_at(router, 0);
         auto& share = router.shares.at(budgets[0]);
@@ -303,12 +311,7 @@
     void a_dead_routers_first_draw_is_refused()
     {
         world all;
-        all.add_router();
-        CPPUNIT_ASSERT(top_up(all.direct, budgets[0], "first", 1'000));
-        auto& router = all.routers.front();
-        all.reserve_at(router, budgets[0], budget_policy::overspend_first, 400,
-                       {1'000});
-        all.pump(router, mishap::none);
+        auto& router = a_router_that_draws(all);
         all.pump(router, mishap::delayed);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.delayed.size());
         all.crash(router);
--- a/tests/gateway/outcome_test.cpp
+++ b/tests/gateway/outcome_test.cpp
@@ -27,6 +27,19 @@
 
     using request = fake_server::request;
 
+    /// A server that takes requests and says nothing, at a router that is
+    /// ready.
+    static fake_server& add_silent_server(fleet_site& here)
+    {
+        auto& server =
+            here.add_server("i-1", "app",
+                            [](request const&) {
+                                return script{{}, script::end::silent};
+                            });
+        CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
+        return server;
+    }
+
     static script ok(request const& got)
     {
         return {{whole_answer(got, 200, "done")}};
@@ -200,12 +213,7 @@
     void a_silent_server_is_given_up_at_the_route_s_timeout()
     {
         fleet_site here;
-        auto& server =
-            here.add_server("i-1", "app",
-                            [](request const&) {
-                                return script{{}, script::end::silent};
-                            });
-        CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
+        auto& server = add_silent_server(here);
         CPPUNIT_ASSERT_EQUAL(
             504,
             here.send(fleet_site::request("POST", "/order/1", "", "x")).status);
@@ -246,12 +254,7 @@
     void a_server_is_told_when_its_caller_left()
     {
         fleet_site here;
-        auto& server =
-            here.add_server("i-1", "app",
-                            [](request const&) {
-                                return script{{}, script::end::silent};
-                            });
-        CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
+        auto& server = add_silent_server(here);
         {
             tcp::socket socket{here.loop};
             socket.connect({asio::ip::make_address("127.0.0.1"),
