--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -57,7 +57,6 @@
 {
     server_entry entry;
     server_work own;
-    server_work peers; ///< as the other routers last told
     load_report report;
     instant reported_at{-1'000'000};
     std::int64_t failures{}; ///< in a row
--- a/src/budget/share_rules.hpp
+++ b/src/budget/share_rules.hpp
@@ -13,6 +13,24 @@
 /// The largest reservation that may be admitted now. Thread safe.
 token_count reservable(share_state const& state);
 
+/// True before this router's first write of a share row. Thread safe.
+bool is_newcomer(share_state const& state);
+
+/// What the traffic of the horizon needs, and what a holder keeps beyond it.
+/// Thread safe.
+token_count tokens_ahead(share_state const& state);
+
+/// The most to hold ahead of need. @pre `state.seen`. Thread safe.
+token_count most_ahead(share_state const& state);
+
+/// Idle tokens that another router has more use for. @pre `state.seen`. Thread
+/// safe.
+token_count surplus(share_state const& state);
+
+/// Tokens worth a draw of their own, without anybody waiting; 0 if none. @pre
+/// `state.seen`. Thread safe.
+token_count refill(share_state const& state);
+
 } // namespace caperpath::budget
 
 #endif
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -33,26 +33,25 @@
                                     static_cast<double>(report_lifetime.ms);
 }
 
-/// Requests of all routers at the server: at least those that are told of, and
-/// as many more as its own last figure shows.
+/// Requests of all routers at the server: at least this router's own, and as
+/// many more as its own last figure shows.
 double open_requests(server const& one, instant now)
 {
-    auto const told = static_cast<double>(one.own.open + one.peers.open);
+    auto const own = static_cast<double>(one.own.open);
     auto const seen =
         static_cast<double>(one.report.running + one.report.waiting);
-    return told + age_weight(one, now) * std::max(0.0, seen - told);
+    return own + age_weight(one, now) * std::max(0.0, seen - own);
 }
 
 double engine_ms(server const& one, service const& of, work const& item,
                  bool holds_prefix, engine_speed const& speed, instant now)
 {
     auto const open = open_requests(one, now);
-    auto const told = static_cast<double>(one.own.open + one.peers.open);
-    auto const tokens =
-        static_cast<double>(one.own.in_memory + one.peers.in_memory) +
-        (open - told) * speed.unknown_request_tokens;
+    auto const own = static_cast<double>(one.own.open);
+    auto const tokens = static_cast<double>(one.own.in_memory) +
+                        (open - own) * speed.unknown_request_tokens;
     auto const unread =
-        static_cast<double>(one.own.unread + one.peers.unread) +
+        static_cast<double>(one.own.unread) +
         static_cast<double>(item.prompt_tokens -
                             (holds_prefix ? item.shared_tokens : 0));
     auto const step =
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -1,11 +1,11 @@
 #include "gateway/budget_book.hpp"
+#include "gateway/share_sizes.hpp"
 
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/fleet/placement.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <string>
 #include <utility>
 
@@ -16,85 +16,19 @@
 {
 
 constexpr auto policy = config::budget_policy::false_refusals_first;
-/// A router without the store lives on its shares, and a router that dies
-/// strands them. The store is away for up to 9 s in the users' list of
-/// troubles; at the lowest level of refill a share covers 7.5 s.
-constexpr duration share_horizon{10'000};
-constexpr double lowest_level = 0.75;
-constexpr double highest_level = 0.9;
-constexpr duration row_fresh{150};
-constexpr duration idle_look{2'500};
-constexpr duration near_end_look{400};
 constexpr std::chrono::milliseconds tick_time{40};
 /// The least share, as a part of what was paid: enough for some requests of a
 /// small customer while the store is away, and 15 in 100 of its budget at nine
 /// routers. A share by the size of single requests scattered all of a small
 /// budget over idle routers within 5 s.
 constexpr token_count least_share_part = 60;
-/// Callers keep their connections, so one router may have most of a customer's
-/// traffic, and its share has to last through an outage of 8 s. Two parts
-/// of three of what is left are held in shares then, one part stays for those
-/// that run out first; four parts of five served no more.
-constexpr double part_by_traffic = 2;
-/// A router whose callers had moved on kept 285,000 of 1.96 million tokens
-/// until it was killed, and they were lost.
-constexpr double idle_factor = 1.6;
-constexpr std::int64_t half_kept_at = 9;
-/// At the end of a budget routers returned 12 tokens to one that wanted 20,000.
-constexpr std::int64_t least_return_part = 2;
-/// 0.1 s at nine routers, 1 s at 81: the time in which the others look.
-constexpr duration refuse_at_once{12};
-/// With 81 routers spare tokens of a sixtieth each were more than all that was
-/// paid, and 24 budgets went round in 16,000 draws at 11 routers in a minute.
-constexpr std::int64_t spare_divisor = 4;
-constexpr duration look_per_holder{150};
-constexpr duration near_end_look_per_holder{50};
-constexpr duration waiting_look{100};
 /// All routers of a site start together; drawn at once, n routers make n * n /
 /// 2 tries for each budget.
 constexpr std::uint64_t first_draw_spread_ms = 5'000;
 
-constexpr double ms_per_second = 1'000;
-/// A spend line begins 0.3 s of traffic, the time between two rows, and half a
-/// request above the use; a larger request waits for a row of its own, 10 ms
-/// while the store answers. What lies between the use and the line is lost when
-/// the router dies: with a tenth of the share and the largest request of ten
-/// seconds, 17 crashes of nine routers cost customers 6 to 14 in 100 of what
-/// they had paid.
-constexpr double line_start_seconds = 0.3;
-constexpr double line_start_requests = 0.5;
-/// Arrivals are uneven, and a router gets more of them when others die. The
-/// line rises by this much of the traffic and would open the whole share in 4
-/// s.
-constexpr double line_rise = 1.25;
-constexpr token_count open_seconds = 4;
 /// The mean size of requests follows some ten of them.
 constexpr double size_weight = 0.1;
 
-budget::sizing sizes()
-{
-    budget::sizing all;
-    all.horizon = share_horizon;
-    all.exposure = duration{0};
-    all.requests_ahead = 1;
-    all.requests_in_draw = 0;
-    all.part_by_traffic = part_by_traffic;
-    all.idle_factor = idle_factor;
-    all.half_kept_at = half_kept_at;
-    all.least_return_part = least_return_part;
-    all.refuse_at_once = refuse_at_once;
-    all.spare_divisor = spare_divisor;
-    all.look_per_holder = look_per_holder;
-    all.near_end_look_per_holder = near_end_look_per_holder;
-    all.waiting_look = waiting_look;
-    all.lowest_level = lowest_level;
-    all.highest_level = highest_level;
-    all.fresh = row_fresh;
-    all.look_interval = idle_look;
-    all.near_end_look = near_end_look;
-    return all;
-}
-
 } // namespace
 
 void budget_book::account::raise_paid()
@@ -138,7 +72,7 @@
     auto& of = found->second;
     if (added)
     {
-        of.share = budget::make_share(budget, policy, sizes());
+        of.share = budget::make_share(budget, policy, share_sizes());
         of.share.last_amount = 1; // a first share before any request
         of.holder = {this->incarnation, 1};
         auto const drawn =
@@ -175,40 +109,6 @@
     }
 }
 
-/// What the traffic will use of the share while the store is away, and all that
-/// waits.
-std::map<budget_id, budget::spend_line> budget_book::wanted_lines() const
-{
-    std::map<budget_id, budget::spend_line> all;
-    for (auto const& [id, of] : this->accounts)
-    {
-        auto const& share = of.share;
-        auto const traffic = std::max(0.0, share.rate.per_second);
-        auto const start = traffic * line_start_seconds +
-                           of.mean_request * line_start_requests;
-        budget::spend_line line;
-        if (of.taking)
-        {
-            // Renamed at any moment, its share row is read with this line.
-            all[id] = {of.taking->spent, 0};
-            continue;
-        }
-        line.spent = budget::used_tokens(share) +
-                     budget::waiting_tokens(share) +
-                     static_cast<token_count>(start);
-        line.per_second = static_cast<token_count>(traffic * line_rise) +
-                          budget::free_tokens(share) / open_seconds;
-        all[id] = line;
-    }
-    return all;
-}
-
-void budget_book::set_limit(account& of) const
-{
-    of.share.spend_limit = this->spending.limit(
-        of.share.budget, of.share.share.granted, this->now.now());
-}
-
 void budget_book::pass_on()
 {
     for (auto& [id, of] : this->accounts)
@@ -285,21 +185,6 @@
     this->settle_waiting(of);
 }
 
-bool budget_book::opens_within(budget_id const& budget, token_count amount,
-                               duration wait) const
-{
-    auto const found = this->accounts.find(budget);
-    if (found == this->accounts.end())
-    {
-        return false;
-    }
-    auto const& share = found->second.share;
-    auto const needed =
-        budget::used_tokens(share) + budget::waiting_tokens(share) + amount;
-    return this->spending.limit(budget, share.share.granted,
-                                this->now.now() + wait) >= needed;
-}
-
 std::vector<log_field> budget_book::describe(budget_id const& budget) const
 {
     auto const found = this->accounts.find(budget);
@@ -392,6 +277,7 @@
         break;
     }
 }
+
 void budget_book::settle_waiting(account& of)
 {
     this->set_limit(of);
@@ -412,21 +298,6 @@
     this->raise_line(of);
 }
 
-/// A reservation that the share covers and only its line holds back does not
-/// wait for the next regular write.
-void budget_book::raise_line(account const& of)
-{
-    auto const& share = of.share;
-    auto const covered = [&share](budget::waiting_reservation const& one)
-    {
-        return one.amount <= budget::free_tokens(share);
-    };
-    if (std::any_of(share.waiting.begin(), share.waiting.end(), covered))
-    {
-        this->spending.hurry();
-    }
-}
-
 void budget_book::tick()
 {
     for (auto& [id, of] : this->accounts)
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -14,7 +14,7 @@
 
 #include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
--- /dev/null
+++ b/src/gateway/budget_lines.cpp
@@ -0,0 +1,92 @@
+#include "gateway/budget_book.hpp"
+
+#include <algorithm>
+
+/// How far a budget book may spend ahead of its spend row.
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+/// A spend line begins 0.3 s of traffic, the time between two rows, and half a
+/// request above the use; a larger request waits for a row of its own, 10 ms
+/// while the store answers. What lies between the use and the line is lost when
+/// the router dies: with a tenth of the share and the largest request of ten
+/// seconds, 17 crashes of nine routers cost customers 6 to 14 in 100 of what
+/// they had paid.
+constexpr double line_start_seconds = 0.3;
+constexpr double line_start_requests = 0.5;
+/// Arrivals are uneven, and a router gets more of them when others die. The
+/// line rises by this much of the traffic and would open the whole share in 4
+/// s.
+constexpr double line_rise = 1.25;
+constexpr token_count open_seconds = 4;
+
+} // namespace
+
+/// What the traffic will use of the share while the store is away, and all that
+/// waits.
+std::map<budget_id, budget::spend_line> budget_book::wanted_lines() const
+{
+    std::map<budget_id, budget::spend_line> all;
+    for (auto const& [id, of] : this->accounts)
+    {
+        auto const& share = of.share;
+        auto const traffic = std::max(0.0, share.rate.per_second);
+        auto const start = traffic * line_start_seconds +
+                           of.mean_request * line_start_requests;
+        budget::spend_line line;
+        if (of.taking)
+        {
+            // Renamed at any moment, its share row is read with this line.
+            all[id] = {of.taking->spent, 0};
+            continue;
+        }
+        line.spent = budget::used_tokens(share) +
+                     budget::waiting_tokens(share) +
+                     static_cast<token_count>(start);
+        line.per_second = static_cast<token_count>(traffic * line_rise) +
+                          budget::free_tokens(share) / open_seconds;
+        all[id] = line;
+    }
+    return all;
+}
+
+void budget_book::set_limit(account& of) const
+{
+    of.share.spend_limit = this->spending.limit(
+        of.share.budget, of.share.share.granted, this->now.now());
+}
+
+/// A reservation that the share covers and only its line holds back does not
+/// wait for the next regular write.
+void budget_book::raise_line(account const& of)
+{
+    auto const& share = of.share;
+    auto const covered = [&share](budget::waiting_reservation const& one)
+    {
+        return one.amount <= budget::free_tokens(share);
+    };
+    if (std::any_of(share.waiting.begin(), share.waiting.end(), covered))
+    {
+        this->spending.hurry();
+    }
+}
+
+bool budget_book::opens_within(budget_id const& budget, token_count amount,
+                               duration wait) const
+{
+    auto const found = this->accounts.find(budget);
+    if (found == this->accounts.end())
+    {
+        return false;
+    }
+    auto const& share = found->second.share;
+    auto const needed =
+        budget::used_tokens(share) + budget::waiting_tokens(share) + amount;
+    return this->spending.limit(budget, share.share.granted,
+                                this->now.now() + wait) >= needed;
+}
+
+} // namespace caperpath::gateway
