Deal all of a budget out by what each router needs ahead

Cause: during an outage of the store 70 to 90% of what customers had paid lay in the budget rows, where it serves nobody.

Change: each router tells in its spend row what it holds, has spent and needs (mean traffic of 10 s, two deviations, one large request); all follow these rows and the budget rows. A share's target is its part by need of all that is free anywhere (budget/holdings). A wish for tokens is answered by the one holder with the most to spare; 402 is said where what all have spent leaves less than the request. Own rows stand in a table a kind, so that each can be followed.

--- a/include/caperpath/base/id.hpp
+++ b/include/caperpath/base/id.hpp
@@ -26,6 +26,8 @@
 using backend_server_id = basic_id<struct backend_server_tag>;
 using failure_domain_id = basic_id<struct failure_domain_tag>;
 using request_id = basic_id<struct request_tag>;
+/// The place that a router runs at; its lives follow one another there.
+using vm_id = basic_id<struct vm_tag>;
 
 /// One life of one VM: a replaced VM at the same address gets a new value, so
 /// that nothing written for the old one is taken for the new one.
--- a/include/caperpath/budget/share.hpp
+++ b/include/caperpath/budget/share.hpp
@@ -3,6 +3,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/budget/bill.hpp>
+#include <caperpath/budget/holdings.hpp>
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/budget/sizing.hpp>
 #include <caperpath/store/table.hpp>
@@ -33,7 +34,8 @@
 {
     budget_row row;
     std::uint64_t version{}; ///< 0: the row does not exist
-    instant at{};
+    instant at{};            ///< it was so at this time
+    instant wish_since{};    ///< it names the tokens wanted since then
 
     friend bool operator==(seen_budget const&, seen_budget const&) = default;
 };
@@ -91,6 +93,13 @@
     bool look_first{false}; ///< a lost answer: see what became of it
     token_count wanting{};  ///< what this router put into `wanted`
 
+    /// What this router should hold by what all tell of themselves; set by the
+    /// caller, nothing while it is not known.
+    std::optional<deal> dealt;
+    /// Of a wish for tokens: the others that have more do not cover it.
+    bool must_return{true};
+    instant moved_at{}; ///< the latest draw or return without need
+
     /// No more than this may be spent at present, whatever is granted.
     std::optional<token_count> spend_limit;
 
@@ -217,6 +226,11 @@
 share_state looked(share_state state, holder_view const& holder,
                    std::vector<store::row> const& rows, instant now);
 
+/// The budget row as a feed shows it, or nothing new: it is still as it was
+/// seen. Thread safe.
+share_state noticed(share_state state, store::row const& budget, instant now);
+share_state unchanged(share_state state, instant now);
+
 /// A look failed. Thread safe.
 share_state look_failed(share_state state, instant now);
 
--- a/include/caperpath/budget/sizing.hpp
+++ b/include/caperpath/budget/sizing.hpp
@@ -68,6 +68,13 @@
     /// After a wait without any result, requests for as much are refused at
     /// once for so long, times the number of holders.
     duration refuse_at_once{0};
+    /// With a deal: a draw below this part of the target, a return above this
+    /// many times it, and the pause between two of them, which grows with the
+    /// number of holders.
+    double deal_low{0.7};
+    double deal_high{1.4};
+    duration deal_pause{400};
+    duration deal_pause_per_holder{15};
     std::int64_t near_end_part{50}; ///< near the end: ungranted < paid / this
     duration fresh{50};             ///< a row seen this long ago may be used
     duration look_interval{1'000};  ///< of a holder of idle tokens
--- a/include/caperpath/fleet/roster.hpp
+++ b/include/caperpath/fleet/roster.hpp
@@ -57,6 +57,10 @@
 /// safe.
 std::int64_t alive(roster const& known, instant now);
 
+/// The VMs of these: a router that took the place of a dead one counts once.
+/// Thread safe.
+std::int64_t alive_vms(roster const& known, instant now);
+
 /// Routers whose rows may be removed. Thread safe.
 std::vector<incarnation_id> dead(roster const& known, instant now);
 
--- a/include/caperpath/store/async_port.hpp
+++ b/include/caperpath/store/async_port.hpp
@@ -16,12 +16,21 @@
 namespace caperpath::store
 {
 
-/// One row of a table that others write, as it is now or as it changed.
+/// The table in which our rows of a kind stand; the kind is the text before the
+/// first "/" of their keys. Apart, so that a router which follows one kind does
+/// not read all others. Thread safe.
+inline std::string own_table(std::string const& kind)
+{
+    return "caperpath-" + kind;
+}
+
+/// One row of a table as it is now or as it changed.
 struct feed_row
 {
     std::string key;
     std::string value; ///< empty when deleted
     bool deleted{false};
+    std::uint64_t version{}; ///< of the row
 
     friend bool operator==(feed_row const&, feed_row const&) = default;
 };
@@ -54,7 +63,8 @@
                        reply<std::vector<row>>)>
         scan;
 
-    /// All rows of a table that others write.
+    /// All rows of a table that others write; of an own table only the version
+    /// to follow from, since its rows stand in many partitions.
     std::function<void(std::string const& table, reply<feed_page>)> list;
 
     /// The changes after `since`, as soon as there is one or after `wait`
--- /dev/null
+++ b/src/budget/holdings.cpp
@@ -0,0 +1,129 @@
+#include <caperpath/budget/holdings.hpp>
+#include <caperpath/budget/sizing.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperpath::budget
+{
+
+namespace
+{
+
+constexpr double ms_per_second = 1'000;
+/// Two deviations cover 97 in 100 of the spans that are reckoned with.
+constexpr double deviations = 2;
+/// A router without any traffic keeps this part of an even share: the first
+/// callers that a failed neighbour leaves to it come before the next deal.
+constexpr double least_part = 0.1;
+constexpr double short_part = 0.5;
+
+bool is_current(heard_holding const& one, instant now)
+{
+    return now - one.at <= holding_lifetime;
+}
+
+token_count free_of(holding const& one)
+{
+    return std::max<token_count>(0, one.granted - one.spent - one.open);
+}
+
+/// What the routers that were heard of lately have and need.
+struct sums
+{
+    std::int64_t routers{1};
+    token_count free{};
+    token_count spent{};
+    double need{};
+};
+
+sums add_up(holdings const& known, vm_id const& self, holding const& own,
+            instant now)
+{
+    sums all{1, free_of(own), own.spent, static_cast<double>(own.need)};
+    for (auto const& [router, one] : known)
+    {
+        if (router == self)
+        {
+            continue;
+        }
+        // One that is gone may have returned its share and what it spent.
+        if (is_current(one, now))
+        {
+            all.spent += one.last.spent;
+            all.routers += 1;
+            all.free += free_of(one.last);
+            all.need += static_cast<double>(one.last.need);
+        }
+    }
+    return all;
+}
+
+/// The part of the free tokens that belongs to a need, with the least part of
+/// an even share for each router.
+double part_of(token_count need, sums const& all)
+{
+    auto const even = 1.0 / static_cast<double>(all.routers);
+    auto const by_need =
+        all.need > 0 ? static_cast<double>(need) / all.need : even;
+    return least_part * even + (1 - least_part) * by_need;
+}
+
+} // namespace
+
+token_count need_ahead(double per_second, duration ahead, token_count request)
+{
+    auto const mean =
+        per_second * static_cast<double>(ahead.ms) / ms_per_second;
+    auto const deviation = std::sqrt(mean * static_cast<double>(request));
+    return static_cast<token_count>(mean + deviations * deviation) + request;
+}
+
+deal deal_for(holdings const& known, vm_id const& self, holding const& own,
+              budget_row const& row, std::int64_t routers, instant now)
+{
+    auto all = add_up(known, self, own, now);
+    // A first router that reckons alone would take all for itself.
+    if (routers > all.routers)
+    {
+        all.need *=
+            static_cast<double>(routers) / static_cast<double>(all.routers);
+        all.routers = routers;
+    }
+    auto const left = ungranted(row);
+    auto const to_deal = static_cast<double>(all.free + left);
+    deal found;
+    found.spent_by_all = all.spent;
+    found.target = static_cast<token_count>(to_deal * part_of(own.need, all));
+    found.others_short =
+        std::any_of(known.begin(), known.end(),
+                    [&](auto const& entry)
+                    {
+                        auto const& [router, one] = entry;
+                        auto const part = to_deal * part_of(one.last.need, all);
+                        return router != self && is_current(one, now) &&
+                               static_cast<double>(free_of(one.last) + left) <
+                                   short_part * part;
+                    });
+    return found;
+}
+
+bool must_return(holdings const& known, vm_id const& self, token_count spare,
+                 token_count wanted, instant now)
+{
+    token_count before = 0;
+    for (auto const& [router, one] : known)
+    {
+        if (router == self || !is_current(one, now))
+        {
+            continue;
+        }
+        auto const free = free_of(one.last);
+        auto const comes_first =
+            free > spare || (free == spare && router < self);
+        before += comes_first ? free : 0;
+    }
+    return before < wanted;
+}
+
+} // namespace caperpath::budget
--- a/src/budget/share.cpp
+++ b/src/budget/share.cpp
@@ -87,8 +87,23 @@
             std::max(ask_again, state.retry_at - now)};
 }
 
-reserve_reply exhausted(share_state const& state)
+/// True when what all routers told that they spent leaves less than `amount`:
+/// no share that comes back will cover it.
+bool spent_by_all(share_state const& state, token_count amount, instant now)
 {
+    // Cut off from the store, this router may not know of a top-up.
+    return state.dealt && seen_since(state, now - state.sizes.fresh) &&
+           amount > state.seen->row.paid - state.seen->row.retired -
+                        state.dealt->spent_by_all;
+}
+
+reserve_reply exhausted(share_state const& state, token_count amount,
+                        instant now)
+{
+    if (spent_by_all(state, amount, now))
+    {
+        return {reserve_verdict::exhausted, duration{0}};
+    }
     // Tokens in the shares of others may come back; a used up budget won't.
     auto const elsewhere =
         state.seen->row.granted - state.seen->row.retired - state.share.granted;
@@ -119,7 +134,7 @@
     if (seen_since(state, one.since) && (beyond_everything(state, one.amount) ||
                                          waited_in_vain(state, one.amount)))
     {
-        return exhausted(state);
+        return exhausted(state, one.amount, now);
     }
     if (one.until > now)
     {
@@ -135,7 +150,7 @@
         return undecidable(state, now);
     }
     note_fruitless(state, one.amount, now);
-    return exhausted(state);
+    return exhausted(state, one.amount, now);
 }
 
 } // namespace
@@ -237,9 +252,10 @@
         return {std::move(state),
                 reserve_reply{reserve_verdict::admitted, duration{0}}};
     }
-    if (state.seen && just_waited_in_vain(state, request.amount, now))
+    if (spent_by_all(state, request.amount, now) ||
+        (state.seen && just_waited_in_vain(state, request.amount, now)))
     {
-        auto const reply = exhausted(state);
+        auto const reply = exhausted(state, request.amount, now);
         return {std::move(state), reply};
     }
     // A row seen just now decides as well as one that would be read again.
@@ -247,7 +263,7 @@
         (beyond_everything(state, request.amount) ||
          waited_in_vain(state, request.amount)))
     {
-        auto const reply = exhausted(state);
+        auto const reply = exhausted(state, request.amount, now);
         return {std::move(state), reply};
     }
     state.waiting.push_back(
@@ -318,6 +334,8 @@
         auto const reply = refuse(state, one, now);
         if (reply)
         {
+            // A router that refuses for want of tokens needs more of them.
+            state.rate = metered(state.rate, one.amount, now);
             answers.push_back({one.request, *reply});
             continue;
         }
--- a/src/budget/share_holdings.cpp
+++ b/src/budget/share_holdings.cpp
@@ -12,6 +12,9 @@
 constexpr std::int64_t ms_per_second = 1'000;
 constexpr int surplus_factor =
     4; ///< idle beyond this many fair parts goes back
+/// A return and the draw that it is for take four trips of 5 to 10 ms.
+constexpr duration wish_answered_within{120};
+constexpr token_count spare_part_of_return = 2;
 
 /// What a holder keeps beyond the need of its traffic.
 token_count spare_tokens(share_state const& state)
@@ -49,6 +52,21 @@
     return back >= least ? back : 0;
 }
 
+/// The same with a deal: one holder returns what is wanted, and a little more
+/// for whoever comes next. When the row still names the wish after some time,
+/// what was told of the others was old, and each returns a part.
+token_count dealt_return(share_state const& state, token_count free,
+                         instant now)
+{
+    if (now - state.seen->wish_since > wish_answered_within)
+    {
+        return wanted_return(state, free);
+    }
+    auto const wanted = state.seen->row.wanted - ungranted(state.seen->row);
+    auto const with_spare = wanted + wanted / spare_part_of_return;
+    return state.must_return ? std::clamp<token_count>(with_spare, 0, free) : 0;
+}
+
 /// A draw of less than this is not worth its write: what is missing when the
 /// share has come down to its lowest level.
 token_count least_refill(share_state const& state, token_count free)
@@ -60,6 +78,16 @@
 
 } // namespace
 
+/// Rows of budgets in use would otherwise change without end: each move alters
+/// what all others reckon with.
+bool may_deal(share_state const& state, instant now)
+{
+    auto const holders = state.seen ? state.seen->row.holders : 0;
+    auto const pause =
+        state.sizes.deal_pause + state.sizes.deal_pause_per_holder * holders;
+    return now - state.moved_at >= pause;
+}
+
 bool is_newcomer(share_state const& state)
 {
     return state.share_version == 0;
@@ -67,6 +95,10 @@
 
 token_count tokens_ahead(share_state const& state)
 {
+    if (state.dealt)
+    {
+        return state.dealt->target;
+    }
     auto const traffic = state.rate.per_second *
                          static_cast<double>(state.sizes.horizon.ms) /
                          ms_per_second;
@@ -75,6 +107,10 @@
 
 token_count most_ahead(share_state const& state)
 {
+    if (state.dealt)
+    {
+        return state.dealt->target;
+    }
     auto const& row = state.seen->row;
     auto const& sizes = state.sizes;
     if (sizes.part_by_traffic == 0)
@@ -89,7 +125,7 @@
     return std::max(by_traffic, spare_tokens(state));
 }
 
-token_count surplus(share_state const& state)
+token_count surplus(share_state const& state, instant now)
 {
     auto const free = free_tokens(state);
     if (state.closing)
@@ -98,7 +134,17 @@
     }
     if (wanted_by_another(state))
     {
-        return wanted_return(state, free);
+        return state.dealt ? dealt_return(state, free, now)
+                           : wanted_return(state, free);
+    }
+    if (state.dealt)
+    {
+        auto const target = static_cast<double>(state.dealt->target);
+        auto const gives =
+            state.dealt->others_short && may_deal(state, now) &&
+            state.waiting.empty() &&
+            static_cast<double>(free) > state.sizes.deal_high * target;
+        return gives ? free - state.dealt->target : 0;
     }
     auto const ahead = static_cast<double>(tokens_ahead(state));
     auto const idle_factor = state.sizes.idle_factor;
@@ -113,9 +159,13 @@
     return idle && free > surplus_factor * fair ? free - fair : 0;
 }
 
-token_count refill(share_state const& state)
+token_count refill(share_state const& state, instant now)
 {
     auto const free = free_tokens(state);
+    if (state.dealt && !may_deal(state, now))
+    {
+        return 0;
+    }
     auto const amount = draw_size(state.seen->row, 0, free, tokens_ahead(state),
                                   most_ahead(state));
     // Near the end each draw ahead gets smaller; below one request it only
--- a/src/budget/share_results.cpp
+++ b/src/budget/share_results.cpp
@@ -33,6 +33,14 @@
     }
 }
 
+void see_budget(share_state& state, budget_row const& row,
+                std::uint64_t version, instant now)
+{
+    auto const same_wish = state.seen && state.seen->row.wanted == row.wanted;
+    auto const since = same_wish ? state.seen->wish_since : now;
+    state.seen = seen_budget{row, version, now, since};
+}
+
 void take_budget(share_state& state, store::row const& found, instant now)
 {
     if (found.version == 0)
@@ -44,7 +52,7 @@
     if (row)
     {
         note_others(state, *row, now);
-        state.seen = seen_budget{*row, found.version, now};
+        see_budget(state, *row, found.version, now);
     }
 }
 
@@ -127,7 +135,7 @@
     {
         auto const version =
             store::written_version(applied, state.seen->version);
-        state.seen = seen_budget{*planned.budget, version, now};
+        see_budget(state, *planned.budget, version, now);
         state.wanting =
             planned.budget->wanted == state.wanting ? state.wanting : 0;
     }
@@ -199,6 +207,25 @@
     return state;
 }
 
+share_state noticed(share_state state, store::row const& budget, instant now)
+{
+    auto const is_newer = !state.seen || budget.version > state.seen->version;
+    if (is_newer && budget.key == budget_key(state.budget))
+    {
+        take_budget(state, budget, now);
+    }
+    return state;
+}
+
+share_state unchanged(share_state state, instant now)
+{
+    if (state.seen)
+    {
+        state.seen->at = now;
+    }
+    return state;
+}
+
 share_state look_failed(share_state state, instant now)
 {
     state.busy = false;
--- a/src/budget/share_rules.hpp
+++ b/src/budget/share_rules.hpp
@@ -25,11 +25,14 @@
 
 /// Idle tokens that another router has more use for. @pre `state.seen`. Thread
 /// safe.
-token_count surplus(share_state const& state);
+token_count surplus(share_state const& state, instant now);
 
 /// Tokens worth a draw of their own, without anybody waiting; 0 if none. @pre
 /// `state.seen`. Thread safe.
-token_count refill(share_state const& state);
+token_count refill(share_state const& state, instant now);
+
+/// True when tokens may be moved without anybody waiting for them. Thread safe.
+bool may_deal(share_state const& state, instant now);
 
 } // namespace caperpath::budget
 
--- a/src/budget/share_steps.cpp
+++ b/src/budget/share_steps.cpp
@@ -41,6 +41,11 @@
 
 bool is_low(share_state const& state, holder_view const& holder)
 {
+    if (state.dealt)
+    {
+        return static_cast<double>(free_tokens(state)) <
+               static_cast<double>(state.dealt->target) * state.sizes.deal_low;
+    }
     auto const salt = std::hash<incarnation_id>{}(holder.incarnation) +
                       static_cast<std::size_t>(state.share_version);
     auto const range = state.sizes.highest_level - state.sizes.lowest_level;
@@ -215,7 +220,7 @@
         return false;
     }
     if (may_draw(state, holder) &&
-        (!state.waiting.empty() || refill(state) > 0))
+        (!state.waiting.empty() || refill(state, now) > 0))
     {
         return true;
     }
@@ -223,9 +228,10 @@
 }
 
 /// With a fresh row: the write that is worth most, if any.
-table_step choose_write(share_state state, holder_view const& holder)
+table_step choose_write(share_state state, holder_view const& holder,
+                        instant now)
 {
-    auto const back = surplus(state);
+    auto const back = surplus(state, now);
     if (state.closing)
     {
         if (can_retire(state))
@@ -248,6 +254,7 @@
     }
     if (back > 0)
     {
+        state.moved_at = now;
         return move_step(std::move(state), holder, -back, wish.unmet);
     }
     if (wish.unmet > state.seen->row.wanted)
@@ -264,9 +271,13 @@
     {
         return touch_step(std::move(state), holder);
     }
-    auto const more = is_low(state, holder) ? refill(state) : 0;
-    return more > 0 ? move_step(std::move(state), holder, more, 0)
-                    : no_step(std::move(state));
+    auto const more = is_low(state, holder) ? refill(state, now) : 0;
+    if (more == 0)
+    {
+        return no_step(std::move(state));
+    }
+    state.moved_at = now;
+    return move_step(std::move(state), holder, more, 0);
 }
 
 } // namespace
@@ -286,7 +297,7 @@
     }
     if (is_fresh(state, now) && !state.look_first)
     {
-        return choose_write(std::move(state), holder);
+        return choose_write(std::move(state), holder, now);
     }
     return no_step(std::move(state));
 }
--- a/src/budget/spend_journal.cpp
+++ b/src/budget/spend_journal.cpp
@@ -16,20 +16,34 @@
 constexpr auto most = std::numeric_limits<std::int64_t>::max();
 
 constexpr std::int64_t ms_per_second = 1'000;
+constexpr std::string_view key_begin = "spend/";
+
+bool is_whole_numbers(nlohmann::json const& text, std::size_t count)
+{
+    return text.is_array() && text.size() == count &&
+           std::all_of(text.begin(), text.end(),
+                       [](auto const& one) { return one.is_number_integer(); });
+}
 
 std::optional<spend_line> line_of(nlohmann::json const& text)
 {
-    auto const good =
-        text.is_array() && text.size() == 2 &&
-        std::all_of(text.begin(), text.end(),
-                    [](auto const& one) { return one.is_number_integer(); });
-    if (!good)
+    if (!is_whole_numbers(text, 2))
     {
         return std::nullopt;
     }
     return spend_line{text[0].get<token_count>(), text[1].get<token_count>()};
 }
 
+std::optional<holding> holding_of(nlohmann::json const& text)
+{
+    if (!is_whole_numbers(text, 4))
+    {
+        return std::nullopt;
+    }
+    return holding{text[0].get<token_count>(), text[1].get<token_count>(),
+                   text[2].get<token_count>(), text[3].get<token_count>()};
+}
+
 token_count value_at(spend_line const& line, std::int64_t ms_later)
 {
     auto const rising = std::max<std::int64_t>(0, ms_later - flat_for.ms);
@@ -57,7 +71,16 @@
 
 std::string spend_key(std::string const& vm)
 {
-    return "spend/" + vm;
+    return std::string{key_begin} + vm;
+}
+
+std::optional<vm_id> vm_of_spend_key(std::string const& key)
+{
+    if (!key.starts_with(key_begin))
+    {
+        return std::nullopt;
+    }
+    return vm_id{key.substr(key_begin.size())};
 }
 
 std::string encode(spend_row const& row)
@@ -67,10 +90,16 @@
     {
         lines[budget.value] = {line.spent, line.per_second};
     }
+    auto holdings = nlohmann::json::object();
+    for (auto const& [budget, one] : row.holdings)
+    {
+        holdings[budget.value] = {one.granted, one.spent, one.open, one.need};
+    }
     return nlohmann::json{{"router", row.router.value},
                           {"address", row.address},
                           {"at_ms", row.at_ms},
-                          {"lines", std::move(lines)}}
+                          {"lines", std::move(lines)},
+                          {"holdings", std::move(holdings)}}
         .dump();
 }
 
@@ -101,6 +130,18 @@
             }
             row.lines[{name}] = *line;
         });
+    // A row of an older program has none; they are hints.
+    auto const told = value.find("holdings");
+    if (told != value.end() && told->is_object())
+    {
+        for (auto const& [name, text] : told->items())
+        {
+            if (auto const one = holding_of(text))
+            {
+                row.holdings[{name}] = *one;
+            }
+        }
+    }
     if (!faults.empty())
     {
         return fail({error_kind::invalid, "decode spend row", "store",
@@ -126,7 +167,8 @@
 }
 
 spend_row next_row(spend_journal const& journal,
-                   std::map<budget_id, spend_line> const& wanted, instant now)
+                   std::map<budget_id, spend_line> const& wanted, instant now,
+                   std::map<budget_id, holding> const& holdings)
 {
     if (journal.pending)
     {
@@ -135,6 +177,7 @@
     auto row = journal.written;
     row.at_ms = store_time(journal, now);
     row.lines = wanted;
+    row.holdings = holdings;
     return row;
 }
 
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -1,6 +1,8 @@
 #include <caperpath/fleet/roster.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace caperpath::fleet
 {
@@ -35,6 +37,19 @@
     return std::max<std::int64_t>(1, count);
 }
 
+std::int64_t alive_vms(roster const& known, instant now)
+{
+    std::set<std::string_view> addresses;
+    for (auto const& [id, one] : known.members)
+    {
+        if (now - one.changed_at <= member_lifetime)
+        {
+            addresses.insert(one.address);
+        }
+    }
+    return std::max<std::int64_t>(1, std::ssize(addresses));
+}
+
 std::vector<incarnation_id> dead(roster const& known, instant now)
 {
     std::vector<incarnation_id> all;
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -26,6 +26,9 @@
 /// 2 tries for each budget.
 constexpr std::uint64_t first_draw_spread_ms = 5'000;
 
+/// Before any request a budget is taken to be made for so many: the first
+/// shares are even, and the first traffic corrects them.
+constexpr double first_requests = 400;
 /// The mean size of requests follows some ten of them.
 constexpr double size_weight = 0.1;
 
@@ -44,13 +47,15 @@
                          store::async_port port, std::string vm,
                          std::string address, incarnation_id incarnation,
                          decision_log& log)
-    : timer{executor}, port{port}, incarnation{incarnation}, log{log},
+    : executor{executor}, timer{executor}, port{port}, vm{vm},
+      incarnation{incarnation}, log{log},
       spending{executor,
                std::move(port),
                std::move(vm),
                std::move(address),
                std::move(incarnation),
                {[this] { return this->wanted_lines(); },
+                [this] { return this->own_holdings(); },
                 [this] { this->pass_on(); },
                 [this](auto const& dead, auto const& spent)
                 {
@@ -62,7 +67,9 @@
 
 void budget_book::start()
 {
+    this->began = this->now.now();
     this->spending.start();
+    this->follow_rows();
     this->tick();
 }
 
@@ -98,6 +105,11 @@
         {
             of.paid = *customer.paid;
             of.share.sizes.least_ahead = of.paid / least_share_part;
+            if (of.mean_request == 0)
+            {
+                of.mean_request = static_cast<double>(of.paid) / first_requests;
+                of.mean_square = of.mean_request * of.mean_request;
+            }
             of.raise_paid();
             of.share.fruitless.reset();
         }
@@ -128,8 +140,9 @@
         return;
     }
     auto& of = found->second;
-    of.mean_request +=
-        size_weight * (static_cast<double>(amount) - of.mean_request);
+    auto const size = static_cast<double>(amount);
+    of.mean_request += size_weight * (size - of.mean_request);
+    of.mean_square += size_weight * (size * size - of.mean_square);
     this->set_limit(of);
     auto outcome = budget::reserve(std::move(of.share),
                                    {request, budget, policy, amount, wait},
@@ -262,6 +275,7 @@
     {
         return;
     }
+    this->deal(of);
     auto next =
         budget::next_step(std::move(of.share), of.holder, this->now.now());
     of.share = std::move(next.state);
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/decision_log.hpp"
 #include "gateway/spend_keeper.hpp"
+#include "gateway/table_follower.hpp"
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/budget/share.hpp>
@@ -14,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -56,6 +58,9 @@
     /// What decides on a budget's reservations now, for the log.
     std::vector<log_field> describe(budget_id const& budget) const;
 
+    /// So many VMs have a live router.
+    void note_routers(std::int64_t vms);
+
     /// Gives back what is free, now and as requests end; admits nothing more.
     void close();
 
@@ -92,7 +97,13 @@
         budget::holder_view holder;
         instant draws_from{}; ///< no draw before this without need
         std::optional<take_over> taking;
-        double mean_request{}; ///< tokens that a request sets aside, of late
+        double mean_request{};   ///< tokens that a request sets aside, of late
+        double mean_square{};    ///< of the same
+        budget::holdings others; ///< what the other routers told
+
+        /// The size of request that a token of the traffic belongs to in the
+        /// mean.
+        double large_request() const;
 
         /// The paid amount stands in the configuration and not in the row, so
         /// that a top-up needs no write of ours.
@@ -102,6 +113,13 @@
 
     account& open_account(budget_id const& budget);
     std::map<budget_id, budget::spend_line> wanted_lines() const;
+    std::map<budget_id, budget::holding> own_holdings() const;
+    budget::holding own_holding(account const& of) const;
+    void follow_rows();
+    void hear(store::feed_page const& page);
+    void see_budgets(store::feed_page const& page);
+    void deal(account& of);
+    duration pause_between_reads(duration for_one) const;
     void inherit(incarnation_id const& dead,
                  std::map<budget_id, token_count> const& spent_at_most);
     void try_take_over(account& of);
@@ -120,14 +138,22 @@
     void settle_waiting(account& of);
     void tick();
 
+    boost::asio::any_io_executor executor;
     boost::asio::steady_timer timer;
     store::async_port port;
+    vm_id vm;
     incarnation_id incarnation;
     decision_log& log;
     spend_keeper spending;
     caperpath::clock now{caperpath::clock::monotonic()};
     std::map<budget_id, account> accounts;
     std::unordered_map<request_id, replies> waiting;
+    std::unique_ptr<table_follower> spend_rows;
+    std::unique_ptr<table_follower> budget_rows;
+    std::int64_t routers{1};
+    instant began{};
+    instant followed_from{}; ///< every change of a budget row since is known
+    instant heard_at{};      ///< spend rows of others
     bool closing{false};
 };
 
--- a/src/gateway/budget_lines.cpp
+++ b/src/gateway/budget_lines.cpp
@@ -18,8 +18,8 @@
 constexpr double line_start_seconds = 0.3;
 constexpr double line_start_requests = 0.5;
 /// Arrivals are uneven, and a router gets more of them when others die. The
-/// line rises by this much of the traffic and would open the whole share in 4
-/// s.
+/// line rises by this much of the traffic, or opens in 4 s what the router
+/// would like to have ahead.
 constexpr double line_rise = 1.25;
 constexpr token_count open_seconds = 4;
 
@@ -46,8 +46,9 @@
         line.spent = budget::used_tokens(share) +
                      budget::waiting_tokens(share) +
                      static_cast<token_count>(start);
-        line.per_second = static_cast<token_count>(traffic * line_rise) +
-                          budget::free_tokens(share) / open_seconds;
+        line.per_second =
+            std::max(static_cast<token_count>(traffic * line_rise),
+                     this->own_holding(of).need / open_seconds);
         all[id] = line;
     }
     return all;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -275,6 +275,7 @@
         this->shared.prompts.forget(id);
     }
     this->shared.routers = this->roster.alive();
+    this->shared.budgets.note_routers(this->roster.alive_vms());
     this->shared.metrics.lines_dropped(this->shared.log.dropped());
     if (this->ready() != this->was_ready)
     {
--- a/src/gateway/roster_keeper.cpp
+++ b/src/gateway/roster_keeper.cpp
@@ -66,6 +66,11 @@
     return fleet::alive(this->known, this->now.now());
 }
 
+std::int64_t roster_keeper::alive_vms() const
+{
+    return fleet::alive_vms(this->known, this->now.now());
+}
+
 void roster_keeper::beat()
 {
     if (this->leaving)
--- a/src/gateway/roster_keeper.hpp
+++ b/src/gateway/roster_keeper.hpp
@@ -35,6 +35,9 @@
     /// The most routers that may be alive.
     std::int64_t alive() const;
 
+    /// The VMs that they run at; at least 1.
+    std::int64_t alive_vms() const;
+
 private:
     void beat();
     void read();
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -84,9 +84,11 @@
 }
 
 void spend_keeper::send(std::map<budget_id, budget::spend_line> const& lines,
+                        std::map<budget_id, budget::holding> const& holdings,
                         std::function<void(store::commit_result const&)> done)
 {
-    auto const row = budget::next_row(this->journal, lines, this->now.now());
+    auto const row =
+        budget::next_row(this->journal, lines, this->now.now(), holdings);
     this->journal = budget::sent(std::move(this->journal), row);
     auto const key = budget::spend_key(this->vm);
     store::transaction txn;
@@ -100,7 +102,8 @@
 void spend_keeper::first_write()
 {
     this->first_sent = this->now.now();
-    this->send({}, [this](store::commit_result const& result)
+    this->send({}, {},
+               [this](store::commit_result const& result)
                { this->first_wrote(result); });
 }
 
@@ -161,7 +164,7 @@
     this->writing = true;
     // A row that is sent again was meant for an earlier moment.
     this->hurried = this->journal.pending.has_value();
-    this->send(this->listener.wanted(),
+    this->send(this->listener.wanted(), this->listener.holdings(),
                [this](auto const& result) { this->wrote(result); });
 }
 
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -24,6 +24,9 @@
     /// The lines that the budgets need now.
     std::function<std::map<budget_id, budget::spend_line>()> wanted;
 
+    /// What this router tells the others of its shares.
+    std::function<std::map<budget_id, budget::holding>()> holdings;
+
     /// The limits may have changed.
     std::function<void()> changed;
 
@@ -68,6 +71,7 @@
     void first_write();
     void first_wrote(store::commit_result const& result);
     void send(std::map<budget_id, budget::spend_line> const& lines,
+              std::map<budget_id, budget::holding> const& holdings,
               std::function<void(store::commit_result const&)> done);
     void write();
     void wrote(store::commit_result const& result);
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -65,10 +65,29 @@
                           this->version = page.version;
                           this->listener.reached(true, {});
                           this->listener.changed(page);
-                          this->follow();
+                          if (!this->listener.pause)
+                          {
+                              this->follow();
+                              return;
+                          }
+                          this->after(this->listener.pause(),
+                                      [this] { this->follow(); });
                       });
 }
 
+void table_follower::after(duration pause, std::function<void()> next)
+{
+    this->timer.expires_after(std::chrono::milliseconds{pause.ms});
+    this->timer.async_wait(
+        [next = std::move(next)](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                next();
+            }
+        });
+}
+
 void table_follower::retry(error const& why)
 {
     // A dropped history is no outage, and a single lost call is none yet.
@@ -82,16 +101,8 @@
                            ? duration{0}
                            : budget::backoff(this->failures - 1, salt);
     constexpr std::int64_t longest_pause_ms = 400;
-    this->timer.expires_after(std::chrono::milliseconds{
-        std::min<std::int64_t>(pause.ms, longest_pause_ms)});
-    this->timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->list();
-            }
-        });
+    this->after({std::min<std::int64_t>(pause.ms, longest_pause_ms)},
+                [this] { this->list(); });
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -24,6 +24,10 @@
 
     /// A call was answered, or was not.
     std::function<void(bool reachable, error const& why)> reached;
+
+    /// The pause before the next call for changes, so that a table that changes
+    /// all the time does not cost a call a change; if not set, there is none.
+    std::function<duration()> pause{};
 };
 
 /// Keeps up with a table that others write: reads it whole, then follows its
@@ -44,6 +48,7 @@
 private:
     void list();
     void follow();
+    void after(duration pause, std::function<void()> next);
     void retry(error const& why);
 
     store::async_port port;
