Give each router its own heartbeat row, deal once the fleet is known

Cause: the incarnation was moved from before the roster took it, so all routers wrote router//fleet and each counted one router alive: the limit of repeats was not divided among them, and fleets of 89 dealt as fleets of five (draws of a fifth of a budget by routers without traffic, logs of the larger site's start). Ruled out: the scan's range and the tables; the store returned the one row.

Change: the name is copied; no deal before routers that start together have read each other's heartbeats (4.5 s, or as soon as they show more than was heard). Test gateway.heartbeat fails without the copy's row.

--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -123,6 +123,7 @@
     void see_budgets(store::feed_page const& page);
     void deal(account& of);
     std::int64_t fleet_size() const;
+    bool knows_fleet(instant at) const;
     bool deals() const;
     duration budget_read_pause() const;
     void inherit(incarnation_id const& dead,
--- a/src/gateway/budget_deal.cpp
+++ b/src/gateway/budget_deal.cpp
@@ -17,9 +17,13 @@
 
 /// The store is away for up to 9 s at a time.
 constexpr duration ahead{10'000};
-/// All routers of a site start within a second; before that the others' rows
-/// were not heard.
+/// A router that comes back hears the others within a second.
 constexpr duration first_deal_after{1'000};
+/// Routers that start together see each other's heartbeats at their second
+/// read. Of 89 the first ones took a fleet of five for all, drew a fifth of a
+/// budget each and gave it back by hundreds of writes, and in the outage that
+/// came then the routers with traffic had none.
+constexpr duration all_known_after = fleet::heartbeat_interval + duration{500};
 
 /// Changes of budget rows come with a wish for tokens, that a caller waits for.
 /// At most, a wish is read after 0.12 s, returned for and drawn within the wait
@@ -57,6 +61,15 @@
     return std::max(this->routers, heard + 1);
 }
 
+bool budget_book::knows_fleet(instant at) const
+{
+    auto const since = at - this->began;
+    auto const heard = std::ssize(this->heard_of);
+    return since >= all_known_after ||
+           (since >= first_deal_after &&
+            this->routers > std::max<std::int64_t>(1, heard));
+}
+
 bool budget_book::deals() const
 {
     return this->fleet_size() <= budget::most_dealing_routers;
@@ -242,7 +255,7 @@
 {
     auto& share = of.share;
     auto const at = this->now.now();
-    if (!share.seen || at - this->began < first_deal_after)
+    if (!share.seen || !this->knows_fleet(at))
     {
         return;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,9 +46,9 @@
 gateway_server::gateway_server(asio::io_context& loop, settings const& settings,
                                dialect names, store::async_port const& store,
                                incarnation_id incarnation, int log_descriptor)
-    : loop{loop}, shared{loop.get_executor(),    settings,
-                         std::move(names),       store,
-                         std::move(incarnation), log_descriptor},
+    : loop{loop}, shared{loop.get_executor(), settings,
+                         std::move(names),    store,
+                         incarnation,         log_descriptor},
       callers{loop}, readiness{loop}, metrics{loop}, timer{loop},
       roster{loop.get_executor(), store, std::move(incarnation),
              peer_address(settings), this->shared.log}
