--- a/include/caperpath/budget/holdings.hpp
+++ b/include/caperpath/budget/holdings.hpp
@@ -34,9 +34,8 @@
 };
 
 /// Row `holding/<vm>`: what a router tells the others. In a row of its own and
-/// packed by cereal: as members of the spend row, in JSON, reading 89 of them
-/// each 1.3 s took 30 ms of processor time a second, three times what all
-/// requests took.
+/// packed by cereal: every router reads the rows of all, and would have to
+/// parse their spend lines, in JSON, with them.
 std::string holding_key(vm_id const& vm);
 
 /// The VM of such a key; nothing for another one. Thread safe.
--- a/include/caperpath/budget/spend_journal.hpp
+++ b/include/caperpath/budget/spend_journal.hpp
@@ -80,9 +80,8 @@
 };
 
 /// A successor counts the lines so much longer, for clocks that run at slightly
-/// different rates and for whole milliseconds: 1 in 100. A fixed 0.3 s, which
-/// is 1 in 100 of half a minute, was a third of what was lost to customers when
-/// routers were back 1.5 s after their last row.
+/// different rates and for whole milliseconds: 1 in 100. A fixed 0.3 s is that
+/// for half a minute, and routers are back 1 to 2 s after their last row.
 inline constexpr std::int64_t clock_margin_divisor = 100;
 inline constexpr duration least_clock_margin{10};
 
--- a/src/gateway/budget_deal.cpp
+++ b/src/gateway/budget_deal.cpp
@@ -21,8 +21,7 @@
 constexpr duration first_deal_after{1'000};
 /// Routers that start together see each other's heartbeats at their second
 /// read. Of 89 the first ones took a fleet of five for all, drew a fifth of a
-/// budget each and gave it back by hundreds of writes, and in the outage that
-/// came then the routers with traffic had none.
+/// budget each, and the routers with traffic found little left.
 constexpr duration all_known_after = fleet::heartbeat_interval + duration{500};
 
 /// Changes of budget rows come with a wish for tokens, that a caller waits for.
@@ -36,8 +35,8 @@
 /// had most: two of them answer then, four after as long again.
 constexpr std::int64_t wish_answered_ms = 120;
 constexpr std::int64_t most_doublings = 10;
-/// A deal counts so long while its budget row does not change. Reckoned at each
-/// step it took more processor time than all requests.
+/// A deal counts so long while its budget row does not change: reckoned at each
+/// step, its cost would grow with steps, budgets and routers.
 constexpr duration deal_lifetime{120};
 /// Changes of the rows are followed, and a write on an old row is refused.
 constexpr duration followed_row_fresh{1'000};
