Ask a server that was replaced no more until it is listed anew

A server that answers as another one has ended: its id never comes back at that address. It was left out for 0.4 s, then for up to 3 s, as one that could not be reached, and asked again while the store was away and its end could not be read. It is left out for 20 s now, or until its entry comes with another start time.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -118,6 +118,10 @@
 /// listens, nothing answers) count at once. Thread safe.
 void note_failure(server& one, bool decisive, instant now);
 
+/// Another server answered at its address: this one has ended and gets no more
+/// requests, also while the store cannot be asked. Thread safe.
+void note_replaced(server& one, instant now);
+
 /// An exchange went well, and its answer began `took` after it was sent, where
 /// `expected` had been reckoned. Thread safe.
 void note_success(server& one, duration took, duration expected);
@@ -129,6 +133,8 @@
 inline constexpr std::int64_t failures_to_set_aside = 3;
 inline constexpr duration first_set_aside{400};
 inline constexpr duration longest_set_aside{3'000};
+/// The store is away for less than this; later its entry is gone.
+inline constexpr duration replaced_set_aside{20'000};
 
 } // namespace caperpath::fleet
 
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -136,6 +136,11 @@
     one.set_aside_until = now + duration{pause};
 }
 
+void note_replaced(server& one, instant now)
+{
+    one.set_aside_until = now + replaced_set_aside;
+}
+
 void note_success(server& one, duration took, duration expected)
 {
     one.failures = 0;
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -313,7 +313,7 @@
     {
         if (one != nullptr && this->facts.wrong_server)
         {
-            fleet::note_failure(*one, true, now);
+            fleet::note_replaced(*one, now);
         }
         return this->facts.wrong_server ? attempt_end::wrong_server
                                         : attempt_end::not_run;
--- a/tests/fleet/server_table_test.cpp
+++ b/tests/fleet/server_table_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(an_entry_that_stays_away_after_an_outage_is_gone);
     CPPUNIT_TEST(a_server_that_starts_again_under_its_id_is_a_new_one);
     CPPUNIT_TEST(a_server_that_cannot_be_reached_is_left_out_for_a_time);
+    CPPUNIT_TEST(a_replaced_server_gets_nothing_until_it_is_listed_anew);
     CPPUNIT_TEST(a_server_with_open_requests_is_not_swept);
     CPPUNIT_TEST(an_entry_that_goes_late_in_an_outage_s_wake_is_not_kept_long);
     CPPUNIT_TEST_SUITE_END();
@@ -111,6 +112,19 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, one.failures);
     }
 
+    // Guards against a server that has ended in an outage of the store and is
+    // asked again every second until its end can be read.
+    void a_replaced_server_gets_nothing_until_it_is_listed_anew()
+    {
+        auto table = with_one();
+        auto& one = table.servers.at({"a"});
+        note_replaced(one, start);
+        CPPUNIT_ASSERT(!usable(one, start + duration{10'000}));
+        list_server(table, entry("a", 2), start + duration{1'000});
+        CPPUNIT_ASSERT(
+            usable(table.servers.at({"a"}), start + duration{1'000}));
+    }
+
     void a_server_with_open_requests_is_not_swept()
     {
         auto table = with_one();
