Spread the first heartbeats of routers that start together

The others got no tokens before they asked, and the slack of the limit on repeats waited for them.

The first heartbeat comes after up to 2 s now, by a hash of the router; the others follow at the same distance. The second read, 4 s after the start, still shows all.

--- a/include/caperpath/fleet/roster.hpp
+++ b/include/caperpath/fleet/roster.hpp
@@ -69,6 +69,12 @@
 /// writes its row anew.
 inline constexpr duration row_lifetime{60'000};
 
+/// When a router that starts writes its first heartbeat. The rows of a fleet
+/// stand in one partition, which takes one write after the other: of hundreds
+/// that start and write together many would not be answered in time, and not be
+/// counted as alive. Thread safe.
+duration first_heartbeat_after(incarnation_id const& self);
+
 /// Takes in all heartbeat rows of one read. A row counts as alive by its
 /// change, seen with this router's clock, since the clocks of others jump. A
 /// pause in which reads failed counts as one heartbeat: renewals may have
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -1,3 +1,4 @@
+#include <caperpath/fleet/placement.hpp>
 #include <caperpath/fleet/roster.hpp>
 
 #include <algorithm>
@@ -14,6 +15,10 @@
 /// be too old to tell who shares the limit on repeats.
 constexpr duration longest_read_interval{20'000};
 
+/// Half of the time to the second read, which has to show all that started
+/// together.
+constexpr std::uint64_t first_heartbeat_spread_ms = heartbeat_interval.ms / 2;
+
 /// A router that left is counted for a window after it, and a margin.
 constexpr duration removed_kept = row_lifetime + heartbeat_interval;
 
@@ -107,6 +112,12 @@
     return std::max<std::int64_t>(1, std::ssize(addresses));
 }
 
+duration first_heartbeat_after(incarnation_id const& self)
+{
+    auto const drawn = stable_hash(self.value) % first_heartbeat_spread_ms;
+    return {static_cast<std::int64_t>(drawn)};
+}
+
 std::map<std::string, incarnation_id> live_routers(roster const& known)
 {
     std::map<std::string, incarnation_id> live;
--- a/src/gateway/roster_keeper.cpp
+++ b/src/gateway/roster_keeper.cpp
@@ -52,7 +52,7 @@
 
 void roster_keeper::start()
 {
-    this->beat();
+    this->beat_after(fleet::first_heartbeat_after(this->self));
     this->read();
 }
 
@@ -116,7 +116,12 @@
                                                        {sent, this->now.now()},
                                                        this->window);
                       });
-    this->beat_timer.expires_after(ms(fleet::heartbeat_interval));
+    this->beat_after(fleet::heartbeat_interval);
+}
+
+void roster_keeper::beat_after(duration pause)
+{
+    this->beat_timer.expires_after(ms(pause));
     this->beat_timer.async_wait(
         [this](boost::system::error_code fault)
         {
--- a/src/gateway/roster_keeper.hpp
+++ b/src/gateway/roster_keeper.hpp
@@ -52,6 +52,7 @@
 
 private:
     void beat();
+    void beat_after(duration pause);
     void read();
     void read_after(duration pause);
     void remove_dead();
--- a/tests/fleet/rules_test.cpp
+++ b/tests/fleet/rules_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(a_router_without_heartbeats_is_counted_out);
     CPPUNIT_TEST(an_outage_counts_no_router_out);
     CPPUNIT_TEST(the_row_of_a_dead_router_is_removed_by_one_of_the_others);
+    CPPUNIT_TEST(routers_that_start_together_do_not_write_together);
+    CPPUNIT_TEST(of_two_lives_at_an_address_the_later_one_is_alive);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr instant start{100'000};
@@ -238,6 +240,37 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(router, 1, times);
         }
     }
+
+    // Guards against a large fleet whose heartbeats meet in their one
+    // partition of the store, which takes 200 writes a second, and time out.
+    void routers_that_start_together_do_not_write_together()
+    {
+        std::map<std::int64_t, int> in_second;
+        for (int i = 0; i < 295; ++i)
+        {
+            incarnation_id const router{"vm-" + std::to_string(i) + "-7"};
+            auto const first = first_heartbeat_after(router);
+            CPPUNIT_ASSERT(first < heartbeat_interval);
+            in_second[first.ms / 1'000] += 1;
+        }
+        for (auto const& [second, writes] : in_second)
+        {
+            CPPUNIT_ASSERT(writes < 200);
+        }
+    }
+
+    // Guards against tokens that are sent to the process before.
+    void of_two_lives_at_an_address_the_later_one_is_alive()
+    {
+        auto const known = seen({},
+                                {{{"a-1"}, "10.0.0.1:7", 5},
+                                 {{"a-2"}, "10.0.0.1:7", 9},
+                                 {{"b-1"}, "10.0.0.2:7", 6}},
+                                {instant{1'000}, instant{1'010}});
+        auto const live = live_routers(known);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live.size());
+        CPPUNIT_ASSERT(live.at("10.0.0.1:7") == incarnation_id{"a-2"});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rules_test);
