Answer the asks of a router that was restarted, log what a steward denies

A process that comes after another one at the same address counts from 1 again, and its asks were taken for old ones: its callers waited 120 ms and went to the next steward, which treated them the same. The number belongs to an incarnation now. A router that restarts without being heard is taken from the heartbeat rows; before, an incarnation that had been heard once was kept.

Lines `denied` (with the steward and the time to come back) and `silent`; a report goes out as well when what was spent since the last one is more than a request, since whether a budget is used up is decided by it; a socket that cannot send is logged once a second.

Test: gateway.token_exchange a_restarted_router_is_answered."

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -3,7 +3,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
-#include <exception>
+#include <cstdint>
+#include <cstdlib>
 #include <optional>
 #include <utility>
 
@@ -15,6 +16,9 @@
 
 using boost::asio::ip::udp;
 
+constexpr duration told_every{1'000};
+constexpr int highest_port = 65'535;
+
 /// Nothing for text that is no address and port.
 std::optional<udp::endpoint> endpoint_of(std::string const& text)
 {
@@ -26,7 +30,7 @@
     boost::system::error_code fault;
     auto const ip = boost::asio::ip::make_address(text.substr(0, colon), fault);
     auto const port = std::atoi(text.c_str() + colon + 1);
-    if (fault || port < 0 || port > 65'535)
+    if (fault || port < 0 || port > highest_port)
     {
         return std::nullopt;
     }
@@ -81,9 +85,23 @@
     this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, fault);
     if (fault)
     {
-        this->log.fault(
-            {error_kind::unavailable, "send to router", to, fault.message()});
+        this->note_unsent(to, fault.message());
+    }
+}
+
+/// A full socket or a lost route fails hundreds of sends a second.
+void peer_link::note_unsent(std::string const& to, std::string const& why)
+{
+    this->unsent += 1;
+    auto const at = this->now.now();
+    if (at - this->told_at < told_every)
+    {
+        return;
     }
+    this->told_at = at;
+    this->log.fault(
+        {error_kind::unavailable, "send to router", to,
+         why + ", datagrams lost so far: " + std::to_string(this->unsent)});
 }
 
 std::string peer_link::address() const
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -3,11 +3,14 @@
 
 #include "gateway/decision_log.hpp"
 
+#include <caperpath/base/clock.hpp>
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -39,6 +42,7 @@
 
 private:
     void receive();
+    void note_unsent(std::string const& to, std::string const& why);
 
     boost::asio::ip::udp::socket socket;
     boost::asio::ip::udp::endpoint local;
@@ -46,6 +50,9 @@
     std::array<char, 65'536> buffer{};
     receiver take;
     decision_log& log;
+    caperpath::clock now{caperpath::clock::monotonic()};
+    std::int64_t unsent{};
+    instant told_at{};
 };
 
 } // namespace caperpath::gateway
--- a/src/gateway/token_asks.cpp
+++ b/src/gateway/token_asks.cpp
@@ -3,6 +3,7 @@
 #include "gateway/token_refusal.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 /// How a router asks the stewards of a budget for tokens.
@@ -21,7 +22,8 @@
 
 } // namespace
 
-void token_exchange::take_denial(token_denial const& denial, instant now)
+void token_exchange::take_denial(vm_id const& from, token_denial const& denial,
+                                 instant now)
 {
     auto& of = this->trade_of(denial.budget);
     if (!of.asked || denial.number != of.asks)
@@ -29,6 +31,11 @@
         return; // of an earlier ask
     }
     duration const retry_after{denial.retry_ms};
+    this->log.write(log_weight::routine, "denied",
+                    {{"budget", denial.budget.value},
+                     {"tokens", std::to_string(of.asked->tokens)},
+                     {"steward", from.value},
+                     {"retry_ms", std::to_string(denial.retry_ms)}});
     of.denied = {of.asked->tokens, retry_after, now + denial_counts};
     of.asked.reset();
     this->shares.refuse(denial.budget, retry_after);
@@ -126,6 +133,10 @@
     auto const& steward = of.stewards[asked.rank];
     if (since >= answer_expected)
     {
+        this->log.write(log_weight::routine, "silent",
+                        {{"budget", budget.value},
+                         {"tokens", std::to_string(asked.tokens)},
+                         {"steward", steward.value}});
         this->peers[steward].silent_until = now + passed_over;
         asked.rank += 1;
         this->ask(budget, of, now);
--- a/src/gateway/token_exchange.cpp
+++ b/src/gateway/token_exchange.cpp
@@ -44,17 +44,18 @@
             continue;
         }
         auto const found = this->peers.find(vm);
-        // A router that was heard of may be newer than the rows that were read.
-        auto const is_known = found != this->peers.end();
-        next[vm] = is_known && found->second.heard_at > instant{}
-                       ? found->second
-                       : peer{router};
+        auto const is_known =
+            found != this->peers.end() && found->second.incarnation == router;
+        next[vm] = is_known ? found->second : peer{router};
     }
+    // A router that was heard of may be newer than the rows that were read.
     for (auto const& [vm, one] : this->peers)
     {
-        if (now - one.heard_at < counts_as_alive)
+        auto const is_heard =
+            one.heard_at > instant{} && now - one.heard_at < counts_as_alive;
+        if (is_heard)
         {
-            next.try_emplace(vm, one);
+            next[vm] = one;
         }
     }
     auto const same = next.size() == this->peers.size() &&
@@ -209,7 +210,7 @@
     }
     for (auto const& one : packet.denials)
     {
-        this->take_denial(one, now);
+        this->take_denial(from, one, now);
     }
 }
 
--- a/src/gateway/token_exchange.hpp
+++ b/src/gateway/token_exchange.hpp
@@ -128,6 +128,12 @@
         token_count spent{};
         budget::request_count requests;
     };
+    /// The latest ask of a router; a process that is new there counts anew.
+    struct served_ask
+    {
+        incarnation_id asker;
+        std::uint64_t number{};
+    };
     struct denial
     {
         token_count tokens{};
@@ -144,7 +150,7 @@
         stock_report reported;
         instant reported_at{};
         std::map<vm_id, heard_stock> routers; ///< as their steward
-        std::map<vm_id, std::uint64_t> served;
+        std::map<vm_id, served_ask> served;
     };
 
     trade& trade_of(budget_id const& budget);
@@ -156,7 +162,8 @@
                      instant now);
     void serve(vm_id const& from, token_ask const& ask, instant now);
     void serve_recall(vm_id const& from, token_recall const& recall);
-    void take_denial(token_denial const& denial, instant now);
+    void take_denial(vm_id const& from, token_denial const& denial,
+                     instant now);
     void give(vm_id const& to, budget_id const& budget, token_count tokens,
               duration wait, std::function<void()> failed);
     void give_rest(vm_id const& to, budget_id const& budget, token_count free);
--- a/src/gateway/token_service.cpp
+++ b/src/gateway/token_service.cpp
@@ -76,7 +76,7 @@
 }
 
 /// What was reported as spent is less than what is spent by now, so tokens that
-/// are missing by these figures are missing.
+/// are missing by these figures are nowhere.
 bool token_exchange::is_used_up(budget::budget_stock const& stock,
                                 share_view const& view,
                                 token_count tokens) const
@@ -105,11 +105,12 @@
 {
     auto& of = this->trade_of(ask.budget);
     auto& served = of.served[from];
-    if (ask.number <= served)
+    auto const& asker = this->peers.at(from).incarnation;
+    if (served.asker == asker && ask.number <= served.number)
     {
         return; // its answer is on its way, and sent again if it is lost
     }
-    served = ask.number;
+    served = {asker, ask.number};
     auto const deny = [this, from, ask](duration retry_after)
     {
         this->packet_to(from).denials.push_back(
--- a/src/gateway/token_spread.cpp
+++ b/src/gateway/token_spread.cpp
@@ -28,15 +28,18 @@
 /// few of them: nothing is done for the many that are idle.
 constexpr std::size_t most_idle_spread = 16;
 
-bool is_news(stock_report const& before, stock_report const& now)
+bool is_news(stock_report const& before, stock_report const& now,
+             double request)
 {
     auto const differs = [](std::int64_t a, std::int64_t b)
     {
         auto const most = static_cast<double>(std::max(a, b));
         return static_cast<double>(std::abs(a - b)) > reported_part * most;
     };
+    // Whether a budget is used up is decided by what was spent.
+    auto const spent = static_cast<double>(now.spent - before.spent);
     return differs(before.free, now.free) ||
-           differs(before.requests, now.requests);
+           differs(before.requests, now.requests) || spent > request;
 }
 
 } // namespace
@@ -57,7 +60,7 @@
         stock_report const next{
             budget, view.free, view.spent,
             std::llround(budget::value_at(of.requests, now) * thousandths)};
-        if (!all && !is_news(of.reported, next))
+        if (!all && !is_news(of.reported, next, view.mean_request))
         {
             continue;
         }
--- a/tests/gateway/exchange_fleet.cpp
+++ b/tests/gateway/exchange_fleet.cpp
@@ -26,28 +26,52 @@
       log{std::make_unique<decision_log>(this->loop.get_executor(), this->null,
                                          "vm")}
 {
-    std::map<std::string, incarnation_id> live;
     for (std::size_t i = 0; i < routers; ++i)
     {
         auto& one = this->routers[i];
         one.address = "10.0." + std::to_string(i) + ".1:7000";
         this->by_address[one.address] = i;
-        live[one.address] = {"vm-" + std::to_string(i) + "-1"};
     }
     for (std::size_t i = 0; i < routers; ++i)
     {
-        auto& one = this->routers[i];
-        one.exchange = std::make_unique<token_exchange>(
-            one.address, live.at(one.address), this->access_of(i),
-            caperpath::clock{[this]
-                             {
-                                 return this->now;
-                             }},
-            [this, i](std::string const& to, std::string const& bytes)
-            { this->send(i, to, bytes); },
-            *this->log);
-        one.exchange->note_routers(live, this->now);
+        this->start(i);
+    }
+}
+
+std::map<std::string, incarnation_id> exchange_fleet::live() const
+{
+    std::map<std::string, incarnation_id> all;
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+    {
+        auto const& one = this->routers[i];
+        all[one.address] = {"vm-" + std::to_string(i) + "-" +
+                            std::to_string(one.life)};
     }
+    return all;
+}
+
+void exchange_fleet::start(std::size_t router)
+{
+    auto& one = this->routers[router];
+    auto const all = this->live();
+    one.exchange = std::make_unique<token_exchange>(
+        one.address, all.at(one.address), this->access_of(router),
+        caperpath::clock{[this]
+                         {
+                             return this->now;
+                         }},
+        [this, router](std::string const& to, std::string const& bytes)
+        { this->send(router, to, bytes); },
+        *this->log);
+    one.exchange->note_routers(all, this->now);
+}
+
+void exchange_fleet::restart(std::size_t router)
+{
+    auto& one = this->routers[router];
+    one.life += 1;
+    one.purses.clear();
+    this->start(router);
 }
 
 exchange_fleet::~exchange_fleet()
--- a/tests/gateway/exchange_fleet.hpp
+++ b/tests/gateway/exchange_fleet.hpp
@@ -40,6 +40,7 @@
         std::string address;
         std::map<budget_id, purse> purses;
         std::unique_ptr<token_exchange> exchange;
+        int life{1};
         std::size_t sent{}; ///< datagrams
         std::size_t bytes{};
     };
@@ -55,6 +56,9 @@
     bool ask(std::size_t router, budget_id const& budget, token_count tokens,
              duration wait = duration{250});
 
+    /// Another process takes the router's place, with nothing in its share.
+    void restart(std::size_t router);
+
     /// The index of the budget's first steward.
     std::size_t steward(budget_id const& budget);
 
@@ -89,6 +93,8 @@
         std::function<void(bool)> done;
     };
 
+    std::map<std::string, incarnation_id> live() const;
+    void start(std::size_t router);
     share_access access_of(std::size_t router);
     bool take_now(waiting_take const& one);
     void settle_takes();
--- a/tests/gateway/token_exchange_test.cpp
+++ b/tests/gateway/token_exchange_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(most_is_spread_before_a_cut);
     CPPUNIT_TEST(tokens_neither_appear_nor_vanish);
     CPPUNIT_TEST(a_new_process_does_not_take_what_went_to_the_old_one);
+    CPPUNIT_TEST(a_restarted_router_is_answered);
     CPPUNIT_TEST(idle_budgets_cost_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -224,6 +225,19 @@
                              fleet.routers[asker].purses[taller].free);
     }
 
+    // Guards against a router whose callers are refused after a restart, since
+    // its asks, counted from the first, are taken for old ones.
+    void a_restarted_router_is_answered()
+    {
+        exchange_fleet fleet{20, {{taller, 1'000'000}}};
+        auto const asker = other_than(fleet.steward(taller));
+        CPPUNIT_ASSERT(fleet.ask(asker, taller, 9'000));
+        fleet.run(duration{500});
+        CPPUNIT_ASSERT(fleet.ask(asker, taller, 90'000));
+        fleet.restart(asker);
+        CPPUNIT_ASSERT(fleet.ask(asker, taller, 9'000, duration{10}));
+    }
+
     // Guards against traffic between routers that grows with the number of
     // customers, most of whom ask for nothing.
     void idle_budgets_cost_nothing()
