Keep a quarter of a budget in its row, and lines of large fleets near the use

Cause: the store was away for 4.5 s before the loss; the lines of all routers had risen over all that they held (a quarter of it a second), and all of the budgets was at routers.

Now a quarter of what is left stays in the budget row; no router is sent more than three times what the requests of the next seconds need, and a router whose count is beyond chance gets that much; lines rise by half a request a second beyond the traffic instead of a quarter of the share, and begin by the size of requests of all customers, of which a router sees enough, and not by a guess from what was paid. Spend rows name what was given, so that the sum of what is spent, which decides on 402, is right after a restart.

Tests: budget.distribution a_quarter_stays_in_the_row..., one_router_does_not..., budget.spend_journal with what was given."

--- a/include/caperpath/budget/spend_journal.hpp
+++ b/include/caperpath/budget/spend_journal.hpp
@@ -40,6 +40,7 @@
     /// its own: a successor takes it over from here.
     token_count received{};
     bool has_share{true}; ///< there is, or may be, a share row
+    token_count given{};  ///< of `spent`, to other routers
 
     friend bool operator==(spend_line const&, spend_line const&) = default;
 };
--- a/src/budget/distribution.cpp
+++ b/src/budget/distribution.cpp
@@ -14,8 +14,12 @@
 {
 
 constexpr double count_lifetime_ms = 10'000;
-/// This part of what is left stays with the steward and in the budget row.
-constexpr double reserve_part = 0.2;
+/// This part of what is left stays in the budget row: for routers that run out
+/// while the store can be asked, and for all when they crash in an outage of
+/// the store, after which most of what they held counts as spent.
+constexpr double reserve_part = 0.25;
+/// So many requests the steward has at hand for others.
+constexpr double working_requests = 8;
 /// A router with less than this part of its target gets the rest.
 constexpr double short_part = 0.6;
 /// A router with this many times its target can spare what is above it.
@@ -28,6 +32,10 @@
 constexpr double least_traffic_part = 0.3;
 /// A stock below this part of a request is of no use to anybody.
 constexpr double least_useful_part = 0.5;
+/// A target is at most so many times the need.
+constexpr double most_needs = 3;
+/// Deviations that are no chance any more.
+constexpr double surprise = 3;
 /// More requests than expected that a router should be able to serve.
 constexpr double deviations = 2;
 /// Routers that are asked at once for what one caller lacks.
@@ -39,8 +47,9 @@
     vm_id router;
     router_stock stock;
     double part{};
-    token_count tokens{};
-    token_count need{}; ///< for the time that counts last
+    token_count tokens{}; ///< to hold
+    token_count need{};   ///< of the next seconds; 0 while nothing is known
+    bool stays{false};    ///< callers of the customer stay at it
 
     bool is_steward() const
     {
@@ -50,9 +59,10 @@
     bool is_short() const
     {
         auto const enough = static_cast<double>(this->tokens) * short_part;
+        auto const need = static_cast<double>(this->need);
         return !this->is_steward() &&
                static_cast<double>(this->stock.free) <
-                   std::min(enough, static_cast<double>(this->need));
+                   (need > 0 ? std::min(enough, need) : enough);
     }
 
     token_count lack() const
@@ -69,7 +79,7 @@
         auto const found = stock.routers.find(router);
         auto const known =
             found == stock.routers.end() ? stock.own : found->second;
-        all.push_back({router, known, part, 0, 0});
+        all.push_back({router, known, part});
     }
     std::stable_sort(all.begin(), all.end(),
                      [](auto const& a, auto const& b)
@@ -87,26 +97,8 @@
     return all;
 }
 
-/// Each gets its part, and no less than one request: a budget that is too small
-/// for all routers lies at those which most likely need it.
-void set_targets(std::vector<target>& routers, token_count to_spread,
-                 double request)
-{
-    auto left = static_cast<double>(to_spread);
-    for (auto& one : routers)
-    {
-        auto const part = one.part * static_cast<double>(to_spread);
-        auto const wanted = std::min(std::max(part, request), left);
-        if (wanted >= request * least_useful_part)
-        {
-            one.tokens = static_cast<token_count>(wanted);
-            left -= wanted;
-        }
-    }
-}
-
 /// What the requests of the next seconds will need, by those of the last ones;
-/// without any request all that a router should have.
+/// nothing where there were none.
 void set_needs(std::vector<target>& routers, budget_stock const& stock)
 {
     auto requests = stock.own.requests;
@@ -117,10 +109,40 @@
     for (auto& one : routers)
     {
         auto const expected = one.part * requests;
-        auto const most = expected + deviations * std::sqrt(expected) + 1;
+        // More than chance brings: callers that stay at this router.
+        auto const chance = surprise * (std::sqrt(expected) + 1);
+        auto const stays = one.stock.requests > expected + chance;
+        auto const coming = stays ? one.stock.requests : expected;
+        auto const most = coming + deviations * std::sqrt(coming) + 1;
         one.need = requests > 0
                        ? static_cast<token_count>(most * stock.mean_request)
-                       : one.tokens;
+                       : 0;
+        one.stays = stays;
+    }
+    std::stable_sort(routers.begin(), routers.end(),
+                     [](auto const& a, auto const& b)
+                     { return a.stays && !b.stays; });
+}
+
+/// Each gets its part, and no less than one request: a budget that is too small
+/// for all routers lies at those which most likely need it. None gets more than
+/// some times its need: the rest is safer in the budget row.
+void set_targets(std::vector<target>& routers, token_count to_spread,
+                 double request)
+{
+    auto left = static_cast<double>(to_spread);
+    for (auto& one : routers)
+    {
+        auto const need = static_cast<double>(one.need);
+        auto wanted = std::max(one.part * static_cast<double>(to_spread),
+                               one.stays ? need : request);
+        wanted = need > 0 ? std::min(wanted, need * most_needs) : wanted;
+        wanted = std::min(wanted, left);
+        if (wanted >= request * least_useful_part)
+        {
+            one.tokens = static_cast<token_count>(wanted);
+            left -= wanted;
+        }
     }
 }
 
@@ -233,21 +255,22 @@
     auto const all = static_cast<double>(all_tokens(stock));
     auto const reserve = static_cast<token_count>(all * reserve_part);
     auto routers = routers_by_part(stock);
+    set_needs(routers, stock);
     set_targets(routers, static_cast<token_count>(all) - reserve,
                 stock.mean_request);
-    set_needs(routers, stock);
     distribution found;
-    // Half of the reserve lies in the budget row, where a router that reaches
-    // the store and not the steward can draw.
-    found.pool_target = reserve / 2;
+    auto kept = reserve;
     token_count lack = 0;
     for (auto const& one : routers)
     {
-        found.pool_target += one.is_steward() ? one.tokens : 0;
+        kept += one.is_steward() ? one.tokens : 0;
         lack += one.lack();
     }
-    auto const at_hand = std::max<token_count>(0, stock.pool + stock.ungranted -
-                                                      found.pool_target);
+    auto const working =
+        static_cast<token_count>(working_requests * stock.mean_request);
+    found.pool_target = kept - reserve + std::min(reserve, working);
+    auto const at_hand =
+        std::max<token_count>(0, stock.pool + stock.ungranted - kept);
     found.moves = pushes(routers, at_hand);
     add_recalls(found.moves, routers, lack - at_hand);
     return found;
--- a/src/budget/spend_journal.cpp
+++ b/src/budget/spend_journal.cpp
@@ -25,12 +25,12 @@
                        [](auto const& one) { return one.is_number_integer(); });
 }
 
-/// Two numbers: the line alone, of a router that received nothing. Four: the
-/// same, what it received, and whether it has a share row.
+/// Two numbers: the line alone, of a router that moved no tokens. Five: the
+/// same, what it received, whether it has a share row, and what it gave.
 std::optional<spend_line> line_of(nlohmann::json const& text)
 {
     constexpr std::size_t short_form = 2;
-    constexpr std::size_t long_form = 4;
+    constexpr std::size_t long_form = 5;
     auto const is_long = is_whole_numbers(text, long_form);
     if (!is_long && !is_whole_numbers(text, short_form))
     {
@@ -41,17 +41,19 @@
     {
         line.received = text[2].get<token_count>();
         line.has_share = text[3].get<token_count>() != 0;
+        line.given = text[4].get<token_count>();
     }
     return line;
 }
 
 nlohmann::json text_of(spend_line const& line)
 {
-    if (line.received == 0 && line.has_share)
+    if (line.received == 0 && line.has_share && line.given == 0)
     {
         return {line.spent, line.per_second};
     }
-    return {line.spent, line.per_second, line.received, line.has_share ? 1 : 0};
+    return {line.spent, line.per_second, line.received, line.has_share ? 1 : 0,
+            line.given};
 }
 
 token_count value_at(spend_line const& line, std::int64_t ms_later)
@@ -123,7 +125,8 @@
             if (!line)
             {
                 faults.push_back(
-                    {path, "expected tokens, tokens/s [, tokens, 0 or 1]"});
+                    {path,
+                     "expected tokens, tokens/s [, tokens, 0 or 1, tokens]"});
                 return;
             }
             row.lines[{name}] = *line;
--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -30,6 +30,7 @@
 constexpr double first_requests = 400;
 /// The mean size of requests follows some ten of them.
 constexpr double size_weight = 0.1;
+constexpr double size_weight_of_all = 0.02;
 
 } // namespace
 
@@ -57,6 +58,7 @@
                incarnation,
                {[this] { return this->wanted_lines(); },
                 [this] { return this->holdings_to_tell(); },
+                [this] { return this->row_pause(); },
                 [this] { this->pass_on(); },
                 [this](auto const& dead, auto const& left)
                 {
@@ -146,6 +148,9 @@
     auto& of = found->second;
     this->exchange.note_request(budget, this->now.now());
     auto const size = static_cast<double>(amount);
+    this->mean_of_all += this->mean_of_all > 0
+                             ? size_weight_of_all * (size - this->mean_of_all)
+                             : size;
     of.mean_request += size_weight * (size - of.mean_request);
     of.mean_square += size_weight * (size * size - of.mean_square);
     this->set_limit(of);
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -103,6 +103,7 @@
         incarnation_id dead;
         token_count spent{};    ///< at most, of what the dead router held
         token_count received{}; ///< by it; free here when it is decided
+        token_count given{};    ///< of `spent`, to other routers
         instant next_try{};
         int tries{};
         bool busy{false};
@@ -147,6 +148,9 @@
     void prepare_for_peers(account& of, instant at);
     bool asks_peers() const;
     double line_start(account const& of, double traffic) const;
+    double typical_request(account const& of) const;
+    double rise_beyond_traffic(account const& of) const;
+    duration row_pause() const;
     void follow_rows();
     void hear(store::feed_page const& page);
     void forget_silent(instant at);
@@ -187,6 +191,7 @@
     caperpath::clock now{caperpath::clock::monotonic()};
     token_exchange exchange;
     std::uint64_t takings{}; ///< numbers reservations for other routers
+    double mean_of_all{};    ///< tokens that a request of any customer needs
     std::map<budget_id, account> accounts;
     std::unordered_map<request_id, replies> waiting;
     std::unique_ptr<table_follower> holding_rows;
--- a/src/gateway/budget_lines.cpp
+++ b/src/gateway/budget_lines.cpp
@@ -14,14 +14,21 @@
 /// lies between the use and the line is lost when the router dies.
 constexpr double line_start_seconds = 0.3;
 constexpr double line_start_requests = 0.5;
+/// What a dead router strands grows with the age of its row; in a large fleet
+/// each router strands little of any budget, and rows are most of its calls.
+constexpr duration row_pause_of_few{300};
+constexpr duration large_fleet_row_pause{600};
 /// Arrivals are uneven, and a router gets more of them when others die. With
 /// each second the line rises by this much of the traffic, and by one large
 /// request for those who send few. What it rises until a successor has the
 /// address is lost, at all routers when all of them crash.
 constexpr double line_rise = 1.25;
-constexpr token_count open_seconds = 4;
+constexpr double open_seconds = 4;
+constexpr double requests_risen = 0.5;
 /// With so many requests of late the next one is likely to come soon.
 constexpr double usual_requests = 2;
+/// In a large fleet: the part of what is free that is open at once at most.
+constexpr double open_part = 0.5;
 
 } // namespace
 
@@ -37,6 +44,7 @@
         auto const start = this->line_start(of, traffic);
         budget::spend_line line;
         line.received = share.received;
+        line.given = share.given;
         line.has_share = of.taking || share.share_version > 0 ||
                          share.planned || share.floor;
         if (of.taking)
@@ -44,6 +52,7 @@
             // Renamed at any moment, its share row is read with this line.
             line.spent = of.taking->spent + budget::used_tokens(share);
             line.received += of.taking->received;
+            line.given += of.taking->given;
             all[id] = line;
             continue;
         }
@@ -54,11 +63,8 @@
         line.spent = budget::used_tokens(share) +
                      budget::waiting_tokens(share) +
                      static_cast<token_count>(start);
-        // Without deals a share is small, and most of its budget is not in it.
-        auto const more = this->deals()
-                              ? static_cast<token_count>(of.large_request())
-                              : budget::free_tokens(share) / open_seconds;
-        line.per_second = static_cast<token_count>(traffic * line_rise) + more;
+        line.per_second = static_cast<token_count>(
+            traffic * line_rise + this->rise_beyond_traffic(of));
         if (this->closing)
         {
             line.per_second = 0;
@@ -75,16 +81,37 @@
     {
         return 0;
     }
-    auto const requests = line_start_requests * of.mean_request;
-    if (this->deals() || !this->asks_peers())
+    if (!this->asks_peers())
     {
-        return traffic * line_start_seconds + requests;
+        return traffic * line_start_seconds +
+               of.mean_request * line_start_requests;
     }
-    // In a large fleet most routers rarely get a request of a customer: all
-    // together their lines would strand much of a small budget in a crash.
+    // In a large fleet most routers rarely get a request of a customer: were
+    // each line to cover one, a crash of all would strand most of a budget.
+    auto const free = static_cast<double>(budget::free_tokens(of.share));
     auto const here = this->exchange.requests(of.share.budget, this->now.now());
-    return traffic * line_start_seconds +
-           requests * std::min(1.0, here / usual_requests);
+    auto const open = line_start_requests * this->typical_request(of) *
+                      std::min(1.0, here / usual_requests);
+    return std::min(traffic * line_start_seconds + open, free * open_part);
+}
+
+/// In a large fleet a router that is cut off gets a request of most customers
+/// once in many seconds. What all lines have risen when all routers crash in an
+/// outage of the store is lost.
+double budget_book::rise_beyond_traffic(account const& of) const
+{
+    if (!this->asks_peers())
+    {
+        return of.large_request();
+    }
+    auto const free = static_cast<double>(budget::free_tokens(of.share));
+    return std::min(free / open_seconds,
+                    this->typical_request(of) * requests_risen);
+}
+
+duration budget_book::row_pause() const
+{
+    return this->asks_peers() ? large_fleet_row_pause : row_pause_of_few;
 }
 
 budget::held_tokens budget_book::held(account const& of) const
--- a/src/gateway/budget_peers.cpp
+++ b/src/gateway/budget_peers.cpp
@@ -102,7 +102,7 @@
     found.lacking = std::max<token_count>(0, callers - free);
     found.spent = share.settled + share.unsettled - share.given;
     found.paid = of->second.paid;
-    found.mean_request = of->second.mean_request;
+    found.mean_request = this->typical_request(of->second);
     if (!share.down_since)
     {
         auto const left =
@@ -113,6 +113,13 @@
     return found;
 }
 
+/// In a large fleet a router sees few requests of a customer, and their sizes
+/// differ more than those of customers do.
+double budget_book::typical_request(account const& of) const
+{
+    return this->mean_of_all > 0 ? this->mean_of_all : of.mean_request;
+}
+
 std::vector<budget_id> budget_book::budgets(bool in_use) const
 {
     std::vector<budget_id> all;
--- a/src/gateway/budget_take_over.cpp
+++ b/src/gateway/budget_take_over.cpp
@@ -26,7 +26,8 @@
     for (auto const& [budget, line] : left)
     {
         auto& of = this->open_account(budget);
-        of.taking = take_over{dead, line.spent, line.received, this->now.now()};
+        of.taking = take_over{dead, line.spent, line.received, line.given,
+                              this->now.now()};
         if (line.has_share)
         {
             this->try_take_over(of);
@@ -50,8 +51,7 @@
     auto const spent = std::min(of.taking->spent, all);
     of.share = budget::received(std::move(of.share), of.taking->received);
     of.share = budget::inherit(std::move(of.share), granted, spent, version);
-    // How much of it the dead router gave to others is not known.
-    of.share.given = this->asks_peers() ? spent : 0;
+    of.share.given += std::min(of.taking->given, spent);
     this->note_take_over(of, granted);
     of.taking.reset();
 }
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-/// What a dead router strands grows with the age of its row.
-constexpr duration write_interval{300};
 constexpr duration retry_pause{150};
 
 } // namespace
@@ -189,7 +187,7 @@
         this->write();
         return;
     }
-    this->after(write_interval, [this] { this->write(); });
+    this->after(this->listener.pause(), [this] { this->write(); });
 }
 
 /// A write without an answer may be applied later. Its row is our own then, and
--- a/src/gateway/spend_keeper.hpp
+++ b/src/gateway/spend_keeper.hpp
@@ -28,6 +28,9 @@
     /// time for one.
     std::function<std::optional<store::row_write>()> with_it;
 
+    /// The pause between two rows while nobody waits for a line.
+    std::function<duration()> pause;
+
     /// The limits may have changed.
     std::function<void()> changed;
 
--- a/tests/budget/distribution_test.cpp
+++ b/tests/budget/distribution_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(a_small_budget_lies_at_few_routers_in_useful_parts);
     CPPUNIT_TEST(a_router_with_much_traffic_of_all_gets_more);
     CPPUNIT_TEST(callers_that_stay_at_a_router_are_followed);
+    CPPUNIT_TEST(a_quarter_stays_in_the_row_for_after_a_crash);
+    CPPUNIT_TEST(one_router_does_not_get_a_whole_budget);
     CPPUNIT_TEST(a_settled_fleet_moves_nothing);
     CPPUNIT_TEST(no_more_is_sent_than_is_there);
     CPPUNIT_TEST(a_cut_of_all_routers_refuses_few);
@@ -125,6 +127,37 @@
         CPPUNIT_ASSERT(expected_parts(stock).at(name(7)) > 0.2);
     }
 
+    // Guards against a fleet that is killed in an outage of its store, holds
+    // all of a budget, and serves less than a quarter of what comes afterwards.
+    void a_quarter_stays_in_the_row_for_after_a_crash()
+    {
+        auto const stock = idle_fleet(89, 4'000'000, 3'000);
+        auto const plan = distribute(stock);
+        auto const given = std::accumulate(
+            plan.moves.begin(), plan.moves.end(), token_count{0},
+            [](token_count sum, token_move const& move)
+            { return sum + move.tokens; });
+        auto const own = 3'000'000 / 89;
+        CPPUNIT_ASSERT(given + own <= 3'000'000);
+        CPPUNIT_ASSERT(plan.pool_target <= own + 10 * 3'000);
+    }
+
+    // Guards against a customer that loses most of its budget with the one
+    // router that its callers are at.
+    void one_router_does_not_get_a_whole_budget()
+    {
+        auto stock = idle_fleet(fleet, 20'000'000, 3'000);
+        for (auto& [router, one] : stock.routers)
+        {
+            one.all_requests = 60;
+        }
+        stock.routers[name(7)].requests = 100;
+        carry_out(stock, distribute(stock));
+        // Some times what a hundred requests in ten seconds need.
+        CPPUNIT_ASSERT(stock.routers[name(7)].free >= 300'000);
+        CPPUNIT_ASSERT(stock.routers[name(7)].free <= 1'500'000);
+    }
+
     // Guards against tokens that go round between routers for ever.
     void a_settled_fleet_moves_nothing()
     {
--- a/tests/budget/spend_journal_test.cpp
+++ b/tests/budget/spend_journal_test.cpp
@@ -163,7 +163,7 @@
         spend_row const row{{"a-1"},
                             "10.0.0.1:80",
                             42,
-                            {{taller, {7, 3, 500, false}}, {{"b"}, {1, 2}}}};
+                            {{taller, {7, 3, 500, false, 4}}, {{"b"}, {1, 2}}}};
         auto const back =
             value_or_error([&] { return decode_spend(encode(row)); });
         CPPUNIT_ASSERT(row == std::get<spend_row>(back));
--- a/tests/gateway/spend_keeper_test.cpp
+++ b/tests/gateway/spend_keeper_test.cpp
@@ -38,7 +38,7 @@
                                      {taller, {300, 1'000}}};
                              },
                              [] { return std::optional<store::row_write>{}; },
-                             [] {},
+                             [] { return duration{300}; }, [] {},
                              [](auto const&, auto const&) {
                              }},
                             log};
