Call the router that looks after a budget its coordinator

The usual word of the field; names only, in code, tests, pages and log lines (`denied` and `silent` have a field coordinator=). Also a few names of tests and of the distribution. No decision changes.

--- a/include/caperpath/budget/distribution.hpp
+++ b/include/caperpath/budget/distribution.hpp
@@ -9,12 +9,12 @@
 #include <vector>
 
 /// Where the tokens of one budget should lie in a large fleet, as the router
-/// that looks after the budget (its steward) reckons it.
+/// that looks after the budget (its coordinator) reckons it.
 ///
 /// A router that is cut off serves from what it holds, so most of a budget is
-/// spread before it is asked for; the rest stays with the steward, for routers
-/// that run out while they can ask. The figures are hints: a stale one puts
-/// tokens in the wrong place, never too many.
+/// spread before it is asked for; the rest stays with the coordinator, for
+/// routers that run out while they can ask. The figures are hints: a stale one
+/// puts tokens in the wrong place, never too many.
 namespace caperpath::budget
 {
 
@@ -35,7 +35,7 @@
 /// The count after one more request at `now`. Thread safe.
 request_count counted(request_count const& count, instant now);
 
-/// What the steward knows of one router.
+/// What the coordinator knows of one router.
 struct router_stock
 {
     token_count free{};
@@ -46,14 +46,14 @@
     friend bool operator==(router_stock const&, router_stock const&) = default;
 };
 
-/// All that the steward knows. Value type.
+/// All that the coordinator knows. Value type.
 struct budget_stock
 {
-    token_count pool{};                    ///< free at the steward
+    token_count pool{};                    ///< free at the coordinator
     token_count ungranted{};               ///< in the budget row
     double mean_request{};                 ///< tokens
-    std::map<vm_id, router_stock> routers; ///< without the steward
-    router_stock own;                      ///< the steward as a router
+    std::map<vm_id, router_stock> routers; ///< without the coordinator
+    router_stock own;                      ///< the coordinator as a router
 };
 
 /// Tokens to send to a router or, if negative, to ask back from it. Immutable
@@ -66,7 +66,7 @@
     friend bool operator==(token_move const&, token_move const&) = default;
 };
 
-/// What the steward does now. Immutable value.
+/// What the coordinator does now. Immutable value.
 struct distribution
 {
     std::vector<token_move> moves;
@@ -75,10 +75,10 @@
     friend bool operator==(distribution const&, distribution const&) = default;
 };
 
-/// The part of a budget's next requests that comes to each router, the steward
-/// under an empty name. Callers keep their connections, so a router with much
-/// traffic of all budgets gets more of this one too; where its own count says
-/// otherwise, by more than chance, that counts. Thread safe.
+/// The part of a budget's next requests that comes to each router, the
+/// coordinator under an empty name. Callers keep their connections, so a router
+/// with much traffic of all budgets gets more of this one too; where its own
+/// count says otherwise, by more than chance, that counts. Thread safe.
 std::map<vm_id, double> expected_parts(budget_stock const& stock);
 
 /// Thread safe.
@@ -90,8 +90,8 @@
 
 /// The VMs that look after `budget`, in the order in which they are asked.
 /// @pre `vms` holds each VM once. Thread safe.
-std::vector<vm_id> stewards(budget_id const& budget,
-                            std::vector<vm_id> const& vms);
+std::vector<vm_id> coordinators(budget_id const& budget,
+                                std::vector<vm_id> const& vms);
 
 } // namespace caperpath::budget
 
--- a/model/transfer.pml
+++ b/model/transfer.pml
@@ -1,5 +1,5 @@
 /*
- * A steward gives tokens to another router by datagrams that are lost, late or
+ * A coordinator gives tokens to another router by datagrams that are lost, late or
  * doubled. Both spend, write their spend rows, crash at any moment and are
  * followed by a process at the same address, which takes over what the row of
  * the dead one leaves.
@@ -7,7 +7,7 @@
  * Broken variants, which the check must show to fail:
  *   TWICE      a datagram that comes twice counts twice
  *   ANY_LIFE   a process takes what was sent to the one before it
- *   ABOVE_LINE tokens are given that a successor of the steward takes over
+ *   ABOVE_LINE tokens are given that a successor of the coordinator takes over
  *   NO_LINE    all that is held may be spent, whatever a successor takes over
  */
 #define PAID 3
@@ -17,7 +17,7 @@
 #define STEWARD 0
 #define OTHER 1
 
-/* the store: a line and what was received, for each address; the steward has
+/* the store: a line and what was received, for each address; the coordinator has
    drawn the whole budget */
 byte line[2];
 byte row_received[2];
@@ -120,7 +120,7 @@
   }
 }
 
-active proctype steward()
+active proctype coordinator()
 {
   byte step;
   do
--- a/src/budget/distribution.cpp
+++ b/src/budget/distribution.cpp
@@ -18,7 +18,7 @@
 /// while the store can be asked, and for all when they crash in an outage of
 /// the store, after which most of what they held counts as spent.
 constexpr double reserve_part = 0.25;
-/// So many requests the steward has at hand for others.
+/// So many requests the coordinator has at hand for others.
 constexpr double working_requests = 8;
 /// A router with less than this part of its target gets the rest.
 constexpr double short_part = 0.6;
@@ -49,9 +49,9 @@
     double part{};
     token_count tokens{}; ///< to hold
     token_count need{};   ///< of the next seconds; 0 while nothing is known
-    bool stays{false};    ///< callers of the customer stay at it
+    bool sticky{false};   ///< callers of the customer stay at it
 
-    bool is_steward() const
+    bool is_coordinator() const
     {
         return this->router.value.empty();
     }
@@ -60,7 +60,7 @@
     {
         auto const enough = static_cast<double>(this->tokens) * short_part;
         auto const need = static_cast<double>(this->need);
-        return !this->is_steward() &&
+        return !this->is_coordinator() &&
                static_cast<double>(this->stock.free) <
                    (need > 0 ? std::min(enough, need) : enough);
     }
@@ -111,17 +111,17 @@
         auto const expected = one.part * requests;
         // More than chance brings: callers that stay at this router.
         auto const chance = surprise * (std::sqrt(expected) + 1);
-        auto const stays = one.stock.requests > expected + chance;
-        auto const coming = stays ? one.stock.requests : expected;
+        auto const sticky = one.stock.requests > expected + chance;
+        auto const coming = sticky ? one.stock.requests : expected;
         auto const most = coming + deviations * std::sqrt(coming) + 1;
         one.need = requests > 0
                        ? static_cast<token_count>(most * stock.mean_request)
                        : 0;
-        one.stays = stays;
+        one.sticky = sticky;
     }
     std::stable_sort(routers.begin(), routers.end(),
                      [](auto const& a, auto const& b)
-                     { return a.stays && !b.stays; });
+                     { return a.sticky && !b.sticky; });
 }
 
 /// Each gets its part, and no less than one request: a budget that is too small
@@ -135,7 +135,7 @@
     {
         auto const need = static_cast<double>(one.need);
         auto wanted = std::max(one.part * static_cast<double>(to_spread),
-                               one.stays ? need : request);
+                               one.sticky ? need : request);
         wanted = need > 0 ? std::min(wanted, need * most_needs) : wanted;
         wanted = std::min(wanted, left);
         if (wanted >= request * least_useful_part)
@@ -193,7 +193,7 @@
         {
             return;
         }
-        if (!one.is_steward())
+        if (!one.is_coordinator())
         {
             moves.push_back({one.router, -back});
             missing -= back;
@@ -263,7 +263,7 @@
     token_count lack = 0;
     for (auto const& one : routers)
     {
-        kept += one.is_steward() ? one.tokens : 0;
+        kept += one.is_coordinator() ? one.tokens : 0;
         lack += one.lack();
     }
     auto const working =
@@ -300,8 +300,8 @@
     return found;
 }
 
-std::vector<vm_id> stewards(budget_id const& budget,
-                            std::vector<vm_id> const& vms)
+std::vector<vm_id> coordinators(budget_id const& budget,
+                                std::vector<vm_id> const& vms)
 {
     std::vector<std::pair<std::uint64_t, vm_id>> ranked;
     ranked.reserve(vms.size());
--- a/src/gateway/budget_book.hpp
+++ b/src/gateway/budget_book.hpp
@@ -120,8 +120,8 @@
         budget::holdings others; ///< what the other routers told
         std::uint64_t dealt_for{}; ///< version of the row of the latest deal
         instant dealt_at{};
-        token_count pool_target{}; ///< to hold free, as the steward
-        instant draws_until{};     ///< no steward answers: draws by itself
+        token_count pool_target{}; ///< to hold free, as the coordinator
+        instant draws_until{};     ///< no coordinator answers: draws by itself
 
         /// The size of request that a token of the traffic belongs to in the
         /// mean.
@@ -190,8 +190,9 @@
     spend_keeper spending;
     caperpath::clock now{caperpath::clock::monotonic()};
     token_exchange exchange;
-    std::uint64_t takings{}; ///< numbers reservations for other routers
-    double mean_of_all{};    ///< tokens that a request of any customer needs
+    std::uint64_t
+        transfer_reservations{}; ///< numbers reservations for other routers
+    double mean_of_all{}; ///< tokens that a request of any customer needs
     std::map<budget_id, account> accounts;
     std::unordered_map<request_id, replies> waiting;
     std::unique_ptr<table_follower> holding_rows;
--- a/src/gateway/budget_deal.cpp
+++ b/src/gateway/budget_deal.cpp
@@ -261,7 +261,7 @@
     }
     if (!this->deals())
     {
-        // A steward draws what it spreads.
+        // A coordinator draws what it spreads.
         share.dealt = this->asks_peers()
                           ? std::optional{budget::deal{of.pool_target, 0, 0}}
                           : std::nullopt;
--- a/src/gateway/budget_peers.cpp
+++ b/src/gateway/budget_peers.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr auto policy = config::budget_policy::false_refusals_first;
-/// Until then a steward will answer again, or another one does.
+/// Until then a coordinator will answer again, or another one does.
 constexpr duration draws_alone_for{1'000};
 
 } // namespace
@@ -145,8 +145,9 @@
         return;
     }
     auto& of = found->second;
-    this->takings += 1;
-    request_id const id{"transfer/" + std::to_string(this->takings)};
+    this->transfer_reservations += 1;
+    request_id const id{"transfer/" +
+                        std::to_string(this->transfer_reservations)};
     auto const decided = [this, id, budget, done = std::move(done)](
                              budget::reserve_reply const& reply)
     {
@@ -201,8 +202,8 @@
     auto const gives =
         std::any_of(share.waiting.begin(), share.waiting.end(),
                     [](auto const& one) { return one.is_transfer; });
-    share.draws =
-        gives || at < of.draws_until || this->exchange.is_steward(share.budget);
+    share.draws = gives || at < of.draws_until ||
+                  this->exchange.is_coordinator(share.budget);
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/peer_packet.hpp
+++ b/src/gateway/peer_packet.hpp
@@ -14,7 +14,7 @@
 namespace caperpath::gateway
 {
 
-/// What a router holds of a budget, for its steward. A hint.
+/// What a router holds of a budget, for its coordinator. A hint.
 struct stock_report
 {
     budget_id budget;
@@ -45,7 +45,7 @@
     friend bool operator==(token_denial const&, token_denial const&) = default;
 };
 
-/// A steward asks for up to so many tokens that the receiver can spare.
+/// A coordinator asks for up to so many tokens that the receiver can spare.
 struct token_recall
 {
     budget_id budget;
--- a/src/gateway/token_asks.cpp
+++ b/src/gateway/token_asks.cpp
@@ -6,14 +6,14 @@
 #include <string>
 #include <utility>
 
-/// How a router asks the stewards of a budget for tokens.
+/// How a router asks the coordinators of a budget for tokens.
 namespace caperpath::gateway
 {
 
 namespace
 {
 
-/// A steward that did not answer so long is passed over for a while.
+/// A coordinator that did not answer so long is passed over for a while.
 constexpr duration answer_expected{120};
 constexpr duration ask_again{40};
 constexpr duration passed_over{1'000};
@@ -34,7 +34,7 @@
     this->log.write(log_weight::routine, "denied",
                     {{"budget", denial.budget.value},
                      {"tokens", std::to_string(of.asked->tokens)},
-                     {"steward", from.value},
+                     {"coordinator", from.value},
                      {"retry_ms", std::to_string(denial.retry_ms)}});
     of.denied = {of.asked->tokens, retry_after, now + denial_counts};
     of.asked.reset();
@@ -60,34 +60,34 @@
     this->flush();
 }
 
-/// Asks the first steward that is not silent; this router, where it comes
+/// Asks the first coordinator that is not silent; this router, where it comes
 /// first, draws by itself and asks the others for what the row does not have.
 void token_exchange::ask(budget_id const& budget, trade& of, instant now)
 {
     auto& asked = *of.asked;
-    while (asked.rank < of.stewards.size() &&
-           of.stewards[asked.rank] != this->self &&
-           this->is_silent(of.stewards[asked.rank], now))
+    while (asked.rank < of.coordinators.size() &&
+           of.coordinators[asked.rank] != this->self &&
+           this->is_silent(of.coordinators[asked.rank], now))
     {
         asked.rank += 1;
     }
     asked.sent_at = now;
     asked.sends = 1;
-    if (asked.rank >= of.stewards.size())
+    if (asked.rank >= of.coordinators.size())
     {
         this->shares.draw_alone(budget);
         return;
     }
-    if (of.stewards[asked.rank] != this->self)
+    if (of.coordinators[asked.rank] != this->self)
     {
-        this->packet_to(of.stewards[asked.rank])
+        this->packet_to(of.coordinators[asked.rank])
             .asks.push_back({budget, of.asks, asked.tokens});
         return;
     }
     this->serve_self(budget, of, now);
 }
 
-/// Callers wait at the steward itself.
+/// Callers wait at the coordinator itself.
 void token_exchange::serve_self(budget_id const& budget, trade& of, instant now)
 {
     auto const view = this->shares.view(budget);
@@ -110,8 +110,8 @@
     this->shares.refuse(budget, retry_after);
 }
 
-/// An ask, or its answer, may be lost: it is sent again, then the next steward
-/// is asked.
+/// An ask, or its answer, may be lost: it is sent again, then the next
+/// coordinator is asked.
 void token_exchange::ask_next(budget_id const& budget, trade& of, instant now)
 {
     if (this->shares.view(budget).lacking <= 0)
@@ -121,8 +121,8 @@
     }
     auto& asked = *of.asked;
     auto const since = now - asked.sent_at;
-    if (asked.rank >= of.stewards.size() ||
-        of.stewards[asked.rank] == this->self)
+    if (asked.rank >= of.coordinators.size() ||
+        of.coordinators[asked.rank] == this->self)
     {
         if (since >= answer_expected)
         {
@@ -130,22 +130,22 @@
         }
         return;
     }
-    auto const& steward = of.stewards[asked.rank];
+    auto const& coordinator = of.coordinators[asked.rank];
     if (since >= answer_expected)
     {
         this->log.write(log_weight::routine, "silent",
                         {{"budget", budget.value},
                          {"tokens", std::to_string(asked.tokens)},
-                         {"steward", steward.value}});
-        this->peers[steward].silent_until = now + passed_over;
+                         {"coordinator", coordinator.value}});
+        this->peers[coordinator].silent_until = now + passed_over;
         asked.rank += 1;
         this->ask(budget, of, now);
     }
     else if (since >= ask_again * asked.sends)
     {
         asked.sends += 1;
-        this->packet_to(steward).asks.push_back(
-            {budget, of.asks, asked.tokens});
+        this->packet_to(coordinator)
+            .asks.push_back({budget, of.asks, asked.tokens});
     }
 }
 
--- a/src/gateway/token_exchange.cpp
+++ b/src/gateway/token_exchange.cpp
@@ -73,7 +73,7 @@
     }
     for (auto& [budget, of] : this->trades)
     {
-        of.stewards.clear();
+        of.coordinators.clear();
         std::erase_if(of.routers, [this](auto const& entry)
                       { return !this->peers.contains(entry.first); });
     }
@@ -82,21 +82,21 @@
 token_exchange::trade& token_exchange::trade_of(budget_id const& budget)
 {
     auto& of = this->trades[budget];
-    if (of.stewards.empty())
+    if (of.coordinators.empty())
     {
         std::vector<vm_id> vms{this->self};
         for (auto const& [vm, one] : this->peers)
         {
             vms.push_back(vm);
         }
-        of.stewards = budget::stewards(budget, vms);
+        of.coordinators = budget::coordinators(budget, vms);
     }
     return of;
 }
 
-bool token_exchange::is_steward(budget_id const& budget)
+bool token_exchange::is_coordinator(budget_id const& budget)
 {
-    return this->trade_of(budget).stewards.front() == this->self;
+    return this->trade_of(budget).coordinators.front() == this->self;
 }
 
 bool token_exchange::is_silent(vm_id const& router, instant now) const
@@ -114,8 +114,8 @@
 
 bool token_exchange::may_be_answered(budget_id const& budget, instant now)
 {
-    auto const& stewards = this->trade_of(budget).stewards;
-    return std::any_of(stewards.begin(), stewards.end(),
+    auto const& coordinators = this->trade_of(budget).coordinators;
+    return std::any_of(coordinators.begin(), coordinators.end(),
                        [&](vm_id const& one) {
                            return one != this->self &&
                                   !this->is_silent(one, now);
--- a/src/gateway/token_exchange.hpp
+++ b/src/gateway/token_exchange.hpp
@@ -53,20 +53,20 @@
     /// Callers that wait for more than is free get their refusal.
     std::function<void(budget_id const&, duration retry_after)> refuse;
 
-    /// A steward holds so many tokens free.
+    /// A coordinator holds so many tokens free.
     std::function<void(budget_id const&, token_count)> hold;
 
-    /// No steward answers: this router may draw by itself for a while.
+    /// No coordinator answers: this router may draw by itself for a while.
     std::function<void(budget_id const&)> draw_alone;
 };
 
 /// Moves tokens between the shares of a large fleet's routers by datagrams.
 ///
-/// Each budget has a steward, the first of its VMs by a hash. It draws from the
-/// budget row, spreads most of the budget over the routers before they ask, and
-/// gives to those that run out or asks others to. It is no authority: any
+/// Each budget has a coordinator, the first of its VMs by a hash. It draws from
+/// the budget row, spreads most of the budget over the routers before they ask,
+/// and gives to those that run out or asks others to. It is no authority: any
 /// router can draw and give, and what a budget's tokens are worth rests on the
-/// share and spend rows alone. So a steward that dies, or two that take
+/// share and spend rows alone. So a coordinator that dies, or two that take
 /// themselves for the only one, refuse some callers and overspend nothing.
 ///
 /// Loop thread only; outlives its calls, and `log` outlives it.
@@ -98,9 +98,9 @@
                  instant now);
 
     /// True when this router looks after the budget.
-    bool is_steward(budget_id const& budget);
+    bool is_coordinator(budget_id const& budget);
 
-    /// True when a steward may answer, by what is known of them.
+    /// True when a coordinator may answer, by what is known of them.
     bool may_be_answered(budget_id const& budget, instant now);
 
     /// Requests of the budget that came here of late.
@@ -118,7 +118,7 @@
     struct open_ask
     {
         token_count tokens{};
-        std::size_t rank{}; ///< of the steward that was asked
+        std::size_t rank{}; ///< of the coordinator that was asked
         instant sent_at{};
         int sends{};
     };
@@ -142,14 +142,14 @@
     };
     struct trade
     {
-        std::vector<vm_id> stewards;
+        std::vector<vm_id> coordinators;
         budget::request_count requests;
         std::uint64_t asks{};
         std::optional<open_ask> asked;
         std::optional<denial> denied;
         stock_report reported;
         instant reported_at{};
-        std::map<vm_id, heard_stock> routers; ///< as their steward
+        std::map<vm_id, heard_stock> routers; ///< as their coordinator
         std::map<vm_id, served_ask> served;
     };
 
--- a/src/gateway/token_service.cpp
+++ b/src/gateway/token_service.cpp
@@ -5,14 +5,14 @@
 #include <algorithm>
 #include <utility>
 
-/// How a router gives tokens to others, and a steward finds them.
+/// How a router gives tokens to others, and a coordinator finds them.
 namespace caperpath::gateway
 {
 
 namespace
 {
 
-/// A steward draws, raises its spend line and asks others within this.
+/// A coordinator draws, raises its spend line and asks others within this.
 constexpr duration longest_service{80};
 constexpr duration longest_recall{200};
 /// A router that runs out gets a little more than it lacks, while there is
--- a/src/gateway/token_spread.cpp
+++ b/src/gateway/token_spread.cpp
@@ -6,8 +6,8 @@
 #include <cmath>
 #include <string>
 
-/// How a router tells its stewards what it holds, and what a steward spreads
-/// before anybody asks.
+/// How a router tells its coordinators what it holds, and what a coordinator
+/// spreads before anybody asks.
 namespace caperpath::gateway
 {
 
@@ -22,10 +22,10 @@
 constexpr duration all_reported{6'500};
 /// A change of less than this part of what was reported is not worth a message.
 constexpr double reported_part = 0.2;
-/// What a steward spreads waits so long for a draw and a spend line.
+/// What a coordinator spreads waits so long for a draw and a spend line.
 constexpr duration longest_spread{900};
-/// Budgets without any request are spread ahead only by a steward that has so
-/// few of them: nothing is done for the many that are idle.
+/// Budgets without any request are spread ahead only by a coordinator that has
+/// so few of them: nothing is done for the many that are idle.
 constexpr std::size_t most_idle_spread = 16;
 
 bool is_news(stock_report const& before, stock_report const& now,
@@ -65,12 +65,11 @@
             continue;
         }
         of.reported = next;
-        auto const first = std::find_if(of.stewards.begin(), of.stewards.end(),
-                                        [&](vm_id const& one) {
-                                            return one == this->self ||
-                                                   !this->is_silent(one, now);
-                                        });
-        if (first != of.stewards.end() && *first != this->self)
+        auto const first = std::find_if(
+            of.coordinators.begin(), of.coordinators.end(),
+            [&](vm_id const& one)
+            { return one == this->self || !this->is_silent(one, now); });
+        if (first != of.coordinators.end() && *first != this->self)
         {
             this->packet_to(*first).reports.push_back(next);
         }
@@ -88,7 +87,7 @@
     std::vector<budget_id> idle;
     for (auto const& budget : this->shares.known())
     {
-        if (!this->is_steward(budget))
+        if (!this->is_coordinator(budget))
         {
             continue;
         }
--- a/tests/budget/distribution_test.cpp
+++ b/tests/budget/distribution_test.cpp
@@ -26,7 +26,7 @@
     CPPUNIT_TEST(no_more_is_sent_than_is_there);
     CPPUNIT_TEST(a_cut_of_all_routers_refuses_few);
     CPPUNIT_TEST(those_with_most_are_asked_first);
-    CPPUNIT_TEST(stewards_change_only_with_their_vm);
+    CPPUNIT_TEST(coordinators_change_only_with_their_vm);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr instant start{100'000};
@@ -50,7 +50,7 @@
         return stock;
     }
 
-    /// Carries the moves out, as a steward that has all it needs.
+    /// Carries the moves out, as a coordinator that has all it needs.
     static void carry_out(budget_stock& stock, distribution const& plan)
     {
         stock.pool += stock.ungranted;
@@ -292,7 +292,7 @@
 
     // Guards against a fleet in which each router that comes or goes changes
     // who looks after all budgets.
-    void stewards_change_only_with_their_vm()
+    void coordinators_change_only_with_their_vm()
     {
         std::vector<vm_id> vms;
         for (std::size_t i = 0; i < fleet; ++i)
@@ -302,11 +302,11 @@
         for (int i = 0; i < 40; ++i)
         {
             budget_id const budget{"customer-" + std::to_string(i)};
-            auto const before = stewards(budget, vms);
+            auto const before = coordinators(budget, vms);
             CPPUNIT_ASSERT_EQUAL(std::size_t{3}, before.size());
             auto fewer = vms;
             std::erase(fewer, before[0]);
-            auto const after = stewards(budget, fewer);
+            auto const after = coordinators(budget, fewer);
             CPPUNIT_ASSERT(after[0] == before[1]);
             CPPUNIT_ASSERT(after[1] == before[2]);
         }
--- a/tests/budget/token_fleet.cpp
+++ b/tests/budget/token_fleet.cpp
@@ -93,7 +93,8 @@
     if (left && left->contains(taller))
     {
         auto const& line = left->at(taller);
-        of.heir = taking{before->router, line.spent, line.received};
+        of.inheritance =
+            inherited_tokens{before->router, line.spent, line.received};
         this->write_row(at, 0, 0, write_fate::answered);
         this->take_over(of);
     }
@@ -101,7 +102,7 @@
 
 void token_fleet::take_over(router& of)
 {
-    auto const dead = share_key(taller, of.heir->dead);
+    auto const dead = share_key(taller, of.inheritance->dead);
     auto const own = share_key(taller, of.id);
     auto const found = this->table.read({dead});
     share_row row;
@@ -115,14 +116,15 @@
         version = store::written_version(result, 0);
         row = decode_share(found.front().value).value();
     }
-    auto const all = row.granted + of.heir->received;
+    auto const all = row.granted + of.inheritance->received;
     auto const inherits_all = this->mistake == broken::inherits_before_spent;
-    auto const used = inherits_all ? std::min(of.heir->spent, row.granted)
-                                   : std::min(of.heir->spent, all);
-    of.share = received(std::move(of.share), of.heir->received);
+    auto const used = inherits_all
+                          ? std::min(of.inheritance->spent, row.granted)
+                          : std::min(of.inheritance->spent, all);
+    of.share = received(std::move(of.share), of.inheritance->received);
     of.share = inherit(std::move(of.share), row.granted, used, version);
     of.share.given = used;
-    of.heir.reset();
+    of.inheritance.reset();
 }
 
 void token_fleet::set_limit(router& of) const
@@ -234,10 +236,10 @@
 {
     auto const& share = of.share;
     spend_line line{used_tokens(share) + above, rise, share.received, true};
-    if (of.heir)
+    if (of.inheritance)
     {
-        line.spent = of.heir->spent + used_tokens(share);
-        line.received += of.heir->received;
+        line.spent = of.inheritance->spent + used_tokens(share);
+        line.received += of.inheritance->received;
         line.per_second = 0;
     }
     return line;
--- a/tests/budget/token_fleet.hpp
+++ b/tests/budget/token_fleet.hpp
@@ -78,7 +78,7 @@
     budget_row row() const;
 
 private:
-    struct taking
+    struct inherited_tokens
     {
         incarnation_id dead;
         token_count spent{};
@@ -94,7 +94,7 @@
         outbox sent;
         inbox taken;
         instant now{};
-        std::optional<taking> heir;
+        std::optional<inherited_tokens> inheritance;
         std::uint64_t requests{};
     };
     struct datagram
--- a/tests/budget/token_fleet_test.cpp
+++ b/tests/budget/token_fleet_test.cpp
@@ -14,7 +14,7 @@
     CPPUNIT_TEST_SUITE(token_fleet_test);
     CPPUNIT_TEST(tokens_that_were_given_can_be_spent_at_once);
     CPPUNIT_TEST(a_successor_finds_what_was_received);
-    CPPUNIT_TEST(a_stopped_steward_returns_what_it_drew);
+    CPPUNIT_TEST(a_stopped_coordinator_returns_what_it_drew);
     CPPUNIT_TEST(no_history_spends_more_than_was_paid);
     CPPUNIT_TEST(each_mistake_is_found);
     CPPUNIT_TEST_SUITE_END();
@@ -143,7 +143,7 @@
 
     // Guards against a budget row that counts tokens which others hold as
     // returned, or as spent by fewer than nobody.
-    void a_stopped_steward_returns_what_it_drew()
+    void a_stopped_coordinator_returns_what_it_drew()
     {
         auto fleet = drawn();
         fleet->give(0, 1, 8'000);
--- a/tests/budget/transfer_test.cpp
+++ b/tests/budget/transfer_test.cpp
@@ -72,8 +72,8 @@
             take_due(std::move(sent), start + duration{60'000}).due.empty());
     }
 
-    // Guards against a steward that sends all it has to a router that is cut
-    // off, where it serves nobody else.
+    // Guards against a coordinator that sends all it has to a router that is
+    // cut off, where it serves nobody else.
     void nothing_more_goes_to_a_receiver_that_does_not_confirm()
     {
         auto sent = post({}, there, taller, 700, start).sent;
--- a/tests/gateway/exchange_fleet.cpp
+++ b/tests/gateway/exchange_fleet.cpp
@@ -70,7 +70,7 @@
 {
     auto& one = this->routers[router];
     one.life += 1;
-    one.purses.clear();
+    one.shares.clear();
     this->start(router);
 }
 
@@ -82,14 +82,14 @@
 
 share_access exchange_fleet::access_of(std::size_t router)
 {
-    auto const purse = [ this, router ](budget_id const& budget) -> auto&
+    auto const share = [ this, router ](budget_id const& budget) -> auto&
     {
-        return this->routers[router].purses[budget];
+        return this->routers[router].shares[budget];
     };
     share_access access;
-    access.view = [this, purse](budget_id const& budget)
+    access.view = [this, share](budget_id const& budget)
     {
-        auto const& of = purse(budget);
+        auto const& of = share(budget);
         share_view view;
         view.free = std::max<token_count>(0, of.free - of.lacking);
         view.lacking = std::max<token_count>(0, of.lacking - of.free);
@@ -102,7 +102,7 @@
     access.in_use = [this, router]
     {
         std::vector<budget_id> all;
-        for (auto const& [budget, of] : this->routers[router].purses)
+        for (auto const& [budget, of] : this->routers[router].shares)
         {
             if (of.free > 0 || of.spent > 0)
             {
@@ -130,29 +130,29 @@
             this->takes.push_back(one);
         }
     };
-    access.put = [purse](budget_id const& budget, token_count tokens)
+    access.put = [share](budget_id const& budget, token_count tokens)
     {
-        purse(budget).free += tokens;
+        share(budget).free += tokens;
     };
-    access.refuse = [purse](budget_id const& budget, duration retry_after)
+    access.refuse = [share](budget_id const& budget, duration retry_after)
     {
-        purse(budget).refused = retry_after;
-        purse(budget).lacking = 0;
+        share(budget).refused = retry_after;
+        share(budget).lacking = 0;
     };
-    access.hold = [purse](budget_id const& budget, token_count target)
+    access.hold = [share](budget_id const& budget, token_count target)
     {
-        purse(budget).target = target;
+        share(budget).target = target;
     };
-    access.draw_alone = [purse](budget_id const& budget)
+    access.draw_alone = [share](budget_id const& budget)
     {
-        purse(budget).draws_alone = true;
+        share(budget).draws_alone = true;
     };
     return access;
 }
 
 bool exchange_fleet::take_now(waiting_take const& one)
 {
-    auto& of = this->routers[one.router].purses[one.budget];
+    auto& of = this->routers[one.router].shares[one.budget];
     auto& row = this->left.at(one.budget);
     auto const drawn = std::clamp<token_count>(one.tokens - of.free, 0, row);
     of.free += drawn;
@@ -234,7 +234,7 @@
 bool exchange_fleet::ask(std::size_t router, budget_id const& budget,
                          token_count tokens, duration wait)
 {
-    auto& of = this->routers[router].purses[budget];
+    auto& of = this->routers[router].shares[budget];
     auto& exchange = *this->routers[router].exchange;
     of.lacking = tokens;
     of.refused.reset();
@@ -259,11 +259,11 @@
     return false;
 }
 
-std::size_t exchange_fleet::steward(budget_id const& budget)
+std::size_t exchange_fleet::coordinator(budget_id const& budget)
 {
     for (std::size_t i = 0; i < this->routers.size(); ++i)
     {
-        if (this->routers[i].exchange->is_steward(budget))
+        if (this->routers[i].exchange->is_coordinator(budget))
         {
             return i;
         }
--- a/tests/gateway/exchange_fleet.hpp
+++ b/tests/gateway/exchange_fleet.hpp
@@ -25,7 +25,7 @@
 {
 public:
     /// What a router has of each budget, and what its callers wait for.
-    struct purse
+    struct share_of_router
     {
         token_count free{};
         token_count lacking{};
@@ -38,7 +38,7 @@
     struct router
     {
         std::string address;
-        std::map<budget_id, purse> purses;
+        std::map<budget_id, share_of_router> shares;
         std::unique_ptr<token_exchange> exchange;
         int life{1};
         std::size_t sent{}; ///< datagrams
@@ -59,8 +59,8 @@
     /// Another process takes the router's place, with nothing in its share.
     void restart(std::size_t router);
 
-    /// The index of the budget's first steward.
-    std::size_t steward(budget_id const& budget);
+    /// The index of the budget's first coordinator.
+    std::size_t coordinator(budget_id const& budget);
 
     /// Datagrams of these routers are lost from now on.
     std::set<std::size_t> cut;
--- a/tests/gateway/token_exchange_test.cpp
+++ b/tests/gateway/token_exchange_test.cpp
@@ -14,9 +14,9 @@
     CPPUNIT_TEST(damaged_packets_are_refused);
     CPPUNIT_TEST(a_caller_waits_for_one_round_trip);
     CPPUNIT_TEST(a_lost_ask_or_answer_is_sent_again);
-    CPPUNIT_TEST(a_silent_steward_is_passed_over);
+    CPPUNIT_TEST(a_silent_coordinator_is_passed_over);
     CPPUNIT_TEST(a_router_that_nobody_answers_draws_by_itself);
-    CPPUNIT_TEST(a_steward_without_tokens_asks_those_that_have_some);
+    CPPUNIT_TEST(a_coordinator_without_tokens_asks_those_that_have_some);
     CPPUNIT_TEST(what_nobody_has_is_denied_at_once);
     CPPUNIT_TEST(a_budget_is_used_up_only_when_it_is);
     CPPUNIT_TEST(most_is_spread_before_a_cut);
@@ -34,17 +34,17 @@
         auto all = fleet.left.at(budget);
         for (auto const& one : fleet.routers)
         {
-            auto const found = one.purses.find(budget);
-            all += found == one.purses.end()
+            auto const found = one.shares.find(budget);
+            all += found == one.shares.end()
                        ? 0
                        : found->second.free + found->second.spent;
         }
         return all;
     }
 
-    static std::size_t other_than(std::size_t steward)
+    static std::size_t other_than(std::size_t coordinator)
     {
-        return steward == 0 ? 1 : 0;
+        return coordinator == 0 ? 1 : 0;
     }
 
     void a_packet_survives_its_bytes()
@@ -89,14 +89,14 @@
     void a_caller_waits_for_one_round_trip()
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 9'000, duration{4}));
     }
 
     void a_lost_ask_or_answer_is_sent_again()
     {
         exchange_fleet fleet{20, {{taller, 10'000'000}}};
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         fleet.loses_each = 2;
         for (int i = 0; i < 20; ++i)
         {
@@ -105,13 +105,14 @@
         }
     }
 
-    // Guards against all customers of a steward being refused while it is dead.
-    void a_silent_steward_is_passed_over()
+    // Guards against all customers of a coordinator being refused while it is
+    // dead.
+    void a_silent_coordinator_is_passed_over()
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
-        auto const steward = fleet.steward(taller);
-        fleet.cut = {steward};
-        auto const asker = other_than(steward);
+        auto const coordinator = fleet.coordinator(taller);
+        fleet.cut = {coordinator};
+        auto const asker = other_than(coordinator);
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 9'000));
         // The next one does not wait for it again.
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 90'000, duration{10}));
@@ -122,24 +123,24 @@
     void a_router_that_nobody_answers_draws_by_itself()
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         fleet.cut = {asker};
         CPPUNIT_ASSERT(!fleet.ask(asker, taller, 9'000, duration{600}));
-        auto const& purse = fleet.routers[asker].purses.at(taller);
-        CPPUNIT_ASSERT(purse.draws_alone);
-        CPPUNIT_ASSERT(!purse.refused);
+        auto const& share = fleet.routers[asker].shares.at(taller);
+        CPPUNIT_ASSERT(share.draws_alone);
+        CPPUNIT_ASSERT(!share.refused);
         CPPUNIT_ASSERT(
             !fleet.routers[asker].exchange->may_be_answered(taller, fleet.now));
     }
 
-    void a_steward_without_tokens_asks_those_that_have_some()
+    void a_coordinator_without_tokens_asks_those_that_have_some()
     {
         exchange_fleet fleet{20, {{taller, 50'000}}};
-        auto const steward = fleet.steward(taller);
+        auto const coordinator = fleet.coordinator(taller);
         fleet.left[taller] = 0;
-        auto const rich = steward == 5 ? 6 : 5;
-        auto const asker = steward == 7 ? 8 : 7;
-        fleet.routers[static_cast<std::size_t>(rich)].purses[taller].free =
+        auto const rich = coordinator == 5 ? 6 : 5;
+        auto const asker = coordinator == 7 ? 8 : 7;
+        fleet.routers[static_cast<std::size_t>(rich)].shares[taller].free =
             50'000;
         fleet.run(duration{5'100}); // it reports
         CPPUNIT_ASSERT(fleet.ask(static_cast<std::size_t>(asker), taller,
@@ -152,9 +153,9 @@
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
         fleet.left[taller] = 1'000;
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         CPPUNIT_ASSERT(!fleet.ask(asker, taller, 9'000, duration{5}));
-        auto const& refused = fleet.routers[asker].purses.at(taller).refused;
+        auto const& refused = fleet.routers[asker].shares.at(taller).refused;
         CPPUNIT_ASSERT(refused && *refused > duration{0});
     }
 
@@ -163,17 +164,17 @@
     void a_budget_is_used_up_only_when_it_is()
     {
         exchange_fleet fleet{20, {{taller, 100'000}}};
-        auto const steward = fleet.steward(taller);
-        auto const asker = other_than(steward);
+        auto const coordinator = fleet.coordinator(taller);
+        auto const asker = other_than(coordinator);
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 96'000));
         fleet.run(duration{6'000}); // it reports what was spent
         CPPUNIT_ASSERT(!fleet.ask(asker, taller, 9'000));
-        CPPUNIT_ASSERT(fleet.routers[asker].purses.at(taller).refused ==
+        CPPUNIT_ASSERT(fleet.routers[asker].shares.at(taller).refused ==
                        duration{0});
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 2'000));
     }
 
-    // Guards against routers that are cut off from store and stewards with
+    // Guards against routers that are cut off from store and coordinators with
     // nothing to serve from.
     void most_is_spread_before_a_cut()
     {
@@ -214,7 +215,7 @@
     void a_new_process_does_not_take_what_went_to_the_old_one()
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         peer_packet late;
         late.from = {"vm-9-1"};
         late.to = {"vm-0-0"}; // the process before
@@ -222,7 +223,7 @@
         fleet.routers[asker].exchange->receive(fleet.routers[9].address,
                                                encode(late), fleet.now);
         CPPUNIT_ASSERT_EQUAL(token_count{0},
-                             fleet.routers[asker].purses[taller].free);
+                             fleet.routers[asker].shares[taller].free);
     }
 
     // Guards against a router whose callers are refused after a restart, since
@@ -230,7 +231,7 @@
     void a_restarted_router_is_answered()
     {
         exchange_fleet fleet{20, {{taller, 1'000'000}}};
-        auto const asker = other_than(fleet.steward(taller));
+        auto const asker = other_than(fleet.coordinator(taller));
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 9'000));
         fleet.run(duration{500});
         CPPUNIT_ASSERT(fleet.ask(asker, taller, 90'000));
