--- a/tests/budget/token_fleet.cpp
+++ b/tests/budget/token_fleet.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr auto policy = config::budget_policy::false_refusals_first;
-constexpr holder_view nobody{};
 inline budget_id const taller{"taller"};
 
 } // namespace
