--- a/src/gateway/token_service.cpp
+++ b/src/gateway/token_service.cpp
@@ -75,8 +75,8 @@
     return stock;
 }
 
-/// What was reported as spent is less than what is spent by now, so tokens that
-/// are missing by these figures are nowhere.
+/// Reports are late, so more is spent than they tell. After a crash they count
+/// what lies under the dead router's line as well: nobody can use it any more.
 bool token_exchange::is_used_up(budget::budget_stock const& stock,
                                 share_view const& view,
                                 token_count tokens) const
