--- a/include/caperpath/budget/distribution.hpp
+++ b/include/caperpath/budget/distribution.hpp
@@ -12,7 +12,7 @@
 /// that looks after the budget (its coordinator) reckons it.
 ///
 /// A router that is cut off serves from what it holds, so most of a budget is
-/// spread before it is asked for; the rest stays with the coordinator, for
+/// spread before it is asked for; the rest stays in the budget row, for
 /// routers that run out while they can ask. The figures are hints: a stale one
 /// puts tokens in the wrong place, never too many.
 namespace caperpath::budget
