--- a/include/caperpath/store/async_port.hpp
+++ b/include/caperpath/store/async_port.hpp
@@ -35,11 +35,22 @@
     friend bool operator==(feed_row const&, feed_row const&) = default;
 };
 
+/// What it took to read an answer; for logs.
+struct read_cost
+{
+    std::int64_t bytes{};
+    duration answered{}; ///< from the call to the first byte of the answer
+    duration took{};     ///< from the call to its last byte
+
+    friend bool operator==(read_cost const&, read_cost const&) = default;
+};
+
 /// Rows of a table up to `version`.
 struct feed_page
 {
     std::vector<feed_row> rows;
     std::uint64_t version{};
+    read_cost cost{}; ///< of the last call that it was read in
 
     friend bool operator==(feed_page const&, feed_page const&) = default;
 };
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -15,13 +15,17 @@
     {
         this->note_store(reachable, why);
     };
+    auto const missed = [this](error const& why)
+    {
+        this->shared.log.fault(why);
+    };
     auto const on_site = [this](store::feed_page const& page)
     {
         this->apply_site(page);
     };
     this->sites = std::make_unique<table_follower>(
         this->loop.get_executor(), store, names.site_table,
-        table_listener{on_site, on_site, reached});
+        table_listener{on_site, on_site, reached, missed});
     auto const on_servers = [this](store::feed_page const& page)
     {
         for (auto const& row : page.rows)
@@ -33,7 +37,7 @@
         this->loop.get_executor(), store, names.server_table,
         table_listener{[this](store::feed_page const& page)
                        { this->replace_servers(page); },
-                       on_servers, reached});
+                       on_servers, reached, missed});
 }
 
 /// A configuration never goes back in one life of the process: an older one
@@ -46,6 +50,7 @@
         {
             continue;
         }
+        auto const began = this->shared.now.now();
         auto read = this->shared.names.read_site(row.value);
         if (auto const* fault = std::get_if<error>(&read))
         {
@@ -69,7 +74,14 @@
         this->shared.log.write(
             log_weight::notable, "configuration",
             {{"version", std::to_string(this->shared.site->version())},
-             {"before", std::to_string(known)}});
+             {"before", std::to_string(known)},
+             {"routes", std::to_string(this->shared.site->routes().size())},
+             {"rows", std::to_string(page.rows.size())},
+             {"bytes", std::to_string(page.cost.bytes)},
+             {"answered_ms", std::to_string(page.cost.answered.ms)},
+             {"read_ms", std::to_string(page.cost.took.ms)},
+             {"apply_ms",
+              std::to_string((this->shared.now.now() - began).ms)}});
     }
 }
 
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -94,6 +94,7 @@
 {
     call_result result;
     boost::system::error_code fault;
+    auto const began = this->now.now();
     auto stream = this->take();
     auto const limit = std::chrono::milliseconds{timeout.ms};
     if (!stream)
@@ -118,24 +119,47 @@
         result.detail = "send: " + fault.message();
         co_return result;
     }
+    auto reusable = false;
+    co_await this->read_answer(*stream, began, result, reusable);
+    stream->expires_never();
+    if (reusable && this->idle.size() < most_idle)
+    {
+        this->idle.push_back(std::move(stream));
+    }
+    co_return result;
+}
+
+asio::awaitable<void> http_caller::read_answer(boost::beast::tcp_stream& stream,
+                                               instant began,
+                                               call_result& result,
+                                               bool& reusable)
+{
+    auto& cost = result.cost;
+    boost::system::error_code fault;
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_answer);
-    co_await http::async_read(*stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, fault));
-    if (fault)
+    while (!fault && !parser.is_done())
     {
-        result.detail = "read: " + fault.message();
-        co_return result;
+        auto const size = co_await http::async_read_some(
+            stream, buffer, parser,
+            asio::redirect_error(asio::use_awaitable, fault));
+        cost.took = this->now.now() - began;
+        if (cost.bytes == 0)
+        {
+            cost.answered = cost.took;
+        }
+        cost.bytes += static_cast<std::int64_t>(size);
     }
-    stream->expires_never();
-    if (parser.keep_alive() && buffer.size() == 0 &&
-        this->idle.size() < most_idle)
+    if (fault)
     {
-        this->idle.push_back(std::move(stream));
+        result.detail = "read: " + fault.message() + " after " +
+                        std::to_string(cost.bytes) + " bytes in " +
+                        std::to_string(cost.took.ms) + " ms";
+        co_return;
     }
+    reusable = parser.keep_alive() && buffer.size() == 0;
     result.answer = parser.release();
-    co_return result;
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -4,6 +4,7 @@
 #include <caperpath/base/call_patience.hpp>
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/error.hpp>
+#include <caperpath/store/async_port.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,6 +31,7 @@
     bool sent{false}; ///< some of it may have arrived
     std::optional<http::response<http::string_body>> answer;
     std::string detail; ///< why there is no answer
+    store::read_cost cost{};
 };
 
 /// Short HTTP/1.1 calls to one peer over a few kept connections. A call is sent
@@ -58,6 +60,9 @@
     asio::awaitable<call_result>
     exchange(http::request<http::string_body> request, duration timeout);
     stream_ptr take();
+    asio::awaitable<void> read_answer(boost::beast::tcp_stream& stream,
+                                      instant began, call_result& result,
+                                      bool& reusable);
 
     asio::any_io_executor executor;
     boost::asio::ip::tcp::endpoint peer;
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -95,6 +95,10 @@
     {
         this->listener.reached(false, why);
     }
+    if (this->failures == 0 && this->listener.missed)
+    {
+        this->listener.missed(why);
+    }
     this->failures += 1;
     auto const salt = std::hash<std::string>{}(this->table) + this->version;
     auto const pause = this->failures == 1
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -22,9 +22,12 @@
     /// Rows that changed.
     std::function<void(store::feed_page const&)> changed;
 
-    /// A call was answered, or was not.
+    /// A call was answered, or a second one in a row was not.
     std::function<void(bool reachable, error const& why)> reached;
 
+    /// The first call that was not answered; if not set, nobody is told.
+    std::function<void(error const& why)> missed{};
+
     /// The pause before the next call for changes, so that a table that changes
     /// all the time does not cost a call a change; if not set, there is none.
     std::function<duration()> pause{};
