Let an answer take as long as its bytes need

Each call to the store had one limit for the whole exchange, 0.95 s for a change (0.6 s of it may be spent waiting) and 0.8 s for a table. What had arrived by then was thrown away and read again from the first byte.

Now the limit holds until the answer begins. Then each stretch of that length must bring at least 4 KB (base/transfer_watch), so a connection that went silent or trickles is given up as before. It holds for every call of the gateway: lists, scans of rows, changes, single rows.

--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http_call.hpp"
 
+#include <caperpath/base/transfer_watch.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,6 +23,11 @@
 constexpr std::uint64_t largest_answer = 64ULL * 1024 * 1024;
 constexpr std::size_t most_idle = 4;
 
+std::chrono::milliseconds ms(duration span)
+{
+    return std::chrono::milliseconds{span.ms};
+}
+
 } // namespace
 
 boost::asio::ip::tcp::endpoint endpoint_of(std::string const& address)
@@ -37,9 +44,10 @@
 }
 
 void http_caller::send(http::request<http::string_body> request,
-                       duration timeout, std::function<void(call_result)> done)
+                       call_limits limits,
+                       std::function<void(call_result)> done)
 {
-    asio::co_spawn(this->executor, this->exchange(std::move(request), timeout),
+    asio::co_spawn(this->executor, this->exchange(std::move(request), limits),
                    [done = std::move(done)](std::exception_ptr const& fault,
                                             call_result result)
                    {
@@ -57,7 +65,7 @@
                              std::function<void(call_result)> done)
 {
     this->send(
-        std::move(request), wait_for_answer(this->patience, longest),
+        std::move(request), {wait_for_answer(this->patience, longest), longest},
         [this, began = this->now.now(), done = std::move(done)](auto result)
         {
             this->patience = result.answer ? answered(this->patience,
@@ -90,13 +98,13 @@
 
 asio::awaitable<call_result>
 http_caller::exchange(http::request<http::string_body> request,
-                      duration timeout)
+                      call_limits limits)
 {
     call_result result;
     boost::system::error_code fault;
     auto const began = this->now.now();
     auto stream = this->take();
-    auto const limit = std::chrono::milliseconds{timeout.ms};
+    auto const limit = ms(limits.answer);
     if (!stream)
     {
         stream = std::make_unique<boost::beast::tcp_stream>(this->executor);
@@ -120,7 +128,7 @@
         co_return result;
     }
     auto reusable = false;
-    co_await this->read_answer(*stream, began, result, reusable);
+    co_await this->read_answer(*stream, began, limits.stall, result, reusable);
     stream->expires_never();
     if (reusable && this->idle.size() < most_idle)
     {
@@ -130,7 +138,7 @@
 }
 
 asio::awaitable<void> http_caller::read_answer(boost::beast::tcp_stream& stream,
-                                               instant began,
+                                               instant began, duration stall,
                                                call_result& result,
                                                bool& reusable)
 {
@@ -139,17 +147,22 @@
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_answer);
+    transfer_watch watch;
     while (!fault && !parser.is_done())
     {
         auto const size = co_await http::async_read_some(
             stream, buffer, parser,
             asio::redirect_error(asio::use_awaitable, fault));
-        cost.took = this->now.now() - began;
+        auto const at = this->now.now();
+        cost.took = at - began;
         if (cost.bytes == 0)
         {
             cost.answered = cost.took;
+            watch = watch_transfer(stall, at);
         }
         cost.bytes += static_cast<std::int64_t>(size);
+        watch = arrived(watch, size, at);
+        stream.expires_after(ms(stalled_at(watch) - at));
     }
     if (fault)
     {
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -34,7 +34,18 @@
     store::read_cost cost{};
 };
 
-/// Short HTTP/1.1 calls to one peer over a few kept connections. A call is sent
+/// How long a call may take: `answer` to connect, and `answer` again until its
+/// answer begins. The rest takes as long as its bytes need, in stretches of
+/// `stall` that each bring `least_progress`.
+struct call_limits
+{
+    duration answer{};
+    duration stall{};
+
+    friend bool operator==(call_limits const&, call_limits const&) = default;
+};
+
+/// HTTP/1.1 calls to one peer over a few kept connections. A call is sent
 /// at most once. Loop thread only; callbacks come later, never from within
 /// `send`. The caller outlives all calls.
 class http_caller
@@ -43,14 +54,14 @@
     /// @pre `address` is "IP:port".
     http_caller(asio::any_io_executor executor, std::string const& address);
 
-    /// Gives the result to `done` after `timeout` at the latest; the connection
-    /// of a call without an answer is closed, since the answer may come late
-    /// and would be taken for that of the next call.
-    void send(http::request<http::string_body> request, duration timeout,
+    /// The answer must begin within `limits.answer`, and then go on. The
+    /// connection of a call without a whole answer is closed, since the answer
+    /// may come late and would be taken for that of the next call.
+    void send(http::request<http::string_body> request, call_limits limits,
               std::function<void(call_result)> done);
 
     /// The same for a call that is answered as soon as can be: the wait follows
-    /// what such answers took of late, and is `longest` at most.
+    /// what such answers took of late, and is `longest` at most. So is a stall.
     void send_short(http::request<http::string_body> request, duration longest,
                     std::function<void(call_result)> done);
 
@@ -58,11 +69,11 @@
     using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
 
     asio::awaitable<call_result>
-    exchange(http::request<http::string_body> request, duration timeout);
+    exchange(http::request<http::string_body> request, call_limits limits);
     stream_ptr take();
     asio::awaitable<void> read_answer(boost::beast::tcp_stream& stream,
-                                      instant began, call_result& result,
-                                      bool& reusable);
+                                      instant began, duration stall,
+                                      call_result& result, bool& reusable);
 
     asio::any_io_executor executor;
     boost::asio::ip::tcp::endpoint peer;
--- /dev/null
+++ b/tests/base/transfer_watch_test.cpp
@@ -0,0 +1,48 @@
+#include <caperpath/base/transfer_watch.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace caperpath;
+
+class transfer_watch_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(transfer_watch_test);
+    CPPUNIT_TEST(a_slow_transfer_goes_on);
+    CPPUNIT_TEST(a_stall_ends_the_transfer);
+    CPPUNIT_TEST(a_trickle_ends_the_transfer);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr duration stall{800};
+
+    // Guards against an answer that is given up because it is large.
+    void a_slow_transfer_goes_on()
+    {
+        auto of = watch_transfer(stall, instant{0});
+        for (std::int64_t at = 700; at < 60'000; at += 700)
+        {
+            CPPUNIT_ASSERT(instant{at} < stalled_at(of));
+            of = arrived(of, least_progress, instant{at});
+        }
+    }
+
+    // Guards against waiting for a connection that went silent.
+    void a_stall_ends_the_transfer()
+    {
+        auto of = watch_transfer(stall, instant{0});
+        of = arrived(of, 10 * least_progress, instant{500});
+        CPPUNIT_ASSERT(stalled_at(of) == instant{1'300});
+    }
+
+    // Guards against a peer that keeps a call open with a byte now and then.
+    void a_trickle_ends_the_transfer()
+    {
+        auto of = watch_transfer(stall, instant{0});
+        for (std::int64_t at = 0; at < 800; ++at)
+        {
+            of = arrived(of, 1, instant{at});
+        }
+        CPPUNIT_ASSERT(stalled_at(of) == instant{800});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(transfer_watch_test);
