Follow a table on from the known version after a lost call

A router that lost one call read the whole table again, at once, together with every other router that lost its connection in the same moment: of a large configuration each of them fetched all.

- After a lost call the follower goes on from the version it knows; the store says itself when that history is gone.
It reads the table whole after three lost calls in a row or a gap.
- The time for an answer to begin doubles with each lost call, twice at most.
- The first retry waits a part of 50 ms that differs from router to router.
A link that needs longer for one than the operator for the next falls further behind with each; a follower that got replaced rows in a slow answer reads the table instead, which has the newest.

Tests: gateway.table_follower, base.follow_pace. With the behaviour before put back one by one (list after each loss, fixed limit, no list after replaced rows) three, one and one of the cases fail.

--- a/include/caperpath/store/async_port.hpp
+++ b/include/caperpath/store/async_port.hpp
@@ -75,14 +75,17 @@
         scan;
 
     /// All rows of a table that others write; of an own table only the version
-    /// to follow from, since its rows stand in many partitions.
-    std::function<void(std::string const& table, reply<feed_page>)> list;
+    /// to follow from, since its rows stand in many partitions. Each answer
+    /// must begin within `answer_within`.
+    std::function<void(std::string const& table, duration answer_within,
+                       reply<feed_page>)>
+        list;
 
     /// The changes after `since`, as soon as there is one or after `wait`
-    /// without any. Error `not_found` when that part of the history is gone:
-    /// list anew.
+    /// without any; the answer must begin `answer_within` after that. Error
+    /// `not_found` when that part of the history is gone: list anew.
     std::function<void(std::string const& table, std::uint64_t since,
-                       duration wait, reply<feed_page>)>
+                       duration wait, duration answer_within, reply<feed_page>)>
         follow;
 };
 
--- a/src/gateway/budget_deal.cpp
+++ b/src/gateway/budget_deal.cpp
@@ -2,6 +2,7 @@
 #include "gateway/share_sizes.hpp"
 
 #include <caperpath/budget/rows.hpp>
+#include <caperpath/fleet/placement.hpp>
 #include <caperpath/fleet/roster.hpp>
 
 #include <algorithm>
@@ -99,9 +100,10 @@
         return this->deals() ? budget::holdings_read_pause(this->fleet_size())
                              : idle_read_pause;
     };
+    auto const salt = fleet::stable_hash(this->vm.value);
     this->holding_rows = std::make_unique<table_follower>(
         this->executor, this->port, store::own_table("holding"),
-        std::move(holdings));
+        std::move(holdings), salt);
     this->holding_rows->start();
 
     table_listener budgets;
@@ -122,7 +124,7 @@
     };
     this->budget_rows = std::make_unique<table_follower>(
         this->executor, this->port, store::own_table("budget"),
-        std::move(budgets));
+        std::move(budgets), salt);
     this->budget_rows->start();
 }
 
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -15,6 +15,7 @@
     {
         this->note_store(reachable, why);
     };
+    auto const salt = fleet::stable_hash(this->shared.settings.vm);
     auto const missed = [this](error const& why)
     {
         this->shared.log.fault(why);
@@ -25,7 +26,7 @@
     };
     this->sites = std::make_unique<table_follower>(
         this->loop.get_executor(), store, names.site_table,
-        table_listener{on_site, on_site, reached, missed});
+        table_listener{on_site, on_site, reached, missed}, salt);
     auto const on_servers = [this](store::feed_page const& page)
     {
         for (auto const& row : page.rows)
@@ -37,7 +38,8 @@
         this->loop.get_executor(), store, names.server_table,
         table_listener{[this](store::feed_page const& page)
                        { this->replace_servers(page); },
-                       on_servers, reached, missed});
+                       on_servers, reached, missed},
+        salt);
 }
 
 /// A configuration never goes back in one life of the process: an older one
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -1,8 +1,10 @@
 #include "gateway/table_follower.hpp"
 
-#include <caperpath/budget/sizing.hpp>
+#include <caperpath/base/follow_pace.hpp>
 
 #include <chrono>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace caperpath::gateway
@@ -11,19 +13,37 @@
 namespace
 {
 
-/// How long the store holds a call without changes. A connection that went
-/// silent is noticed after this and the client's margin; a change must be in
-/// force within two seconds of its acknowledgement, half of them are left for
-/// the read that follows.
-constexpr duration hold_time{600};
+/// After a lost call: an answer shows that the store is there.
+constexpr duration short_hold_time{100};
+constexpr duration change_answer{350};
+constexpr duration list_answer{800};
+constexpr duration long_transfer{250};
+
+/// True when an answer took long and brought rows that others in it replace.
+/// The store gives each version of a row: on a slow link more of them gather
+/// while one is read, and the newest arrives later and later. The table itself
+/// holds only the newest.
+bool lags_behind(store::feed_page const& page)
+{
+    if (page.cost.took - page.cost.answered < long_transfer)
+    {
+        return false;
+    }
+    std::set<std::string_view> keys;
+    for (auto const& row : page.rows)
+    {
+        keys.insert(row.key);
+    }
+    return keys.size() < page.rows.size();
+}
 
 } // namespace
 
 table_follower::table_follower(boost::asio::any_io_executor const& executor,
                                store::async_port port, std::string table,
-                               table_listener listener)
+                               table_listener listener, std::size_t salt)
     : port{std::move(port)}, table{std::move(table)},
-      listener{std::move(listener)}, timer{executor}
+      listener{std::move(listener)}, salt{salt}, timer{executor}
 {
 }
 
@@ -34,7 +54,8 @@
 
 void table_follower::list()
 {
-    this->port.list(this->table,
+    this->listed = false;
+    this->port.list(this->table, answer_limit(list_answer, this->failures),
                     [this](std::variant<store::feed_page, error> const& reply)
                     {
                         if (auto const* fault = std::get_if<error>(&reply))
@@ -44,16 +65,18 @@
                         }
                         auto const& page = std::get<store::feed_page>(reply);
                         this->failures = 0;
+                        this->listed = true;
                         this->version = page.version;
                         this->listener.reached(true, {});
                         this->listener.listed(page);
-                        this->follow();
+                        this->follow(this->listener.hold);
                     });
 }
 
-void table_follower::follow()
+void table_follower::follow(duration hold)
 {
-    this->port.follow(this->table, this->version, hold_time,
+    this->port.follow(this->table, this->version, hold,
+                      answer_limit(change_answer, this->failures),
                       [this](std::variant<store::feed_page, error> const& reply)
                       {
                           if (auto const* fault = std::get_if<error>(&reply))
@@ -62,19 +85,30 @@
                               return;
                           }
                           auto const& page = std::get<store::feed_page>(reply);
+                          this->failures = 0;
                           this->version = page.version;
                           this->listener.reached(true, {});
                           this->listener.changed(page);
-                          if (!this->listener.pause)
+                          if (lags_behind(page))
                           {
-                              this->follow();
+                              this->list();
                               return;
                           }
-                          this->after(this->listener.pause(),
-                                      [this] { this->follow(); });
+                          this->follow_on();
                       });
 }
 
+void table_follower::follow_on()
+{
+    if (!this->listener.pause)
+    {
+        this->follow(this->listener.hold);
+        return;
+    }
+    this->after(this->listener.pause(),
+                [this] { this->follow(this->listener.hold); });
+}
+
 void table_follower::after(duration pause, std::function<void()> next)
 {
     this->timer.expires_after(std::chrono::milliseconds{pause.ms});
@@ -90,8 +124,9 @@
 
 void table_follower::retry(error const& why)
 {
+    auto const history_gone = why.kind == error_kind::not_found;
     // A dropped history is no outage, and a single lost call is none yet.
-    if (why.kind != error_kind::not_found && this->failures > 0)
+    if (!history_gone && this->failures > 0)
     {
         this->listener.reached(false, why);
     }
@@ -100,13 +135,24 @@
         this->listener.missed(why);
     }
     this->failures += 1;
-    auto const salt = std::hash<std::string>{}(this->table) + this->version;
-    auto const pause = this->failures == 1
-                           ? duration{0}
-                           : budget::backoff(this->failures - 1, salt);
-    constexpr std::int64_t longest_pause_ms = 400;
-    this->after({std::min<std::int64_t>(pause.ms, longest_pause_ms)},
-                [this] { this->list(); });
+    if (history_gone || reads_anew(this->failures))
+    {
+        this->listed = false;
+    }
+    auto const drawn = this->salt + static_cast<std::size_t>(this->version) +
+                       static_cast<std::size_t>(this->failures);
+    auto const pause =
+        retry_pause(this->failures, std::hash<std::size_t>{}(drawn));
+    this->after(pause,
+                [this]
+                {
+                    if (this->listed)
+                    {
+                        this->follow(short_hold_time);
+                        return;
+                    }
+                    this->list();
+                });
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -13,6 +13,10 @@
 namespace caperpath::gateway
 {
 
+/// A change must be in force within two seconds of its acknowledgement; half of
+/// them are left for the read that follows a silent connection.
+inline constexpr duration usual_hold{600};
+
 /// Whom a follower tells what it saw.
 struct table_listener
 {
@@ -31,34 +35,43 @@
     /// The pause before the next call for changes, so that a table that changes
     /// all the time does not cost a call a change; if not set, there is none.
     std::function<duration()> pause{};
+
+    /// How long the store holds a call without changes. A connection that went
+    /// silent is noticed after this and the time for an answer.
+    duration hold{usual_hold};
 };
 
 /// Keeps up with a table that others write: reads it whole, then follows its
-/// changes. After any failed call it reads the table whole again: changes may
-/// have been lost with the connection or dropped from the history, and a gap
-/// that is not noticed leaves a revoked key or a stopped server in force.
+/// changes. After a lost call it goes on from the version that it knows. When
+/// the store has dropped that part of its history, or after an outage, it reads
+/// the table whole again: a gap that is not noticed leaves a revoked key or a
+/// stopped server in force.
 /// Loop thread only; outlives its calls.
 class table_follower
 {
 public:
+    /// `salt` is another one in each router.
     table_follower(boost::asio::any_io_executor const& executor,
                    store::async_port port, std::string table,
-                   table_listener listener);
+                   table_listener listener, std::size_t salt);
 
     /// Begins; call once.
     void start();
 
 private:
     void list();
-    void follow();
+    void follow(duration hold);
+    void follow_on();
     void after(duration pause, std::function<void()> next);
     void retry(error const& why);
 
     store::async_port port;
     std::string table;
     table_listener listener;
+    std::size_t salt;
     boost::asio::steady_timer timer;
     std::uint64_t version{};
+    bool listed{false}; ///< all changes up to `version` are known
     int failures{};
 };
 
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -196,7 +196,7 @@
         this->later([done, found, lost]
                     { lost ? done(no_answer) : done(found); });
     };
-    port.list = [this](std::string const& table,
+    port.list = [this](std::string const& table, duration,
                        store::reply<store::feed_page> const& done)
     {
         auto const lost = !this->reachable;
@@ -204,7 +204,8 @@
                     { lost ? done(no_answer) : done(page); });
     };
     port.follow = [this](std::string const& table, std::uint64_t since,
-                         duration, store::reply<store::feed_page> const& done)
+                         duration, duration,
+                         store::reply<store::feed_page> const& done)
     {
         if (!this->reachable)
         {
--- a/tests/gateway/table_follower_test.cpp
+++ b/tests/gateway/table_follower_test.cpp
@@ -20,9 +20,15 @@
     CPPUNIT_TEST(a_table_that_takes_long_to_arrive_is_not_read_anew);
     CPPUNIT_TEST(a_table_is_read_anew_after_a_stall);
     CPPUNIT_TEST(a_table_is_read_anew_after_a_trickle);
+    CPPUNIT_TEST(a_lost_call_does_not_read_the_table_anew);
+    CPPUNIT_TEST(a_dropped_history_reads_the_table_anew);
+    CPPUNIT_TEST(an_outage_reads_the_table_anew);
+    CPPUNIT_TEST(an_answer_that_begins_late_is_waited_for);
+    CPPUNIT_TEST(a_follower_that_lags_behind_reads_the_newest_version);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr duration call_timeout{300};
+    static constexpr std::size_t salt = 7;
     static constexpr std::size_t piece_size = 4'096;
     static constexpr std::size_t many_pieces = 600;
 
@@ -100,7 +106,8 @@
             {[this](store::feed_page const& from) { this->take(from); },
              [this](store::feed_page const& from) { this->take(from); },
              [](bool, error const&) {
-             }}};
+             }},
+            salt};
     };
 
     static bool is_list(fake_server::request const& got)
@@ -183,6 +190,100 @@
         CPPUNIT_ASSERT(here.run_until_seen("first"));
         CPPUNIT_ASSERT(here.server.requests.size() >= 2);
     }
+
+    /// A table with one row, and a second one as its first change; calls for
+    /// changes get what `lost` says as often as that.
+    static world changing(int times, script const& lost)
+    {
+        auto const calls = std::make_shared<int>(0);
+        return world{
+            [times, lost, calls](fake_server::request const& got)
+            {
+                if (is_list(got))
+                {
+                    return script{{whole_answer(got, 200, page("first", 1))}};
+                }
+                *calls += 1;
+                if (*calls <= times)
+                {
+                    return lost;
+                }
+                if (*calls == times + 1)
+                {
+                    return script{{whole_answer(got, 200, page("second", 2))}};
+                }
+                return script{{}, script::end::silent};
+            }};
+    }
+
+    // All routers lose their connections at once. Were each to read the whole
+    // table again, a large one would fill their links.
+    void a_lost_call_does_not_read_the_table_anew()
+    {
+        auto here = changing(1, {{}, script::end::reset});
+        CPPUNIT_ASSERT(here.run_until_seen("second"));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, here.lists());
+    }
+
+    // Guards against a change that is missed because the store dropped it from
+    // its history.
+    void a_dropped_history_reads_the_table_anew()
+    {
+        auto here =
+            changing(1, {{"HTTP/1.1 410 Gone\r\nContent-Length: 2\r\n\r\n{}"}});
+        CPPUNIT_ASSERT(here.run_until_seen("second"));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, here.lists());
+    }
+
+    // Guards against going on from a version after an outage of the store.
+    void an_outage_reads_the_table_anew()
+    {
+        auto here = changing(3, {{}, script::end::reset});
+        CPPUNIT_ASSERT(here.run_until_seen("second"));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, here.lists());
+    }
+
+    // Versions follow each other faster than a slow link carries them. Read one
+    // after the other, the newest would come later with each of them.
+    void a_follower_that_lags_behind_reads_the_newest_version()
+    {
+        world here{
+            [](fake_server::request const& got) -> script
+            {
+                if (is_list(got))
+                {
+                    return {{whole_answer(got, 200, page("newest", 9))}};
+                }
+                std::string const one =
+                    R"({"key":"old","part":"","data":"","schema-version":2})";
+                return {slowly(got, R"({"rows":[)" + one + "," + one +
+                                        R"(],"schema-version":3})")};
+            }};
+        CPPUNIT_ASSERT(here.run_until_seen("old"));
+        auto const before = here.lists();
+        here.seen.clear();
+        CPPUNIT_ASSERT(here.run_until_seen("newest"));
+        CPPUNIT_ASSERT_EQUAL(before + 1, here.lists());
+    }
+
+    // On a full link each answer begins late. With one fixed limit the router
+    // would give up each call just before its answer comes.
+    void an_answer_that_begins_late_is_waited_for()
+    {
+        constexpr std::size_t pauses = 550;
+        world here{[](fake_server::request const& got) -> script
+                   {
+                       if (is_list(got))
+                       {
+                           return {{whole_answer(got, 200, page("first", 1))}};
+                       }
+                       std::vector<std::string> pieces(pauses);
+                       pieces.push_back(
+                           whole_answer(got, 200, page("second", 2)));
+                       return {pieces};
+                   }};
+        CPPUNIT_ASSERT(here.run_until_seen("second"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_follower_test);
--- a/tests/platform/store_port_test.cpp
+++ b/tests/platform/store_port_test.cpp
@@ -107,7 +107,7 @@
     {
         world here;
         std::optional<store::feed_page> page;
-        here.port.list("servers",
+        here.port.list("servers", duration{1'000},
                        [&](std::variant<store::feed_page, error> const& reply)
                        { page = std::get<store::feed_page>(reply); });
         here.run_until([&] { return page.has_value(); });
