--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::uint64_t largest_answer = 64ULL * 1024 * 1024;
 constexpr std::size_t most_idle = 4;
+constexpr std::size_t read_size = 65'536;
 
 std::chrono::milliseconds ms(duration span)
 {
@@ -159,6 +160,8 @@
         {
             cost.answered = cost.took;
             watch = watch_transfer(stall, at);
+            // Left small, it takes a call of the system for each 512 bytes.
+            buffer.reserve(parser.is_done() ? 0 : read_size);
         }
         cost.bytes += static_cast<std::int64_t>(size);
         watch = arrived(watch, size, at);
