--- a/tests/gateway/fake_server.cpp
+++ b/tests/gateway/fake_server.cpp
@@ -46,14 +46,33 @@
                 return;
             }
             this->connections += 1;
-            boost::asio::co_spawn(this->loop, this->serve(std::move(socket)),
+            auto const one = std::make_shared<tcp::socket>(std::move(socket));
+            this->open.push_back(one);
+            boost::asio::co_spawn(this->loop, this->serve(one),
                                   boost::asio::detached);
             this->accept();
         });
 }
 
-boost::asio::awaitable<void> fake_server::serve(tcp::socket socket)
+void fake_server::crash()
 {
+    this->crashed = true;
+    boost::system::error_code fault;
+    this->acceptor.close(fault);
+    for (auto const& one : this->open)
+    {
+        if (auto const socket = one.lock())
+        {
+            socket->set_option(asio::socket_base::linger{true, 0}, fault);
+            socket->close(fault);
+        }
+    }
+}
+
+boost::asio::awaitable<void>
+fake_server::serve(std::shared_ptr<tcp::socket> shared_socket)
+{
+    auto& socket = *shared_socket;
     boost::beast::flat_buffer buffer;
     boost::asio::steady_timer timer{this->loop};
     while (true)
@@ -83,6 +102,10 @@
             socket.set_option(asio::socket_base::linger{true, 0}, fault);
             socket.close(fault); // the destructor would not reset
         }
+        if (play.after == script::end::crash)
+        {
+            this->crash();
+        }
         if (play.after == script::end::silent)
         {
             char byte{};
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,10 +21,11 @@
     std::vector<std::string> pieces; ///< raw bytes, a few ms apart
     enum class end
     {
-        keep,  ///< the connection stays open
-        close, ///< closed in order
-        reset, ///< reset
-        silent ///< nothing more, and it stays open
+        keep,   ///< the connection stays open
+        close,  ///< closed in order
+        reset,  ///< reset
+        silent, ///< nothing more, and it stays open
+        crash   ///< the process ends: all connections are reset, none is taken
     };
     end after{end::keep};
 };
@@ -43,14 +45,17 @@
     std::vector<request> requests; ///< as they came
     int connections{};
     int closed_by_router{};
+    bool crashed{false};
 
 private:
     void accept();
-    boost::asio::awaitable<void> serve(tcp::socket socket);
+    void crash();
+    boost::asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
 
     boost::asio::io_context& loop;
     answerer answer;
     tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<tcp::socket>> open;
 };
 
 /// A whole answer with the headers that servers send.
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -99,6 +99,16 @@
     return found == this->rows.end() ? std::string{} : found->second.value;
 }
 
+std::size_t fake_store::own_rows(std::string const& begin) const
+{
+    std::size_t count = 0;
+    for (auto const& [key, row] : this->rows)
+    {
+        count += key.starts_with(begin) ? 1 : 0;
+    }
+    return count;
+}
+
 store::feed_page fake_store::list(std::string const& table) const
 {
     store::feed_page page;
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,6 +35,9 @@
     /// The value of one of the routers' rows; empty if there is none.
     std::string own(std::string const& key) const;
 
+    /// How many of the routers' rows have a key that begins so.
+    std::size_t own_rows(std::string const& begin) const;
+
     /// While false, no call is answered until it times out.
     bool reachable{true};
 
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -145,14 +145,27 @@
     return true;
 }
 
-got_answer fleet_site::call(std::uint16_t to, std::string const& bytes)
+connection_ptr fleet_site::connect(std::uint16_t to)
 {
-    namespace http = boost::beast::http;
     tcp::socket socket{this->loop};
     socket.connect({asio::ip::make_address("127.0.0.1"), to});
     auto const one = std::make_shared<connection>(std::move(socket),
                                                   std::chrono::seconds{10});
     one->start();
+    return one;
+}
+
+connection_ptr fleet_site::begin(std::string const& bytes)
+{
+    auto const one = this->connect(this->port);
+    one->send(bytes);
+    return one;
+}
+
+got_answer fleet_site::call(std::uint16_t to, std::string const& bytes)
+{
+    namespace http = boost::beast::http;
+    auto const one = this->connect(to);
     one->send(bytes);
     got_answer got;
     http::response_parser<http::string_body> parser;
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -53,6 +53,9 @@
     /// Runs the loop until `done` or for some seconds; false if it was not.
     bool run_until(std::function<bool()> const& done);
 
+    /// Sends raw bytes over a new connection and does not wait.
+    connection_ptr begin(std::string const& bytes);
+
     /// Sends raw bytes over a new connection and reads one answer.
     got_answer send(std::string const& bytes);
 
@@ -81,6 +84,7 @@
     };
     explicit fleet_site(empty);
     void start_router();
+    connection_ptr connect(std::uint16_t to);
     got_answer call(std::uint16_t port, std::string const& bytes);
 
     std::map<std::string, std::unique_ptr<fake_server>> servers;
