Wait for the answer to a list at most twice as long after lost calls

A call that began in an outage ends it only when it is over: with the limit doubled twice a router would have noticed the store's return up to 3.2 s late, by 1.6 s now. Follows of changes, which matter on a full link, keep both doublings. Nothing was measured for it; gateway.table_follower holds as before.

--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <caperpath/base/follow_pace.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string_view>
@@ -55,7 +56,9 @@
 void table_follower::list()
 {
     this->listed = false;
-    this->port.list(this->table, answer_limit(list_answer, this->failures),
+    // In an outage a longer wait only delays the call that ends it.
+    auto const lost = std::min(this->failures, 1);
+    this->port.list(this->table, answer_limit(list_answer, lost),
                     [this](std::variant<store::feed_page, error> const& reply)
                     {
                         if (auto const* fault = std::get_if<error>(&reply))
