Hold back a request that crashes the servers that run it

Cause: nothing outlives an exchange. Each attempt of a caller costs as many servers as its route allows, at any router.

Now a request is known by a hash of caller, method, host, path and body. A connection that ends before its answer is followed by one to the same address: if it is refused, the server crashed. A request that was at three crashes in a row, each time sent in knowledge of the one before, is answered 429 for 8 hours; after two it is sent once for each attempt and one at a time at a router. A whole answer clears it.

A server that is found gone is set aside at once, its idle connections dropped.

Each router makes half a call a second more to the store, to follow the rows.

--- /dev/null
+++ b/src/fleet/crash_record.cpp
@@ -0,0 +1,121 @@
+#include <caperpath/fleet/crash_record.hpp>
+
+#include <algorithm>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+duration lifetime(crash_entry const& of)
+{
+    return judge(of.evidence) == crash_verdict::quarantined ? quarantine_time
+                                                            : suspicion_time;
+}
+
+/// The entry that is missed least: of the fewest crashes the oldest.
+void make_room(crash_record& in)
+{
+    if (in.entries.size() < most_crash_entries)
+    {
+        return;
+    }
+    auto const less = [](auto const& a, auto const& b)
+    {
+        auto const rank = [](crash_entry const& of)
+        {
+            return std::pair{of.evidence.crashes, of.noted_at};
+        };
+        return rank(a.second) < rank(b.second);
+    };
+    in.entries.erase(
+        std::min_element(in.entries.begin(), in.entries.end(), less));
+}
+
+} // namespace
+
+crash_verdict judge(crash_evidence const& of)
+{
+    if (of.crashes >= crashes_to_quarantine)
+    {
+        return crash_verdict::quarantined;
+    }
+    if (of.crashes >= crashes_to_probation)
+    {
+        return crash_verdict::on_probation;
+    }
+    return of.crashes > 0 ? crash_verdict::suspected : crash_verdict::clear;
+}
+
+crash_evidence evidence_of(crash_record const& in, fingerprint const& request)
+{
+    auto const found = in.entries.find(request);
+    return found == in.entries.end() ? crash_evidence{}
+                                     : found->second.evidence;
+}
+
+bool merge_evidence(crash_record& in, fingerprint const& request,
+                    crash_evidence const& told, instant now)
+{
+    auto found = in.entries.find(request);
+    if (found == in.entries.end())
+    {
+        make_room(in);
+        found = in.entries.emplace(request, crash_entry{}).first;
+    }
+    else if (told <= found->second.evidence)
+    {
+        return false;
+    }
+    found->second = {told, now};
+    return true;
+}
+
+crash_evidence note_crash(crash_record& in, fingerprint const& request,
+                          crash_evidence const& known, instant now)
+{
+    auto told = known;
+    told.crashes = std::min(told.crashes + 1, crashes_to_quarantine);
+    merge_evidence(in, request, told, now);
+    return evidence_of(in, request);
+}
+
+bool note_answer(crash_record& in, fingerprint const& request, instant now)
+{
+    auto const known = evidence_of(in, request);
+    return known.crashes > 0 &&
+           merge_evidence(in, request, {known.cleared + 1, 0}, now);
+}
+
+std::vector<fingerprint> forget_old(crash_record& in, instant now)
+{
+    std::vector<fingerprint> gone;
+    for (auto const& [request, entry] : in.entries)
+    {
+        if (now - entry.noted_at >= lifetime(entry))
+        {
+            gone.push_back(request);
+        }
+    }
+    for (auto const& request : gone)
+    {
+        in.entries.erase(request);
+    }
+    return gone;
+}
+
+duration quarantine_left(crash_record const& in, fingerprint const& request,
+                         instant now)
+{
+    auto const found = in.entries.find(request);
+    if (found == in.entries.end() ||
+        judge(found->second.evidence) != crash_verdict::quarantined)
+    {
+        return duration{0};
+    }
+    auto const left = found->second.noted_at + quarantine_time - now;
+    return std::max(left, duration{0});
+}
+
+} // namespace caperpath::fleet
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -41,7 +41,9 @@
               [this](std::string const& to, std::string const& bytes)
               { this->peers.send(to, bytes); },
               this->log},
-      pool{loop}
+      pool{loop}, crashes{loop, store, fleet::stable_hash(settings.vm),
+                          this->log},
+      crash_checks{loop}
 {
 }
 
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -2,6 +2,8 @@
 #define CAPERPATH_SRC_GATEWAY_CORE_HPP
 
 #include "gateway/budget_book.hpp"
+#include "gateway/crash_check.hpp"
+#include "gateway/crash_keeper.hpp"
 #include "gateway/decision_log.hpp"
 #include "gateway/dialect.hpp"
 #include "gateway/gateway_metrics.hpp"
@@ -18,6 +20,7 @@
 #include <caperpath/fleet/site.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -50,6 +53,11 @@
     roster_keeper roster;
     budget_book budgets;
     server_pool pool;
+    crash_keeper crashes;
+    crash_check crash_checks;
+    std::set<fleet::fingerprint> on_probation; ///< under way here
+    /// Open sends of requests that were at a crash.
+    std::map<backend_server_id, std::int64_t> suspects_at;
     bool stopping{false};
     bool closing_idle{false}; ///< idle callers' connections end now
     std::int64_t connections{};
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,3 +1,4 @@
+#include "gateway/crash_step.hpp"
 #include "gateway/exchange.hpp"
 #include "gateway/server_call.hpp"
 
@@ -30,10 +31,53 @@
 std::optional<fleet::placement> choose(exchange& of)
 {
     auto& shared = of.shared;
-    return fleet::place(shared.servers, *of.service, of.work, shared.prompts,
-                        of.tried, shared.speed, shared.now.now());
+    auto const place = [&](std::vector<backend_server_id> const& avoided)
+    {
+        return fleet::place(shared.servers, *of.service, of.work,
+                            shared.prompts, avoided, shared.speed,
+                            shared.now.now());
+    };
+    if (of.evidence.crashes > 0)
+    {
+        if (auto alone = place(servers_to_avoid(of)))
+        {
+            return alone;
+        }
+    }
+    return place(of.tried);
 }
 
+/// Counts a send of a suspected request for as long as it lasts.
+class suspect_at
+{
+public:
+    suspect_at(exchange& of, backend_server_id server)
+        : shared{of.shared}, server{std::move(server)},
+          counts{of.evidence.crashes > 0}
+    {
+        if (this->counts)
+        {
+            this->shared.suspects_at[this->server] += 1;
+        }
+    }
+
+    ~suspect_at()
+    {
+        if (this->counts && --this->shared.suspects_at[this->server] == 0)
+        {
+            this->shared.suspects_at.erase(this->server);
+        }
+    }
+
+    suspect_at(suspect_at const&) = delete;
+    suspect_at& operator=(suspect_at const&) = delete;
+
+private:
+    core& shared;
+    backend_server_id server;
+    bool counts;
+};
+
 /// A repeat after one that may have arrived takes from the fleet's limit.
 bool repeat_allowed(exchange& of)
 {
@@ -143,6 +187,11 @@
         {
             co_return give_up(of, attempt_end::expired);
         }
+        if (auto const refused = refuse_for_crashes(of))
+        {
+            co_return of.attempts.sends == 0 ? refused : give_up(of, end);
+        }
+        note_sent(of);
         auto const where = choose(of);
         if (!where)
         {
@@ -165,16 +214,25 @@
         }
         of.expected = where->expected;
         of.server = where->server.value;
+        auto lost_connection = false;
         {
+            suspect_at const counted{of, where->server};
             server_call call{of, *where};
             end = co_await call.run();
+            lost_connection = call.lost_connection();
         }
         note_end(of, *where, end);
         if (end == attempt_end::answered)
         {
+            note_whole_answer(of);
             co_return std::nullopt;
         }
-        if (!fleet::may_send_again(of.attempts, end))
+        if (end == attempt_end::in_doubt && lost_connection)
+        {
+            co_await check_for_crash(of, where->server);
+        }
+        auto const stops = counts_as_run(end) && stops_repeats(of);
+        if (stops || !fleet::may_send_again(of.attempts, end))
         {
             co_return give_up(of, end);
         }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.hpp"
 
+#include "gateway/crash_step.hpp"
 #include "gateway/head_text.hpp"
 
 #include <caperpath/base/http_status.hpp>
@@ -208,6 +209,11 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<refusal>> quarantine(exchange& of)
+{
+    co_return refuse_for_crashes(of);
+}
+
 asio::awaitable<std::optional<refusal>> reserve(exchange& of)
 {
     auto const amount = of.work.prompt_tokens + of.work.output_tokens;
@@ -261,10 +267,10 @@
                       (*reply)->retry_after};
 }
 
-std::array<filter, 5> const& request_filters()
+std::array<filter, 6> const& request_filters()
 {
-    static constexpr std::array<filter, 5> all{find_route, identify, measure,
-                                               reserve, dispatch};
+    static constexpr std::array<filter, 6> all{find_route, identify, measure,
+                                               quarantine, reserve,  dispatch};
     return all;
 }
 
@@ -280,6 +286,11 @@
             break;
         }
     }
+    if (of.was_at_crash)
+    {
+        of.shared.crashes.left_unanswered(*of.fingerprint);
+    }
+    end_probation(of);
     release_tokens(of);
     write_line(of);
     of.shared.open_requests -= 1;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -5,6 +5,7 @@
 #include "gateway/core.hpp"
 
 #include <caperpath/fleet/attempt.hpp>
+#include <caperpath/fleet/crash_record.hpp>
 #include <caperpath/fleet/event_scan.hpp>
 #include <caperpath/fleet/placement.hpp>
 
@@ -64,6 +65,11 @@
 
     fleet::attempt_state attempts;
     std::vector<backend_server_id> tried;
+    /// Set once it is needed; see `crash_step.hpp`.
+    std::optional<fleet::fingerprint> fingerprint;
+    fleet::crash_evidence evidence; ///< known when it was sent last
+    bool on_probation{false};       ///< the only attempt of its request here
+    bool was_at_crash{false};
     std::int64_t arrivals{}; ///< sends that may have reached a server
     fleet::event_scan events;
     bool answer_begun{false};
@@ -95,11 +101,12 @@
 asio::awaitable<std::optional<refusal>> find_route(exchange& of);
 asio::awaitable<std::optional<refusal>> identify(exchange& of);
 asio::awaitable<std::optional<refusal>> measure(exchange& of);
+asio::awaitable<std::optional<refusal>> quarantine(exchange& of);
 asio::awaitable<std::optional<refusal>> reserve(exchange& of);
 asio::awaitable<std::optional<refusal>> dispatch(exchange& of);
 
 /// The filters in their order.
-std::array<filter, 5> const& request_filters();
+std::array<filter, 6> const& request_filters();
 
 /// Runs the filters, sends what they refuse, gives back what is left of the
 /// reservation and writes the request's log line.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
     this->sites->start();
     this->servers->start();
     this->shared.roster.start();
+    this->shared.crashes.start();
     this->tick();
     return {};
 }
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -106,6 +106,11 @@
     co_return co_await this->pass_whole();
 }
 
+bool server_call::lost_connection() const
+{
+    return this->connection && this->connection->end() != peer_end::open;
+}
+
 asio::awaitable<std::optional<attempt_end>> server_call::connect()
 {
     auto& shared = this->of.shared;
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -29,6 +29,9 @@
     /// stream stands at `of.events.last_id()`.
     asio::awaitable<fleet::attempt_end> run();
 
+    /// True when the server's side of the connection has ended.
+    bool lost_connection() const;
+
 private:
     using parser = http::response_parser<http::buffer_body>;
 
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -82,6 +82,16 @@
             return count;
         }
 
+        int closed_by_router() const
+        {
+            auto count = 0;
+            for (auto const* one : this->servers)
+            {
+                count += one->closed_by_router;
+            }
+            return count;
+        }
+
         got_answer read(std::string const& name)
         {
             return this->here->send(
@@ -211,6 +221,8 @@
         CPPUNIT_ASSERT(refused.head.find("Retry-After") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(before + 1, all.sends());
         waiting->close();
+        CPPUNIT_ASSERT(
+            all.here->run_until([&] { return all.closed_by_router() == 1; }));
     }
 };
 
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -149,15 +149,15 @@
 {
     tcp::socket socket{this->loop};
     socket.connect({asio::ip::make_address("127.0.0.1"), to});
-    auto const one = std::make_shared<connection>(std::move(socket),
-                                                  std::chrono::seconds{10});
+    auto one = std::make_shared<connection>(std::move(socket),
+                                            std::chrono::seconds{10});
     one->start();
     return one;
 }
 
 connection_ptr fleet_site::begin(std::string const& bytes)
 {
-    auto const one = this->connect(this->port);
+    auto one = this->connect(this->port);
     one->send(bytes);
     return one;
 }
