--- a/src/gateway/budget_book.cpp
+++ b/src/gateway/budget_book.cpp
@@ -1,4 +1,6 @@
 #include "gateway/budget_book.hpp"
+
+#include "gateway/call_after.hpp"
 #include "gateway/share_sizes.hpp"
 
 #include <caperpath/budget/rows.hpp>
@@ -16,7 +18,7 @@
 {
 
 constexpr auto policy = config::budget_policy::false_refusals_first;
-constexpr std::chrono::milliseconds tick_time{40};
+constexpr duration tick_time{40};
 /// The least share, as a part of what was paid: enough for some requests of a
 /// small customer while the store is away. A share by the size of single
 /// requests would scatter all of a small budget over idle routers.
@@ -365,15 +367,7 @@
     {
         this->exchange.tick(this->now.now());
     }
-    this->timer.expires_after(tick_time);
-    this->timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->tick();
-            }
-        });
+    call_after(this->timer, tick_time, [this] { this->tick(); });
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/crash_keeper.cpp
+++ b/src/gateway/crash_keeper.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crash_keeper.hpp"
 
+#include "gateway/call_after.hpp"
 #include "gateway/crash_rows.hpp"
 
 #include <caperpath/base/follow_pace.hpp>
@@ -25,11 +26,6 @@
 constexpr std::size_t sweep_spread_ms = 60'000;
 constexpr std::size_t most_rows_in_a_write = 50;
 
-std::chrono::milliseconds ms(duration span)
-{
-    return std::chrono::milliseconds{span.ms};
-}
-
 std::string_view name_of(fleet::crash_verdict verdict)
 {
     switch (verdict)
@@ -146,15 +142,8 @@
             if (auto const* fault = std::get_if<error>(&reply))
             {
                 this->log.fault(*fault);
-                this->read_timer.expires_after(ms(read_pause));
-                this->read_timer.async_wait(
-                    [this](boost::system::error_code stopped)
-                    {
-                        if (!stopped)
-                        {
-                            this->read_rows();
-                        }
-                    });
+                call_after(this->read_timer, read_pause,
+                           [this] { this->read_rows(); });
                 return;
             }
             for (auto const& row : std::get<std::vector<store::row>>(reply))
@@ -208,15 +197,7 @@
 void crash_keeper::write_soon(duration pause)
 {
     this->writing = true;
-    this->write_timer.expires_after(ms(pause));
-    this->write_timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->write();
-            }
-        });
+    call_after(this->write_timer, pause, [this] { this->write(); });
 }
 
 void crash_keeper::write()
@@ -295,15 +276,7 @@
         this->unwritten.erase(request);
     }
     this->remove_rows();
-    this->sweep_timer.expires_after(ms(sweep_time));
-    this->sweep_timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->sweep();
-            }
-        });
+    call_after(this->sweep_timer, sweep_time, [this] { this->sweep(); });
 }
 
 /// Rows of requests that are forgotten.
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "gateway/decision_log.hpp"
 
+#include "gateway/call_after.hpp"
+
 #include <caperpath/observe/log.hpp>
 
 #include <fcntl.h>
@@ -15,7 +17,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds flush_time{50};
+constexpr duration flush_time{50};
 /// Routine lines are written at this rate on average.
 constexpr std::int64_t bytes_per_flush = 1'000;
 constexpr std::int64_t burst_bytes = 64'000;
@@ -107,15 +109,7 @@
                     {{"dropped_lines", std::to_string(count)}});
     }
     this->flush();
-    this->timer.expires_after(flush_time);
-    this->timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->tick();
-            }
-        });
+    call_after(this->timer, flush_time, [this] { this->tick(); });
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include "gateway/call_after.hpp"
 #include "gateway/http_call.hpp"
 #include "gateway/session.hpp"
 
@@ -23,7 +24,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds tick_time{100};
+constexpr duration tick_time{100};
 /// The balancer asks once a second and takes a router out after two misses.
 constexpr duration balancer_notices{3'000};
 /// Giving shares back takes two round trips for each budget, all at once.
@@ -137,15 +138,8 @@
     this->shared.log.fault({error_kind::unavailable, "accept",
                             this->shared.settings.callers, fault.message()});
     auto const pause = std::make_shared<asio::steady_timer>(this->loop);
-    pause->expires_after(tick_time);
-    pause->async_wait(
-        [pause, accept = std::move(accept)](boost::system::error_code stopped)
-        {
-            if (!stopped)
-            {
-                accept();
-            }
-        });
+    call_after(*pause, tick_time,
+               [pause, accept = std::move(accept)] { accept(); });
 }
 
 void gateway_server::accept_pages(tcp::acceptor& acceptor)
@@ -326,15 +320,7 @@
         this->shared.budgets.close();
         this->shared.roster.leave();
     }
-    this->timer.expires_after(tick_time);
-    this->timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->tick();
-            }
-        });
+    call_after(this->timer, tick_time, [this] { this->tick(); });
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http_call.hpp"
 
+#include "gateway/call_after.hpp"
+
 #include <caperpath/base/transfer_watch.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,11 +26,6 @@
 constexpr std::size_t most_idle = 4;
 constexpr std::size_t read_size = 65'536;
 
-std::chrono::milliseconds ms(duration span)
-{
-    return std::chrono::milliseconds{span.ms};
-}
-
 } // namespace
 
 boost::asio::ip::tcp::endpoint endpoint_of(std::string const& address)
@@ -105,7 +102,7 @@
     boost::system::error_code fault;
     auto const began = this->now.now();
     auto stream = this->take();
-    auto const limit = ms(limits.answer);
+    auto const limit = to_chrono(limits.answer);
     if (!stream)
     {
         stream = std::make_unique<boost::beast::tcp_stream>(this->executor);
@@ -165,7 +162,7 @@
         }
         cost.bytes += static_cast<std::int64_t>(size);
         watch = arrived(watch, size, at);
-        stream.expires_after(ms(stalled_at(watch) - at));
+        stream.expires_after(to_chrono(stalled_at(watch) - at));
     }
     if (fault)
     {
--- a/src/gateway/roster_keeper.cpp
+++ b/src/gateway/roster_keeper.cpp
@@ -1,5 +1,7 @@
 #include "gateway/roster_keeper.hpp"
 
+#include "gateway/call_after.hpp"
+
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -33,11 +35,6 @@
     return incarnation_id{key.substr(key_begin.size(), key.size() - around)};
 }
 
-std::chrono::milliseconds ms(duration span)
-{
-    return std::chrono::milliseconds{span.ms};
-}
-
 } // namespace
 
 roster_keeper::roster_keeper(boost::asio::any_io_executor const& executor,
@@ -121,15 +118,7 @@
 
 void roster_keeper::beat_after(duration pause)
 {
-    this->beat_timer.expires_after(ms(pause));
-    this->beat_timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->beat();
-            }
-        });
+    call_after(this->beat_timer, pause, [this] { this->beat(); });
 }
 
 /// After a read that failed the next one comes soon: the view of the fleet
@@ -155,15 +144,7 @@
 
 void roster_keeper::read_after(duration pause)
 {
-    this->read_timer.expires_after(ms(pause));
-    this->read_timer.async_wait(
-        [this](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                this->read();
-            }
-        });
+    call_after(this->read_timer, pause, [this] { this->read(); });
 }
 
 void roster_keeper::take(std::vector<store::row> const& rows,
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/server_pool.hpp"
 
+#include "gateway/call_after.hpp"
 #include "gateway/http_call.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -19,11 +20,6 @@
 constexpr std::chrono::milliseconds server_silence{1'500};
 constexpr std::size_t most_kept = 32;
 
-std::chrono::milliseconds ms(duration span)
-{
-    return std::chrono::milliseconds{span.ms};
-}
-
 bool clean(connection& one)
 {
     return one.end() == peer_end::open && one.input().size() == 0;
@@ -46,8 +42,8 @@
         auto const last = std::move(found->second.back());
         found->second.pop_back();
         // The newest comes first, so if it is too old all are.
-        auto const fresh =
-            now < last.until && now - last.one->last_use() < ms(max_idle);
+        auto const fresh = now < last.until &&
+                           now - last.one->last_use() < to_chrono(max_idle);
         if (fresh && clean(*last.one))
         {
             return last.one;
@@ -68,7 +64,7 @@
     // Shared with the timer, whose handler may run after this function.
     auto const socket = std::make_shared<tcp::socket>(this->executor);
     asio::steady_timer limit{this->executor};
-    limit.expires_after(ms(connect_timeout));
+    limit.expires_after(to_chrono(connect_timeout));
     limit.async_wait(
         [socket](boost::system::error_code cancelled)
         {
@@ -102,7 +98,8 @@
         one->close();
         return;
     }
-    auto const until = std::chrono::steady_clock::now() + ms(idle_timeout);
+    auto const until =
+        std::chrono::steady_clock::now() + to_chrono(idle_timeout);
     all.push_back({std::move(one), until});
 }
 
--- a/src/gateway/spend_keeper.cpp
+++ b/src/gateway/spend_keeper.cpp
@@ -1,5 +1,7 @@
 #include "gateway/spend_keeper.hpp"
 
+#include "gateway/call_after.hpp"
+
 #include <chrono>
 #include <utility>
 
@@ -32,15 +34,7 @@
 
 void spend_keeper::after(duration pause, std::function<void()> next)
 {
-    this->timer.expires_after(std::chrono::milliseconds{pause.ms});
-    this->timer.async_wait(
-        [next = std::move(next)](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                next();
-            }
-        });
+    call_after(this->timer, pause, std::move(next));
 }
 
 void spend_keeper::read_old()
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "gateway/table_follower.hpp"
 
+#include "gateway/call_after.hpp"
+
 #include <caperpath/base/follow_pace.hpp>
 
 #include <algorithm>
@@ -114,15 +116,7 @@
 
 void table_follower::after(duration pause, std::function<void()> next)
 {
-    this->timer.expires_after(std::chrono::milliseconds{pause.ms});
-    this->timer.async_wait(
-        [next = std::move(next)](boost::system::error_code fault)
-        {
-            if (!fault)
-            {
-                next();
-            }
-        });
+    call_after(this->timer, pause, std::move(next));
 }
 
 void table_follower::retry(error const& why)
