Do not write rows of suspected requests that the record has dropped

Evidence that had left the bounded record while its row waited to be written would have been written as 'nothing known', and the list of waiting rows was bounded by nothing. Found in review; gateway.crash holds as before.

--- a/src/gateway/crash_keeper.cpp
+++ b/src/gateway/crash_keeper.cpp
@@ -6,7 +6,6 @@
 #include <caperpath/base/follow_pace.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -202,6 +201,9 @@
 
 void crash_keeper::write()
 {
+    // The record is bounded and may have dropped some of them.
+    std::erase_if(this->unwritten, [this](fleet::fingerprint const& request)
+                  { return !this->record.entries.contains(request); });
     store::transaction txn;
     evidence_map sent;
     for (auto const& request : this->unwritten)
