Read a table anew after the second lost call in a row

After one lost call little can have changed; after two the table is the smaller read. The time for an answer to begin now grows with the calls for changes that were lost, also when lists between them are answered.

Also tests of the crash rows, of what another router and an outage bring.

--- a/include/caperpath/base/follow_pace.hpp
+++ b/include/caperpath/base/follow_pace.hpp
@@ -21,7 +21,8 @@
 
 /// True when the table is to be read whole again. A single lost call is no
 /// reason: the store tells when the changes since a version are incomplete.
-/// Thread safe.
+/// After more of them the changes may be larger than the table, since the store
+/// gives each version of a row. Thread safe.
 bool reads_anew(int failures);
 
 } // namespace caperpath
--- a/src/base/follow_pace.cpp
+++ b/src/base/follow_pace.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr int most_doublings = 2;
-constexpr int failures_of_an_outage = 3;
+constexpr int failures_to_read_anew = 2;
 constexpr std::int64_t first_pause_ms = 50;
 constexpr std::int64_t longest_pause_ms = 400;
 constexpr int most_pause_doublings = 3;
@@ -34,7 +34,7 @@
 
 bool reads_anew(int failures)
 {
-    return failures >= failures_of_an_outage;
+    return failures >= failures_to_read_anew;
 }
 
 } // namespace caperpath
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -81,16 +81,18 @@
 void table_follower::follow(duration hold)
 {
     this->port.follow(this->table, this->version, hold,
-                      answer_limit(change_answer, this->failures),
+                      answer_limit(change_answer, this->missed_changes),
                       [this](std::variant<store::feed_page, error> const& reply)
                       {
                           if (auto const* fault = std::get_if<error>(&reply))
                           {
+                              this->missed_changes += 1;
                               this->retry(*fault);
                               return;
                           }
                           auto const& page = std::get<store::feed_page>(reply);
                           this->failures = 0;
+                          this->missed_changes = 0;
                           this->version = page.version;
                           this->listener.reached(true, {});
                           this->listener.changed(page);
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -71,8 +71,9 @@
     std::size_t salt;
     boost::asio::steady_timer timer;
     std::uint64_t version{};
-    bool listed{false}; ///< all changes up to `version` are known
-    int failures{};
+    bool listed{false};   ///< all changes up to `version` are known
+    int failures{};       ///< calls in a row without an answer
+    int missed_changes{}; ///< calls for changes in a row without an answer
 };
 
 } // namespace caperpath::gateway
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/crash_rows.hpp"
 #include "gateway/fleet_site.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,6 +18,8 @@
     CPPUNIT_TEST(a_stream_that_crashes_servers_is_no_longer_sent);
     CPPUNIT_TEST(a_router_that_starts_knows_what_crashes_servers);
     CPPUNIT_TEST(a_first_crash_is_told_when_the_caller_got_no_answer);
+    CPPUNIT_TEST(what_another_router_learned_holds_here);
+    CPPUNIT_TEST(what_was_learned_in_an_outage_is_told_after_it);
     CPPUNIT_TEST(a_reset_connection_is_no_crash);
     CPPUNIT_TEST(a_whole_answer_clears_a_request);
     CPPUNIT_TEST(a_request_on_probation_is_sent_once_at_a_time);
@@ -162,6 +165,34 @@
         CPPUNIT_ASSERT(all.has_row(1));
     }
 
+    // Guards against routers that each crash servers to learn the same.
+    void what_another_router_learned_holds_here()
+    {
+        world all;
+        auto const request = fleet::fingerprint_of(
+            {"taller", "GET", "site.example", "/read/fatal", ""});
+        all.here->store.put(store::own_table(crash_table), crash_key(request),
+                            encode_evidence({0, 3}));
+        CPPUNIT_ASSERT(all.here->run_until(
+            [&] { return all.read("fatal").status == 429; }));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, all.crashed());
+    }
+
+    // Guards against evidence that is lost because the store was away when it
+    // was found.
+    void what_was_learned_in_an_outage_is_told_after_it()
+    {
+        world all;
+        all.here->store.reachable = false;
+        all.read("fatal");
+        all.read("fatal");
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, all.crashed());
+        CPPUNIT_ASSERT_EQUAL(429, all.read("fatal").status);
+        CPPUNIT_ASSERT(all.here->store.own_rows("crash/") == 0);
+        all.here->store.reachable = true;
+        CPPUNIT_ASSERT(all.has_row(1));
+    }
+
     // Guards against refusing requests because connections to servers were
     // reset on the way.
     void a_reset_connection_is_no_crash()
