Log which requests a process leaves open at its end

Of a planned stop the log told how many requests were open at the end, not which, in which step, for how long, and not whether a stopping router had taken them. Without that a request that was taken too late looks the same as one that was open all along.

The lines stop and end tell connections and the requests taken since SIGTERM; unanswered tells each request without a final answer; request tells how long the process had been stopping when it took the request. No decision changes.

--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -27,6 +27,8 @@
 namespace caperpath::gateway
 {
 
+struct exchange;
+
 /// What all requests of one process share. Loop thread only.
 struct core
 {
@@ -59,10 +61,12 @@
     /// Open sends of requests that were at a crash.
     std::map<backend_server_id, std::int64_t> suspects_at;
     bool stopping{false};
-    bool closing_idle{false}; ///< idle callers' connections end now
+    instant stop_began{};
+    std::int64_t taken_while_stopping{}; ///< requests
+    bool closing_idle{false};            ///< idle callers' connections end now
     std::int64_t connections{};
     std::set<waker*> idle_callers; ///< sessions that wait for a request
-    std::int64_t open_requests{};
+    std::set<exchange const*> open_requests;
     std::uint64_t requests{}; ///< numbers reservations
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -32,6 +32,8 @@
 constexpr duration not_ready_retry{500};
 /// Requests without a time limit of the caller's are bounded by their route.
 constexpr duration longest_patience{600'000};
+/// Lines about requests without an answer at the process's end.
+constexpr std::size_t most_open_told = 50;
 
 std::string_view path_of(caller_request const& request)
 {
@@ -76,6 +78,24 @@
     of.shared.budgets.finish(of.reservation, of.budget, used_tokens(of));
 }
 
+void note_stopping(exchange& of)
+{
+    auto& shared = of.shared;
+    if (shared.stopping)
+    {
+        of.stopping_for = shared.now.now() - shared.stop_began;
+        shared.taken_while_stopping += 1;
+    }
+}
+
+void add_stopping(std::vector<log_field>& fields, exchange const& of)
+{
+    if (of.stopping_for)
+    {
+        fields.push_back({"stopping_ms", std::to_string(of.stopping_for->ms)});
+    }
+}
+
 /// One line a request, with what decided its end.
 void write_line(exchange const& of)
 {
@@ -116,6 +136,7 @@
             fields.push_back(std::move(field));
         }
     }
+    add_stopping(fields, of);
     shared.log.write(weight, "request", fields);
 }
 
@@ -267,19 +288,26 @@
                       (*reply)->retry_after};
 }
 
-std::array<filter, 6> const& request_filters()
+std::array<named_filter, 6> const& request_filters()
 {
-    static constexpr std::array<filter, 6> all{find_route, identify, measure,
-                                               quarantine, reserve,  dispatch};
+    static constexpr std::array<named_filter, 6> all{
+        {{"find_route", find_route},
+         {"identify", identify},
+         {"measure", measure},
+         {"quarantine", quarantine},
+         {"reserve", reserve},
+         {"dispatch", dispatch}}};
     return all;
 }
 
 asio::awaitable<void> serve(exchange& of)
 {
-    of.shared.open_requests += 1;
-    for (auto const step : request_filters())
+    of.shared.open_requests.insert(&of);
+    note_stopping(of);
+    for (auto const& filter : request_filters())
     {
-        auto const refused = co_await step(of);
+        of.step = filter.name;
+        auto const refused = co_await filter.run(of);
         if (refused)
         {
             send_refusal(of, *refused);
@@ -293,7 +321,30 @@
     end_probation(of);
     release_tokens(of);
     write_line(of);
-    of.shared.open_requests -= 1;
+    of.shared.open_requests.erase(&of);
+}
+
+void log_open_requests(core& shared)
+{
+    std::size_t told = 0;
+    for (auto const* const of : shared.open_requests)
+    {
+        told += 1;
+        if (told > most_open_told)
+        {
+            return;
+        }
+        auto const age = shared.now.now() - of->arrived;
+        std::vector<log_field> fields{
+            {"request", of->facts.id},
+            {"at", std::string{of->step}},
+            {"route", of->route != nullptr ? of->route->name : ""},
+            {"ms", std::to_string(age.ms)},
+            {"sends", std::to_string(of->arrivals)},
+            {"server", of->server}};
+        add_stopping(fields, *of);
+        shared.log.write(log_weight::notable, "unanswered", fields);
+    }
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -76,6 +76,9 @@
     duration reserve_wait{}; ///< for tokens of the budget
     bool prompt_read{false}; ///< a server began to run it
     bool keep_connection{true};
+    std::string_view step{"read"}; ///< what it is doing now
+    /// How long the process had been stopping when it took the request.
+    std::optional<duration> stopping_for{};
 
     // For the log line at the end.
     int status{};
@@ -105,13 +108,22 @@
 asio::awaitable<std::optional<refusal>> reserve(exchange& of);
 asio::awaitable<std::optional<refusal>> dispatch(exchange& of);
 
+struct named_filter
+{
+    std::string_view name;
+    filter run;
+};
+
 /// The filters in their order.
-std::array<filter, 6> const& request_filters();
+std::array<named_filter, 6> const& request_filters();
 
 /// Runs the filters, sends what they refuse, gives back what is left of the
 /// reservation and writes the request's log line.
 asio::awaitable<void> serve(exchange& of);
 
+/// Logs the requests that a process leaves without an answer when it ends.
+void log_open_requests(core& shared);
+
 } // namespace caperpath::gateway
 
 #endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "gateway/call_after.hpp"
+#include "gateway/exchange.hpp"
 #include "gateway/http_call.hpp"
 #include "gateway/session.hpp"
 
@@ -221,10 +222,8 @@
         return;
     }
     this->shared.stopping = true;
-    this->stop_began = this->shared.now.now();
-    this->shared.log.write(
-        log_weight::notable, "stop",
-        {{"open_requests", std::to_string(this->shared.open_requests)}});
+    this->shared.stop_began = this->shared.now.now();
+    this->log_stop("stop");
 }
 
 void gateway_server::reload()
@@ -235,20 +234,33 @@
 
 void gateway_server::flush_log()
 {
-    this->shared.log.write(
-        log_weight::notable, "end",
-        {{"open_requests", std::to_string(this->shared.open_requests)}});
+    log_open_requests(this->shared);
+    this->log_stop("end");
     this->shared.log.flush();
 }
 
+void gateway_server::log_stop(std::string_view step)
+{
+    auto& shared = this->shared;
+    auto const since =
+        shared.stopping ? shared.now.now() - shared.stop_began : duration{0};
+    shared.log.write(
+        log_weight::notable, step,
+        {{"open_requests", std::to_string(shared.open_requests.size())},
+         {"connections", std::to_string(shared.connections)},
+         {"idle", std::to_string(shared.idle_callers.size())},
+         {"taken", std::to_string(shared.taken_while_stopping)},
+         {"ms", std::to_string(since.ms)}});
+}
+
 bool gateway_server::stopped() const
 {
     if (!this->shared.stopping)
     {
         return false;
     }
-    auto const since = this->shared.now.now() - this->stop_began;
-    auto const done = this->shared.open_requests == 0 &&
+    auto const since = this->shared.now.now() - this->shared.stop_began;
+    auto const done = this->shared.open_requests.empty() &&
                       this->shared.connections == 0 &&
                       since >= balancer_notices &&
                       (this->shared.budgets.closed() ||
@@ -310,7 +322,7 @@
                                {{"ready", this->was_ready ? "yes" : "no"}});
     }
     if (this->shared.stopping && !this->shared.closing_idle &&
-        now - this->stop_began >= balancer_notices)
+        now - this->shared.stop_began >= balancer_notices)
     {
         this->shared.closing_idle = true;
         for (auto* const sleeper : this->shared.idle_callers)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace caperpath::gateway
 {
@@ -70,6 +71,7 @@
     /// Logs how this router uses its part of the limit on repeats.
     void tell_repeats();
     bool ready() const;
+    void log_stop(std::string_view step);
 
     asio::io_context& loop;
     core shared;
@@ -79,7 +81,6 @@
     asio::steady_timer timer;
     std::unique_ptr<table_follower> sites;
     std::unique_ptr<table_follower> servers;
-    instant stop_began{};
     instant site_known_at{};
     instant repeats_told_at{};
     std::int64_t told_sharers{};
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -82,15 +82,18 @@
 
 asio::awaitable<attempt_end> server_call::run()
 {
+    this->of.step = "connect";
     if (auto const end = co_await this->connect())
     {
         co_return *end;
     }
+    this->of.step = "wait_for_answer";
     this->send();
     if (auto const end = co_await this->read_head())
     {
         co_return *end;
     }
+    this->of.step = "relay";
     auto const events =
         this->of.route->kind == fleet::request_kind::streaming &&
         this->answer->get().result_int() == http_ok;
