--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -21,15 +21,15 @@
 constexpr std::chrono::milliseconds slice{2};
 
 std::string route(std::string const& prefix, std::string const& kind,
-                  std::string const& service, int servers,
+                  std::string const& service, int servers, duration timeout,
                   std::string const& more)
 {
     std::ostringstream text;
     text << R"({"name":")" << prefix << R"(","hostname":"site.example",)"
          << R"("prefix":"/)" << prefix << R"(/","route-type":")" << kind
          << R"(","backend":")" << service << R"(","attempts":)" << servers
-         << R"(,"timeout-ms":600,"target-latency-ms":300,"priority":1)" << more
-         << "}";
+         << R"(,"timeout-ms":)" << timeout.ms
+         << R"(,"target-latency-ms":300,"priority":1)" << more << "}";
     return text.str();
 }
 
@@ -42,14 +42,34 @@
 
 } // namespace
 
+void read_parsed(boost::beast::http::response_parser<
+                     boost::beast::http::string_body> const& parser,
+                 got_answer& got)
+{
+    got.whole = parser.is_done();
+    if (!parser.is_header_done())
+    {
+        return;
+    }
+    got.status = static_cast<int>(parser.get().result_int());
+    std::ostringstream head;
+    for (auto const& field : parser.get())
+    {
+        head << field.name_string() << ": " << field.value() << "\n";
+    }
+    got.head = head.str();
+    got.body = parser.get().body();
+}
+
 fleet_site::fleet_site(empty with)
     : log_descriptor{::open("/dev/null", O_WRONLY)}, retries{with.retries},
-      port{free_port()}
+      grace{with.grace}, port{free_port()}
 {
 }
 
-fleet_site::fleet_site(bool with_configuration, fleet::retry_limit retries)
-    : fleet_site{empty{retries}}
+fleet_site::fleet_site(bool with_configuration, fleet::retry_limit retries,
+                       duration grace)
+    : fleet_site{empty{retries, grace}}
 {
     if (with_configuration)
     {
@@ -74,6 +94,7 @@
     all.metrics = "127.0.0.1:0";
     all.store_address = "127.0.0.1:1";
     all.retries = this->retries;
+    all.grace = this->grace;
     this->lives += 1;
     this->router = std::make_unique<gateway_server>(
         this->loop, all, platform::make_dialect(), this->store.port(),
@@ -88,13 +109,15 @@
 
 void fleet_site::put_configuration(std::int64_t version, std::int64_t paid)
 {
+    auto const limit = this->route_timeout;
     std::ostringstream text;
     text << R"({"version":)" << version << R"(,"route-table":[)"
-         << route("order", "non_idempotent", "app", 1, "") << ","
-         << route("read", "idempotent", "app", 2, "") << ","
-         << route("chat", "streaming", "llm", 1, R"(,"session-affinity":true)")
+         << route("order", "non_idempotent", "app", 1, limit, "") << ","
+         << route("read", "idempotent", "app", 2, limit, "") << ","
+         << route("chat", "streaming", "llm", 1, limit,
+                  R"(,"session-affinity":true)")
          << ","
-         << route("resume", "streaming", "llm", 2,
+         << route("resume", "streaming", "llm", 2, limit,
                   R"(,"session-affinity":true,"stream-resume":true)")
          << R"(],"backends":[{"name":"app"},{"name":"llm","engine-type":)"
          << R"({"batch-slots":8,"kv-capacity":444000,"stride":2}}],)"
@@ -121,7 +144,8 @@
 std::unique_ptr<fleet_site>
 fleet_site::after_crash(std::unique_ptr<fleet_site> dead)
 {
-    std::unique_ptr<fleet_site> next{new fleet_site{empty{dead->retries}}};
+    std::unique_ptr<fleet_site> next{
+        new fleet_site{empty{dead->retries, dead->grace}}};
     next->store.take_contents(dead->store);
     next->port = dead->port;
     next->lives = dead->lives;
@@ -145,6 +169,11 @@
     return true;
 }
 
+std::uint16_t fleet_site::callers_port() const
+{
+    return this->port;
+}
+
 connection_ptr fleet_site::connect(std::uint16_t to)
 {
     tcp::socket socket{this->loop};
@@ -183,18 +212,7 @@
         return parser.is_done() || got.closed;
     };
     this->run_until(read);
-    got.whole = parser.is_done();
-    if (parser.is_header_done())
-    {
-        got.status = static_cast<int>(parser.get().result_int());
-        std::ostringstream head;
-        for (auto const& field : parser.get())
-        {
-            head << field.name_string() << ": " << field.value() << "\n";
-        }
-        got.head = head.str();
-        got.body = parser.get().body();
-    }
+    read_parsed(parser, got);
     one->close();
     return got;
 }
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -5,6 +5,9 @@
 #include "gateway/fake_store.hpp"
 #include "gateway/gateway.hpp"
 
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +26,11 @@
     bool closed{false}; ///< the router closed the connection
 };
 
+/// Puts what was parsed so far into `got`.
+void read_parsed(boost::beast::http::response_parser<
+                     boost::beast::http::string_body> const& parser,
+                 got_answer& got);
+
 /// One router with a fake store and fake servers on one loop. The store holds a
 /// configuration with these routes of host `site.example`:
 ///
@@ -36,7 +44,8 @@
     /// Each request pays for its own repeats by default; the slack takes longer
     /// to be had than most tests last.
     explicit fleet_site(bool with_configuration = true,
-                        fleet::retry_limit retries = {10, 50, {10'000}});
+                        fleet::retry_limit retries = {10, 50, {10'000}},
+                        duration grace = duration{8'000});
     ~fleet_site();
 
     /// Adds a server of `service` ("app" or "llm") that answers by `answer`.
@@ -76,11 +85,16 @@
     fake_store store{loop};
     std::unique_ptr<gateway_server> router;
     int log_descriptor{-1};
+    /// Of the routes in configurations that are put from now on.
+    duration route_timeout{600};
+
+    std::uint16_t callers_port() const;
 
 private:
     struct empty
     {
         fleet::retry_limit retries;
+        duration grace{8'000};
     };
     explicit fleet_site(empty);
     void start_router();
@@ -89,6 +103,7 @@
 
     std::map<std::string, std::unique_ptr<fake_server>> servers;
     fleet::retry_limit retries;
+    duration grace;
     int lives{};
     std::uint16_t port{};
 };
--- /dev/null
+++ b/tests/gateway/plain_caller.hpp
@@ -0,0 +1,38 @@
+#ifndef CAPERPATH_TESTS_GATEWAY_PLAIN_CALLER_HPP
+#define CAPERPATH_TESTS_GATEWAY_PLAIN_CALLER_HPP
+
+#include "gateway/fleet_site.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace caperpath::gateway
+{
+
+/// A caller whose connection does not depend on the router's event loop: what
+/// it reads is what the router has handed to the kernel, as it is left to a
+/// caller when the process is gone.
+class plain_caller
+{
+public:
+    /// @throws boost::system::system_error if nobody listens at `port`.
+    explicit plain_caller(std::uint16_t port);
+
+    void send(std::string const& bytes);
+
+    /// One answer from what has arrived by now. Does not wait.
+    got_answer received();
+
+private:
+    boost::asio::io_context own;
+    tcp::socket socket;
+    boost::beast::flat_buffer arrived;
+};
+
+} // namespace caperpath::gateway
+
+#endif
--- /dev/null
+++ b/tests/gateway/shutdown_test.cpp
@@ -0,0 +1,128 @@
+#include "gateway/fleet_site.hpp"
+#include "gateway/plain_caller.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace caperpath;
+using namespace caperpath::gateway;
+
+/// Each request that was read has its answer before a stopped process ends.
+class shutdown_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shutdown_test);
+    CPPUNIT_TEST(an_order_open_at_the_end_is_answered);
+    CPPUNIT_TEST(a_stream_open_at_the_end_is_broken_off_visibly);
+    CPPUNIT_TEST(what_cannot_end_in_time_is_not_begun);
+    CPPUNIT_TEST_SUITE_END();
+
+    using request = fake_server::request;
+
+    static constexpr duration grace{4'000};
+    static constexpr duration long_timeout{30'000};
+
+    /// A site whose requests may outlast the router's stop.
+    struct world
+    {
+        world()
+        {
+            this->site.route_timeout = long_timeout;
+            this->site.put_configuration(1);
+        }
+
+        void wait_ready()
+        {
+            CPPUNIT_ASSERT(this->site.run_until(
+                [this] { return this->site.readiness() == 200; }));
+        }
+
+        /// A caller that sent `bytes` and whose request a server has taken.
+        std::unique_ptr<plain_caller> begin(std::string const& bytes,
+                                            fake_server const& server)
+        {
+            auto caller =
+                std::make_unique<plain_caller>(this->site.callers_port());
+            caller->send(patient(bytes));
+            CPPUNIT_ASSERT(
+                this->site.run_until([&] { return !server.requests.empty(); }));
+            return caller;
+        }
+
+        void stop_to_the_end()
+        {
+            this->site.router->stop();
+            CPPUNIT_ASSERT(this->site.run_until(
+                [this] { return this->site.router->stopped(); }));
+        }
+
+        static std::string patient(std::string bytes)
+        {
+            std::string const usual{"Deadline-Ms: 1500"};
+            return bytes.replace(bytes.find(usual), usual.size(),
+                                 "Deadline-Ms: 30000");
+        }
+
+        fleet_site site{false, {10, 50, {10'000}}, grace};
+    };
+
+    static script silent(request const&)
+    {
+        return {{}, script::end::silent};
+    }
+
+    // Guards against a process that ends while a server works on an order.
+    void an_order_open_at_the_end_is_answered()
+    {
+        world here;
+        auto& server = here.site.add_server("i-1", "app", silent);
+        here.wait_ready();
+        auto caller = here.begin(
+            fleet_site::request("POST", "/order/1", "", "order"), server);
+        here.stop_to_the_end();
+        auto const got = caller->received();
+        CPPUNIT_ASSERT_EQUAL(504, got.status);
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed_by_router);
+    }
+
+    // Guards against a caller that takes a stream cut by the process's end for
+    // a whole one, or waits for its rest.
+    void a_stream_open_at_the_end_is_broken_off_visibly()
+    {
+        world here;
+        auto& server = here.site.add_server(
+            "i-1", "llm",
+            [](request const& got)
+            {
+                return script{
+                    {stream_head(got), chunk_of("id: 1\ndata: t\n\n")},
+                    script::end::silent};
+            });
+        here.wait_ready();
+        auto caller =
+            here.begin(fleet_site::prompt("/chat/1", 500, 20), server);
+        here.stop_to_the_end();
+        auto const got = caller->received();
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT(!got.whole);
+        CPPUNIT_ASSERT(got.closed);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed_by_router);
+    }
+
+    // Guards against a stopping router that takes work which outlasts it.
+    void what_cannot_end_in_time_is_not_begun()
+    {
+        world here;
+        auto& server = here.site.add_server("i-1", "app", silent);
+        here.wait_ready();
+        here.site.router->stop();
+        auto const got = here.site.send(world::patient(
+            fleet_site::request("POST", "/order/1", "", "order")));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
+        CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(server.requests.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_test);
