Answer every request before a stopping process ends

Callers saw requests that a router had taken up to 7.19 s after SIGTERM, and long streams, end without an answer: the process ended 7.2 s after SIGTERM whatever was open. The class: work that outlives the component that must finish it. No exchange had a deadline before the process's end, and admission did not know of that end.

fleet/shutdown derives all deadlines of a stop from the grace time in one place. Open requests get its deadline for answers when the stop begins, later ones when they are taken: waiting for tokens, connecting, waiting for a server, relaying and reading a body all end by it. What was never sent gets 503, what was sent 504 or a stream that breaks off visibly. A request is begun only if the usual longest time of its route, observed, fits (fleet/service_times); others get 503 at once. The process ends when no connection has a request under way.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -67,6 +67,11 @@
     return this->arrived;
 }
 
+bool connection::has_input() const
+{
+    return this->arrived.size() > 0;
+}
+
 void connection::resume()
 {
     if (!this->reading && this->state == peer_end::open)
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -48,6 +48,9 @@
     /// Bytes that have arrived; consume what was used, then call `resume`.
     boost::beast::flat_buffer& input();
 
+    /// True when something of the input is left.
+    bool has_input() const;
+
     /// Reads on if it had stopped because much was left unread.
     void resume();
 
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -2,6 +2,7 @@
 #define CAPERPATH_SRC_GATEWAY_CORE_HPP
 
 #include "gateway/budget_book.hpp"
+#include "gateway/connection.hpp"
 #include "gateway/crash_check.hpp"
 #include "gateway/crash_keeper.hpp"
 #include "gateway/decision_log.hpp"
@@ -17,11 +18,14 @@
 #include <caperpath/fleet/placement.hpp>
 #include <caperpath/fleet/retry_window.hpp>
 #include <caperpath/fleet/server_table.hpp>
+#include <caperpath/fleet/service_times.hpp>
+#include <caperpath/fleet/shutdown.hpp>
 #include <caperpath/fleet/site.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace caperpath::gateway
@@ -60,13 +64,12 @@
     std::set<fleet::fingerprint> on_probation; ///< under way here
     /// Open sends of requests that were at a crash.
     std::map<backend_server_id, std::int64_t> suspects_at;
-    bool stopping{false};
-    instant stop_began{};
-    std::int64_t taken_while_stopping{}; ///< requests
-    bool closing_idle{false};            ///< idle callers' connections end now
-    std::int64_t connections{};
-    std::set<waker*> idle_callers; ///< sessions that wait for a request
-    std::set<exchange const*> open_requests;
+    std::optional<fleet::shutdown_schedule> stop; ///< a planned one
+    std::int64_t taken_while_stopping{};          ///< requests
+    std::set<waker*> sessions;                    ///< one for each connection
+    std::set<connection const*> idle_callers;     ///< no request has begun
+    std::set<exchange*> open_requests;
+    fleet::service_times service_times;
     std::uint64_t requests{}; ///< numbers reservations
 };
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -151,7 +151,10 @@
 /// The answer to a request that no attempt answered.
 std::optional<refusal> give_up(exchange& of, attempt_end end)
 {
-    of.reason = name_of(end);
+    auto const reason = of.ends_with_process && end == attempt_end::expired
+                            ? "stopping"
+                            : name_of(end);
+    of.reason = reason;
     if (end == attempt_end::caller_gone)
     {
         of.keep_connection = false;
@@ -168,7 +171,7 @@
     auto const retry = status == http_unavailable
                            ? std::optional{spread(of, shortest_retry)}
                            : std::nullopt;
-    return refusal{status, name_of(end), retry};
+    return refusal{status, reason, retry};
 }
 
 } // namespace
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -81,13 +81,25 @@
 void note_stopping(exchange& of)
 {
     auto& shared = of.shared;
-    if (shared.stopping)
+    if (shared.stop)
     {
-        of.stopping_for = shared.now.now() - shared.stop_began;
+        of.stopping_for = shared.now.now() - shared.stop->began;
         shared.taken_while_stopping += 1;
     }
 }
 
+/// Requests that their caller or this process ended say nothing of how long
+/// such requests take.
+void note_time(exchange& of)
+{
+    auto const cut = of.ends_with_process && of.reason != "served";
+    if (of.arrivals > 0 && !cut && of.reason != "caller_left")
+    {
+        auto const now = of.shared.now.now();
+        of.shared.service_times.note(of.route->name, now - of.arrived, now);
+    }
+}
+
 void add_stopping(std::vector<log_field>& fields, exchange const& of)
 {
     if (of.stopping_for)
@@ -154,7 +166,7 @@
                                           11};
     of.shared.names.prepare_refusal(head, of.facts.id, why.retry_after);
     head.set(http::field::content_length, "0");
-    of.keep_connection = of.keep_connection && !of.shared.stopping;
+    of.keep_connection = of.keep_connection && !of.shared.stop;
     if (!of.keep_connection)
     {
         head.set(http::field::connection, "close");
@@ -230,6 +242,26 @@
     co_return std::nullopt;
 }
 
+/// A stopping process begins only what it can be expected to finish. Whoever
+/// is refused comes back over a new connection, to another router.
+asio::awaitable<std::optional<refusal>> admit(exchange& of)
+{
+    auto const& stop = of.shared.stop;
+    if (!stop)
+    {
+        co_return std::nullopt;
+    }
+    auto const now = of.shared.now.now();
+    auto const usual = of.shared.service_times.usual_longest(of.route->name);
+    auto const expected = usual.value_or(of.deadline - now);
+    if (!fleet::may_begin(*stop, now, expected, of.deadline))
+    {
+        co_return refusal{http_unavailable, "stopping", elsewhere_retry};
+    }
+    bound_by_stop(of);
+    co_return std::nullopt;
+}
+
 asio::awaitable<std::optional<refusal>> quarantine(exchange& of)
 {
     co_return refuse_for_crashes(of);
@@ -256,16 +288,24 @@
             *reply = decided;
             sleeper->raise();
         });
-    while (!*reply && !caller_left(of))
+    auto const is_over = [&of, &shared]
+    {
+        return of.ends_with_process && shared.now.now() >= of.deadline;
+    };
+    while (!*reply && !caller_left(of) && !is_over())
     {
-        static_cast<void>(co_await sleep(of, began + wait + duration{100}));
+        auto const until = began + wait + duration{100};
+        static_cast<void>(co_await sleep(
+            of, of.ends_with_process ? std::min(until, of.deadline) : until));
     }
     of.reserve_wait = shared.now.now() - began;
     shared.metrics.reserve_wait(of.reserve_wait.ms);
     if (!*reply)
     {
         shared.budgets.cancel(id, of.budget);
-        co_return refusal{http_unavailable, "caller_left"};
+        co_return caller_left(of)
+            ? refusal{http_unavailable, "caller_left"}
+            : refusal{http_unavailable, "stopping", elsewhere_retry};
     }
     switch ((*reply)->verdict)
     {
@@ -288,12 +328,13 @@
                       (*reply)->retry_after};
 }
 
-std::array<named_filter, 6> const& request_filters()
+std::array<named_filter, 7> const& request_filters()
 {
-    static constexpr std::array<named_filter, 6> all{
+    static constexpr std::array<named_filter, 7> all{
         {{"find_route", find_route},
          {"identify", identify},
          {"measure", measure},
+         {"admit", admit},
          {"quarantine", quarantine},
          {"reserve", reserve},
          {"dispatch", dispatch}}};
@@ -320,10 +361,21 @@
     }
     end_probation(of);
     release_tokens(of);
+    note_time(of);
     write_line(of);
     of.shared.open_requests.erase(&of);
 }
 
+void bound_by_stop(exchange& of)
+{
+    auto const due = of.shared.stop->answers_due;
+    if (of.deadline > due)
+    {
+        of.deadline = due;
+        of.ends_with_process = true;
+    }
+}
+
 void log_open_requests(core& shared)
 {
     std::size_t told = 0;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -25,6 +25,10 @@
 
 using caller_request = http::request<http::string_body>;
 
+/// When to come back to whom a stopping process refuses: other routers can be
+/// asked at once.
+inline constexpr duration elsewhere_retry{50};
+
 /// An answer of the gateway's own.
 struct refusal
 {
@@ -59,6 +63,7 @@
     fleet::service const* service{};
     fleet::work work;
     instant deadline{};
+    bool ends_with_process{false}; ///< `deadline` is that of a planned stop
 
     request_id reservation; ///< empty if no tokens are set aside
     budget_id budget;
@@ -104,6 +109,7 @@
 asio::awaitable<std::optional<refusal>> find_route(exchange& of);
 asio::awaitable<std::optional<refusal>> identify(exchange& of);
 asio::awaitable<std::optional<refusal>> measure(exchange& of);
+asio::awaitable<std::optional<refusal>> admit(exchange& of);
 asio::awaitable<std::optional<refusal>> quarantine(exchange& of);
 asio::awaitable<std::optional<refusal>> reserve(exchange& of);
 asio::awaitable<std::optional<refusal>> dispatch(exchange& of);
@@ -115,12 +121,16 @@
 };
 
 /// The filters in their order.
-std::array<named_filter, 6> const& request_filters();
+std::array<named_filter, 7> const& request_filters();
 
 /// Runs the filters, sends what they refuse, gives back what is left of the
 /// reservation and writes the request's log line.
 asio::awaitable<void> serve(exchange& of);
 
+/// Ends the request in time for the process to answer it. @pre The process is
+/// stopping.
+void bound_by_stop(exchange& of);
+
 /// Logs the requests that a process leaves without an answer when it ends.
 void log_open_requests(core& shared);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,7 +16,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace caperpath::gateway
@@ -26,12 +28,6 @@
 {
 
 constexpr duration tick_time{100};
-/// The balancer asks once a second and takes a router out after two misses.
-constexpr duration balancer_notices{3'000};
-/// Giving shares back takes two round trips for each budget, all at once.
-constexpr duration longest_return{1'500};
-/// What is left of the grace time for the process to end by itself.
-constexpr duration exit_margin{800};
 /// A router without a first share of some budget serves the other customers.
 constexpr duration longest_wait_for_shares{1'500};
 constexpr duration repeats_told_every{2'000};
@@ -200,8 +196,7 @@
 }
 bool gateway_server::ready() const
 {
-    if (this->shared.stopping || !this->shared.site ||
-        !this->shared.servers_listed)
+    if (this->shared.stop || !this->shared.site || !this->shared.servers_listed)
     {
         return false;
     }
@@ -217,12 +212,18 @@
 
 void gateway_server::stop()
 {
-    if (this->shared.stopping)
+    auto& shared = this->shared;
+    if (shared.stop)
     {
         return;
     }
-    this->shared.stopping = true;
-    this->shared.stop_began = this->shared.now.now();
+    shared.stop =
+        fleet::schedule_shutdown(shared.now.now(), shared.settings.grace);
+    for (auto* const open : shared.open_requests)
+    {
+        bound_by_stop(*open);
+    }
+    this->wake_sessions();
     this->log_stop("stop");
 }
 
@@ -243,11 +244,11 @@
 {
     auto& shared = this->shared;
     auto const since =
-        shared.stopping ? shared.now.now() - shared.stop_began : duration{0};
+        shared.stop ? shared.now.now() - shared.stop->began : duration{0};
     shared.log.write(
         log_weight::notable, step,
         {{"open_requests", std::to_string(shared.open_requests.size())},
-         {"connections", std::to_string(shared.connections)},
+         {"connections", std::to_string(shared.sessions.size())},
          {"idle", std::to_string(shared.idle_callers.size())},
          {"taken", std::to_string(shared.taken_while_stopping)},
          {"ms", std::to_string(since.ms)}});
@@ -255,17 +256,30 @@
 
 bool gateway_server::stopped() const
 {
-    if (!this->shared.stopping)
+    auto const& shared = this->shared;
+    if (!shared.stop)
     {
         return false;
     }
-    auto const since = this->shared.now.now() - this->shared.stop_began;
-    auto const done = this->shared.open_requests.empty() &&
-                      this->shared.connections == 0 &&
-                      since >= balancer_notices &&
-                      (this->shared.budgets.closed() ||
-                       since >= balancer_notices + longest_return);
-    return done || since >= this->shared.settings.grace - exit_margin;
+    auto const idle = std::count_if(
+        shared.idle_callers.begin(), shared.idle_callers.end(),
+        [](auto const* caller) { return caller->has_input() ? 0 : 1; });
+    fleet::shutdown_work left;
+    left.requests = std::ssize(shared.sessions) > idle;
+    left.connections = !shared.sessions.empty();
+    if (!this->left_rotation || !shared.budgets.closed())
+    {
+        left.returning_since = shared.stop->out_of_rotation;
+    }
+    return fleet::may_exit(*shared.stop, shared.now.now(), left);
+}
+
+void gateway_server::wake_sessions()
+{
+    for (auto* const sleeper : this->shared.sessions)
+    {
+        sleeper->raise();
+    }
 }
 
 void gateway_server::tell_repeats()
@@ -321,14 +335,11 @@
         this->shared.log.write(log_weight::notable, "readiness",
                                {{"ready", this->was_ready ? "yes" : "no"}});
     }
-    if (this->shared.stopping && !this->shared.closing_idle &&
-        now - this->shared.stop_began >= balancer_notices)
+    auto const& stop = this->shared.stop;
+    if (stop && !this->left_rotation && now >= stop->out_of_rotation)
     {
-        this->shared.closing_idle = true;
-        for (auto* const sleeper : this->shared.idle_callers)
-        {
-            sleeper->raise();
-        }
+        this->left_rotation = true;
+        this->wake_sessions();
         this->shared.budgets.close();
         this->shared.roster.leave();
     }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -71,6 +71,7 @@
     /// Logs how this router uses its part of the limit on repeats.
     void tell_repeats();
     bool ready() const;
+    void wake_sessions();
     void log_stop(std::string_view step);
 
     asio::io_context& loop;
@@ -87,6 +88,7 @@
     std::uint64_t peers_read{}; ///< reads of the heartbeat rows so far
     bool was_reachable{true};
     bool was_ready{false};
+    bool left_rotation{false}; ///< of a planned stop
 };
 
 } // namespace caperpath::gateway
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -121,8 +121,9 @@
     auto const max_idle = fleet::may_run_again(this->of.attempts)
                               ? idle_for_repeatable
                               : idle_for_single;
-    this->connection = co_await shared.pool.take(this->where.server,
-                                                 one->entry.address, max_idle);
+    auto const time_left = this->of.deadline - shared.now.now();
+    this->connection = co_await shared.pool.take(
+        this->where.server, one->entry.address, max_idle, time_left);
     auto* const after = this->server();
     if (!this->connection)
     {
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -73,7 +73,7 @@
     }
     this->of.shared.names.prepare_answer(head);
     this->of.keep_connection =
-        this->of.keep_connection && !this->of.shared.stopping;
+        this->of.keep_connection && !this->of.shared.stop;
     if (!this->of.keep_connection)
     {
         head.set(http::field::connection, "close");
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace caperpath::gateway
@@ -55,7 +56,7 @@
 
 asio::awaitable<connection_ptr>
 server_pool::take(backend_server_id const& server, std::string const& address,
-                  duration max_idle)
+                  duration max_idle, duration longest)
 {
     if (auto kept = this->take_kept(server, max_idle))
     {
@@ -64,7 +65,7 @@
     // Shared with the timer, whose handler may run after this function.
     auto const socket = std::make_shared<tcp::socket>(this->executor);
     asio::steady_timer limit{this->executor};
-    limit.expires_after(to_chrono(connect_timeout));
+    limit.expires_after(to_chrono(std::min(longest, connect_timeout)));
     limit.async_wait(
         [socket](boost::system::error_code cancelled)
         {
--- a/src/gateway/server_pool.hpp
+++ b/src/gateway/server_pool.hpp
@@ -23,10 +23,10 @@
     explicit server_pool(asio::any_io_executor executor);
 
     /// A kept connection that was used within `max_idle`, or a new one; null if
-    /// none was made in `connect_timeout`.
+    /// none was made in `longest`, at most `connect_timeout`.
     asio::awaitable<connection_ptr> take(backend_server_id const& server,
                                          std::string const& address,
-                                         duration max_idle);
+                                         duration max_idle, duration longest);
 
     /// Keeps a connection whose last exchange ended cleanly, at most for
     /// `idle_timeout`. @pre nothing is unsent and nothing unread.
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -74,12 +75,13 @@
 
     asio::awaitable<void> run()
     {
+        this->shared.sessions.insert(this->sleeper.get());
         auto going_on = true;
         while (going_on)
         {
-            this->shared.idle_callers.insert(this->sleeper.get());
+            this->shared.idle_callers.insert(this->caller.get());
             auto const more = co_await this->wait_for_request();
-            this->shared.idle_callers.erase(this->sleeper.get());
+            this->shared.idle_callers.erase(this->caller.get());
             if (!more)
             {
                 break;
@@ -92,6 +94,7 @@
             going_on = co_await this->answer(std::move(got));
         }
         co_await this->end();
+        this->shared.sessions.erase(this->sleeper.get());
     }
 
 private:
@@ -126,7 +129,7 @@
                 co_return false;
             }
             auto const look =
-                this->shared.stopping ? stop_look : until - this->now();
+                this->shared.stop ? stop_look : until - this->now();
             static_cast<void>(co_await this->wait(this->now() + look));
         }
         co_return true;
@@ -137,7 +140,8 @@
     /// know whether it ran.
     bool may_close() const
     {
-        return this->shared.closing_idle &&
+        auto const& stop = this->shared.stop;
+        return stop && this->now() >= stop->out_of_rotation &&
                this->now() - this->began >= first_request_time;
     }
 
@@ -181,13 +185,21 @@
             {
                 co_return got;
             }
+            auto const& stop = this->shared.stop;
+            if (stop && this->now() >= stop->answers_due)
+            {
+                got.end = read_end::refused;
+                got.why = {http_unavailable, "stopping", elsewhere_retry};
+                co_return got;
+            }
             if (this->now() >= until)
             {
                 got.end = read_end::refused;
                 got.why = {request_timeout, "slow_request"};
                 co_return got;
             }
-            static_cast<void>(co_await this->wait(until));
+            static_cast<void>(co_await this->wait(
+                stop ? std::min(until, stop->answers_due) : until));
         }
         got.end = read_end::whole;
         got.request = parser.release();
@@ -248,10 +260,8 @@
 
 asio::awaitable<void> serve_caller(core& shared, tcp::socket socket)
 {
-    shared.connections += 1;
     caller_session session{shared, std::move(socket)};
     co_await session.run();
-    shared.connections -= 1;
 }
 
 } // namespace caperpath::gateway
--- /dev/null
+++ b/tests/fleet/shutdown_test.cpp
@@ -0,0 +1,155 @@
+#include <caperpath/fleet/service_times.hpp>
+#include <caperpath/fleet/shutdown.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+using namespace caperpath;
+using namespace caperpath::fleet;
+
+/// The deadlines of a planned stop, and what may begin before them.
+class fleet_shutdown_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_shutdown_test);
+    CPPUNIT_TEST(deadlines_follow_each_other_within_the_grace_time);
+    CPPUNIT_TEST(work_that_outlasts_the_answers_is_not_begun);
+    CPPUNIT_TEST(a_process_does_not_end_with_requests_open);
+    CPPUNIT_TEST(a_process_ends_before_it_is_killed);
+    CPPUNIT_TEST(idle_connections_do_not_hold_the_end_back);
+    CPPUNIT_TEST(the_usual_longest_time_covers_most_requests);
+    CPPUNIT_TEST(old_times_are_forgotten);
+    CPPUNIT_TEST(routes_that_are_not_used_make_room);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr instant start{50'000};
+    static constexpr duration grace{8'000};
+
+    // Guards against a part of the stop that has no time left.
+    void deadlines_follow_each_other_within_the_grace_time()
+    {
+        rc::check(
+            [](std::uint16_t span)
+            {
+                auto const stop = schedule_shutdown(start, {span});
+                RC_ASSERT(stop.began <= stop.out_of_rotation);
+                RC_ASSERT(stop.out_of_rotation <= stop.answers_due);
+                RC_ASSERT(stop.answers_due <= stop.exit_due);
+                RC_ASSERT(stop.exit_due <= start + duration{span});
+                if (span >= 100)
+                {
+                    RC_ASSERT(stop.answers_due < stop.exit_due);
+                    RC_ASSERT(stop.exit_due < start + duration{span});
+                }
+            });
+    }
+
+    // Guards against a request that is taken and cut by the process's end.
+    void work_that_outlasts_the_answers_is_not_begun()
+    {
+        rc::check(
+            [](std::uint16_t at, std::uint16_t expected, std::uint16_t patience)
+            {
+                auto const stop = schedule_shutdown(start, grace);
+                auto const now = start + duration{at % grace.ms};
+                auto const deadline = now + duration{patience};
+                auto const begins =
+                    may_begin(stop, now, duration{expected}, deadline);
+                auto const ends = std::min(now + duration{expected}, deadline);
+                RC_ASSERT(begins ==
+                          (now < stop.answers_due && ends <= stop.answers_due));
+            });
+    }
+
+    // Guards against open requests that are lost with their process.
+    void a_process_does_not_end_with_requests_open()
+    {
+        auto const stop = schedule_shutdown(start, grace);
+        shutdown_work const open{true, true, std::nullopt};
+        for (auto at = start; at < stop.exit_due; at = at + duration{10})
+        {
+            CPPUNIT_ASSERT(!may_exit(stop, at, open));
+        }
+    }
+
+    // Guards against a process that waits for something until it is killed.
+    void a_process_ends_before_it_is_killed()
+    {
+        auto const stop = schedule_shutdown(start, grace);
+        shutdown_work const all{true, true, stop.answers_due};
+        CPPUNIT_ASSERT(may_exit(stop, stop.exit_due, all));
+        CPPUNIT_ASSERT(stop.exit_due < start + grace);
+    }
+
+    // Guards against callers that keep their connections and hold up the end.
+    void idle_connections_do_not_hold_the_end_back()
+    {
+        auto const stop = schedule_shutdown(start, grace);
+        shutdown_work const idle{false, true, std::nullopt};
+        CPPUNIT_ASSERT(!may_exit(stop, stop.out_of_rotation, idle));
+        CPPUNIT_ASSERT(may_exit(stop, stop.answers_due, idle));
+        CPPUNIT_ASSERT(may_exit(stop, stop.out_of_rotation, {}));
+        CPPUNIT_ASSERT(!may_exit(stop, start, {}));
+    }
+
+    // Guards against an estimate below what most requests take.
+    void the_usual_longest_time_covers_most_requests()
+    {
+        rc::check(
+            []
+            {
+                auto const times =
+                    *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(
+                        rc::gen::inRange(1, 100'000)));
+                service_times observed;
+                for (auto const ms : times)
+                {
+                    observed.note("r", {ms}, start);
+                }
+                auto const longest = observed.usual_longest("r");
+                RC_ASSERT(longest.has_value());
+                auto const covered =
+                    std::count_if(times.begin(), times.end(),
+                                  [&](int ms) { return ms <= longest->ms; });
+                RC_ASSERT(covered * 100 >= 95 * std::ssize(times));
+                auto const most = *std::max_element(times.begin(), times.end());
+                RC_ASSERT(longest->ms * 4 <= most * 5 + 8);
+            });
+    }
+
+    // Guards against requests refused for how slow a route was long ago.
+    void old_times_are_forgotten()
+    {
+        service_times observed;
+        for (int i = 0; i < 20; ++i)
+        {
+            observed.note("r", {9'000}, start);
+        }
+        auto now = start;
+        for (int i = 0; i < 600; ++i)
+        {
+            now = now + duration{1'000};
+            observed.note("r", {50}, now);
+        }
+        CPPUNIT_ASSERT(*observed.usual_longest("r") < duration{100});
+        CPPUNIT_ASSERT(!observed.usual_longest("other"));
+    }
+
+    // Guards against memory that grows with the routes ever configured.
+    void routes_that_are_not_used_make_room()
+    {
+        service_times observed;
+        for (int i = 0; i < 3'000; ++i)
+        {
+            observed.note("r" + std::to_string(i), {50}, start + duration{i});
+        }
+        CPPUNIT_ASSERT(!observed.usual_longest("r0"));
+        CPPUNIT_ASSERT(observed.usual_longest("r2999"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_shutdown_test);
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(an_order_open_at_the_end_is_answered);
     CPPUNIT_TEST(a_stream_open_at_the_end_is_broken_off_visibly);
     CPPUNIT_TEST(what_cannot_end_in_time_is_not_begun);
+    CPPUNIT_TEST(what_ends_in_time_is_served);
+    CPPUNIT_TEST(a_request_read_in_part_at_the_end_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
     using request = fake_server::request;
@@ -123,6 +125,41 @@
         CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
         CPPUNIT_ASSERT(server.requests.empty());
     }
+
+    // Guards against a stopping router that sends away what it can serve.
+    void what_ends_in_time_is_served()
+    {
+        world here;
+        here.site.add_server(
+            "i-1", "app",
+            [](request const& got)
+            { return script{{whole_answer(got, 200, "done")}}; });
+        here.wait_ready();
+        auto const order = [&]
+        {
+            return here.site.send(world::patient(
+                fleet_site::request("POST", "/order/1", "", "order")));
+        };
+        CPPUNIT_ASSERT_EQUAL(200, order().status);
+        here.site.router->stop();
+        auto const got = order();
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
+    }
+
+    // Guards against a long body whose sender is left without an answer.
+    void a_request_read_in_part_at_the_end_is_answered()
+    {
+        world here;
+        here.wait_ready();
+        plain_caller caller{here.site.callers_port()};
+        auto const whole = fleet_site::request("POST", "/order/1", "", "order");
+        caller.send(whole.substr(0, whole.size() - 1));
+        here.stop_to_the_end();
+        auto const got = caller.received();
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(got.closed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_test);
