Let a refused caller read why while it still sends

A request that is refused before it was read in whole (its body above the limit, too slow, or the process ends) was answered and its connection closed at once. What the caller still sent then met a reset, which can take the answer with it: the caller saw a broken connection where it was told 413 or 503.

gateway.outcome: a caller that sends on after its 413 failed with a broken pipe before, and reads and sends undisturbed now.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -67,6 +67,12 @@
     return this->arrived;
 }
 
+void connection::finish_sending()
+{
+    boost::system::error_code ignored; // the other side has gone then
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 bool connection::has_input() const
 {
     return this->arrived.size() > 0;
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -48,6 +48,10 @@
     /// Bytes that have arrived; consume what was used, then call `resume`.
     boost::beast::flat_buffer& input();
 
+    /// Tells the other side that no more comes; it may still send. @pre nothing
+    /// is unsent.
+    void finish_sending();
+
     /// True when something of the input is left.
     bool has_input() const;
 
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -227,6 +227,7 @@
                              got.end == read_end::whole;
         if (got.end == read_end::refused)
         {
+            this->refused_in_part = true;
             send_refusal(of, got.why);
             this->shared.metrics.request_ended(of.reason, of.status);
             this->shared.log.write(log_weight::notable, "request",
@@ -246,14 +247,34 @@
         {
             static_cast<void>(co_await this->wait(until));
         }
+        if (this->refused_in_part)
+        {
+            co_await this->discard_rest(until);
+        }
         this->caller->notify(nullptr);
         this->caller->close();
     }
 
+    /// Closed with bytes unread, the connection would be reset and the answer
+    /// could be lost on its way.
+    asio::awaitable<void> discard_rest(instant until)
+    {
+        this->caller->finish_sending();
+        while (this->caller->end() == peer_end::open && this->now() < until)
+        {
+            auto& input = this->caller->input();
+            input.consume(input.size());
+            this->caller->resume();
+            static_cast<void>(co_await this->wait(until));
+        }
+    }
+
     core& shared;
     waker_ptr sleeper;
     connection_ptr caller;
     instant began;
+    bool refused_in_part{
+        false}; ///< an answer went out before the whole request
 };
 
 } // namespace
--- a/tests/gateway/outcome_test.cpp
+++ b/tests/gateway/outcome_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/fleet_site.hpp"
+#include "gateway/plain_caller.hpp"
 
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(a_silent_server_is_given_up_at_the_route_s_timeout);
     CPPUNIT_TEST(a_request_inside_another_one_is_refused);
     CPPUNIT_TEST(a_body_above_the_limit_is_refused);
+    CPPUNIT_TEST(a_caller_refused_early_can_send_on_and_read_why);
     CPPUNIT_TEST(a_server_is_told_when_its_caller_left);
     CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +251,34 @@
         CPPUNIT_ASSERT(server.requests.empty());
     }
 
+    // Guards against a reset that takes the refusal from a caller which is
+    // still sending its body.
+    void a_caller_refused_early_can_send_on_and_read_why()
+    {
+        fleet_site here;
+        here.add_server("i-1", "app", ok);
+        CPPUNIT_ASSERT(here.run_until([&] { return here.readiness() == 200; }));
+        plain_caller caller{here.callers_port()};
+        caller.send(
+            "POST /order/1 HTTP/1.1\r\nHost: site.example\r\n"
+            "Authorization: Bearer key\r\nContent-Length: 9000\r\n\r\n");
+        got_answer got;
+        CPPUNIT_ASSERT(here.run_until(
+            [&]
+            {
+                caller.send("rest of the body");
+                got = caller.received();
+                return got.status != 0;
+            }));
+        CPPUNIT_ASSERT_EQUAL(413, got.status);
+        here.loop.run_for(std::chrono::milliseconds{20});
+        for (int i = 0; i < 5; ++i)
+        {
+            caller.send("rest of the body");
+            here.loop.run_for(std::chrono::milliseconds{2});
+        }
+    }
+
     // A caller leaves while its request runs. Without a word the server works
     // on for nobody and keeps a place that others need.
     void a_server_is_told_when_its_caller_left()
