Deliver the events of a broken-off stream before its connection ends

A stream that a server or the end of the process broke off ended in a reset of the caller's connection. A reset discards what the kernel has not delivered: whole events that were ready were lost for a caller that reads slowly, and one that resumes asked for them again.

The connection ends in order now. The missing last chunk shows that the answer is not whole.

gateway.stream: a caller with a small receive buffer and an event of 100 KB got a part of it before, and gets all of it now, and no end of the answer.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -162,9 +162,9 @@
     }
     if (of.answer_begun)
     {
-        // An answer that ends early must not look whole.
+        // An answer without its last chunk does not look whole. A reset would
+        // take events with it that the caller has not read yet.
         of.keep_connection = false;
-        of.caller->close(true);
         return std::nullopt;
     }
     auto const status = fleet::final_status(of.attempts, end);
--- a/tests/gateway/plain_caller.cpp
+++ b/tests/gateway/plain_caller.cpp
@@ -1,9 +1,6 @@
 #include "gateway/plain_caller.hpp"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 namespace caperpath::gateway
 {
 
@@ -14,10 +11,19 @@
 
 } // namespace
 
-plain_caller::plain_caller(std::uint16_t port) : socket{this->own}
+plain_caller::plain_caller(std::uint16_t port, int receive_buffer)
+    : socket{this->own}
 {
+    this->socket.open(tcp::v4());
+    if (receive_buffer > 0)
+    {
+        // The window is agreed on when the connection is made.
+        this->socket.set_option(
+            asio::socket_base::receive_buffer_size{receive_buffer});
+    }
     this->socket.connect({asio::ip::make_address("127.0.0.1"), port});
     this->socket.non_blocking(true);
+    this->parser.eager(true);
 }
 
 void plain_caller::send(std::string const& bytes)
@@ -36,19 +42,17 @@
         this->arrived.commit(size);
     }
     got.closed = fault != asio::error::would_block;
-    http::response_parser<http::string_body> parser;
-    parser.eager(true);
-    while (this->arrived.size() > 0 && !parser.is_done())
+    while (this->arrived.size() > 0 && !this->parser.is_done())
     {
         boost::system::error_code incomplete;
-        auto const used = parser.put(this->arrived.data(), incomplete);
+        auto const used = this->parser.put(this->arrived.data(), incomplete);
         this->arrived.consume(used);
         if (used == 0)
         {
             break;
         }
     }
-    read_parsed(parser, got);
+    read_parsed(this->parser, got);
     return got;
 }
 
--- a/tests/gateway/plain_caller.hpp
+++ b/tests/gateway/plain_caller.hpp
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <string>
@@ -20,17 +22,20 @@
 {
 public:
     /// @throws boost::system::system_error if nobody listens at `port`.
-    explicit plain_caller(std::uint16_t port);
+    /// `receive_buffer` bytes, about, wait in the kernel for this caller to
+    /// read; 0: the system's default.
+    explicit plain_caller(std::uint16_t port, int receive_buffer = 0);
 
     void send(std::string const& bytes);
 
-    /// One answer from what has arrived by now. Does not wait.
+    /// The first answer, as far as it has arrived by now. Does not wait.
     got_answer received();
 
 private:
     boost::asio::io_context own;
     tcp::socket socket;
     boost::beast::flat_buffer arrived;
+    boost::beast::http::response_parser<boost::beast::http::string_body> parser;
 };
 
 } // namespace caperpath::gateway
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/fleet_site.hpp"
+#include "gateway/plain_caller.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,6 +14,7 @@
     CPPUNIT_TEST_SUITE(gateway_stream_test);
     CPPUNIT_TEST(events_come_through_in_order);
     CPPUNIT_TEST(a_stream_that_breaks_off_does_not_look_whole);
+    CPPUNIT_TEST(events_before_the_break_reach_a_slow_caller);
     CPPUNIT_TEST(a_resumable_stream_goes_on_at_another_server);
     CPPUNIT_TEST(no_more_is_served_than_was_paid);
     CPPUNIT_TEST(a_budget_lasts_through_an_outage_of_the_store);
@@ -85,6 +87,40 @@
         CPPUNIT_ASSERT(got.closed);
     }
 
+    // Guards against a reset that takes events which were ready from a caller
+    // that reads slowly.
+    void events_before_the_break_reach_a_slow_caller()
+    {
+        constexpr std::size_t event_size = 100'000;
+        constexpr int small_buffer = 4'096;
+        auto const large =
+            "id: 1\ndata: " + std::string(event_size, 'x') + "\n\n";
+        fleet_site here;
+        auto& server =
+            here.add_server("i-1", "llm",
+                            [&large](request const& got)
+                            {
+                                return script{{stream_head(got),
+                                               chunk_of(large), "20\r\nid: 2"},
+                                              script::end::reset};
+                            });
+        wait_ready(here);
+        plain_caller caller{here.callers_port(), small_buffer};
+        caller.send(fleet_site::prompt("/chat/1", 500, 20));
+        CPPUNIT_ASSERT(
+            here.run_until([&] { return server.requests.size() == 1; }));
+        here.loop.run_for(std::chrono::milliseconds{100});
+        got_answer got;
+        CPPUNIT_ASSERT(here.run_until(
+            [&]
+            {
+                got = caller.received();
+                return got.closed;
+            }));
+        CPPUNIT_ASSERT(got.body == large);
+        CPPUNIT_ASSERT(!got.whole);
+    }
+
     // An engine dies in the middle of an event. Another one goes on after the
     // last whole event, and the caller reads one stream without a gap.
     void a_resumable_stream_goes_on_at_another_server()
