Test a stop with a second signal, at the start and without the store

Cases of a planned stop that had no test: signals and a configuration meanwhile move no deadline, a router that has read nothing yet answers and ends, and an outage of the store keeps no answer back. All pass on the code as it is.

--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(what_cannot_end_in_time_is_not_begun);
     CPPUNIT_TEST(what_ends_in_time_is_served);
     CPPUNIT_TEST(a_request_read_in_part_at_the_end_is_answered);
+    CPPUNIT_TEST(a_second_signal_and_a_configuration_change_no_deadline);
+    CPPUNIT_TEST(a_router_stopped_at_its_start_answers_and_ends);
+    CPPUNIT_TEST(an_outage_of_the_store_does_not_keep_answers_back);
     CPPUNIT_TEST_SUITE_END();
 
     using request = fake_server::request;
@@ -160,6 +163,53 @@
         CPPUNIT_ASSERT_EQUAL(503, got.status);
         CPPUNIT_ASSERT(got.closed);
     }
+
+    // Guards against a stop that begins anew, past its grace time.
+    void a_second_signal_and_a_configuration_change_no_deadline()
+    {
+        world here;
+        auto& server = here.site.add_server("i-1", "app", silent);
+        here.wait_ready();
+        auto caller = here.begin(
+            fleet_site::request("POST", "/order/1", "", "order"), server);
+        here.site.router->stop();
+        here.site.put_configuration(2);
+        int looks = 0;
+        CPPUNIT_ASSERT(here.site.run_until(
+            [&]
+            {
+                looks += 1;
+                here.site.router->stop();
+                here.site.router->reload();
+                return here.site.router->stopped();
+            }));
+        CPPUNIT_ASSERT(looks > 1);
+        CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
+    }
+
+    // Guards against a process that waits for what it has not read yet.
+    void a_router_stopped_at_its_start_answers_and_ends()
+    {
+        fleet_site here{false, {10, 50, {10'000}}, grace};
+        here.router->stop();
+        plain_caller caller{here.callers_port()};
+        caller.send(fleet_site::request("POST", "/order/1", "", "order"));
+        CPPUNIT_ASSERT(here.run_until([&] { return here.router->stopped(); }));
+        CPPUNIT_ASSERT_EQUAL(503, caller.received().status);
+    }
+
+    // Guards against answers that wait for the store at the end of a stop.
+    void an_outage_of_the_store_does_not_keep_answers_back()
+    {
+        world here;
+        auto& server = here.site.add_server("i-1", "llm", silent);
+        here.wait_ready();
+        auto caller =
+            here.begin(fleet_site::prompt("/chat/1", 500, 20), server);
+        here.site.store.reachable = false;
+        here.stop_to_the_end();
+        CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_test);
