Begin work of unknown length early in a planned stop

Callers came back after 50 ms, often to a router that was stopping as well.

While the balancer still sends requests here, one of unknown length is begun: its caller could be sent here again.

--- a/include/caperpath/fleet/shutdown.hpp
+++ b/include/caperpath/fleet/shutdown.hpp
@@ -38,11 +38,12 @@
 /// later. Thread safe. @pre `grace` is not negative.
 shutdown_schedule schedule_shutdown(instant began, duration grace);
 
-/// True if a request that arrives `now` should be begun: it is expected to last
-/// `expected`, or its own deadline ends it before the answers are due. Thread
-/// safe.
-bool may_begin(shutdown_schedule const& stop, instant now, duration expected,
-               instant deadline);
+/// True if a request that arrives `now` should be begun: it is expected to end,
+/// after `expected`, or its own deadline ends it before the answers are due.
+/// One of unknown length is begun while the balancer still sends requests here,
+/// as its caller could be sent here again. Thread safe.
+bool may_begin(shutdown_schedule const& stop, instant now,
+               std::optional<duration> expected, instant deadline);
 
 /// True when the process may end. Thread safe.
 bool may_exit(shutdown_schedule const& stop, instant now,
--- a/src/fleet/shutdown.cpp
+++ b/src/fleet/shutdown.cpp
@@ -39,11 +39,15 @@
     return {began, began + rotation, began + answers, began + exit};
 }
 
-bool may_begin(shutdown_schedule const& stop, instant now, duration expected,
-               instant deadline)
+bool may_begin(shutdown_schedule const& stop, instant now,
+               std::optional<duration> expected, instant deadline)
 {
-    return now < stop.answers_due &&
-           std::min(now + expected, deadline) <= stop.answers_due;
+    if (!expected && now < stop.out_of_rotation)
+    {
+        return true;
+    }
+    auto const end = expected ? std::min(now + *expected, deadline) : deadline;
+    return now < stop.answers_due && end <= stop.answers_due;
 }
 
 bool may_exit(shutdown_schedule const& stop, instant now,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -252,8 +252,7 @@
         co_return std::nullopt;
     }
     auto const now = of.shared.now.now();
-    auto const usual = of.shared.service_times.usual_longest(of.route->name);
-    auto const expected = usual.value_or(of.deadline - now);
+    auto const expected = of.shared.service_times.usual_longest(of.route->name);
     if (!fleet::may_begin(*stop, now, expected, of.deadline))
     {
         co_return refusal{http_unavailable, "stopping", elsewhere_retry};
--- a/tests/fleet/shutdown_test.cpp
+++ b/tests/fleet/shutdown_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(fleet_shutdown_test);
     CPPUNIT_TEST(deadlines_follow_each_other_within_the_grace_time);
     CPPUNIT_TEST(work_that_outlasts_the_answers_is_not_begun);
+    CPPUNIT_TEST(work_of_unknown_length_is_begun_early_in_a_stop);
     CPPUNIT_TEST(a_process_does_not_end_with_requests_open);
     CPPUNIT_TEST(a_process_ends_before_it_is_killed);
     CPPUNIT_TEST(idle_connections_do_not_hold_the_end_back);
@@ -65,6 +66,19 @@
             });
     }
 
+    // Guards against a router that has just started and sends all away.
+    void work_of_unknown_length_is_begun_early_in_a_stop()
+    {
+        auto const stop = schedule_shutdown(start, grace);
+        auto const late = stop.answers_due + duration{1};
+        CPPUNIT_ASSERT(may_begin(stop, start, std::nullopt, late));
+        CPPUNIT_ASSERT(
+            !may_begin(stop, stop.out_of_rotation, std::nullopt, late));
+        CPPUNIT_ASSERT(may_begin(stop, stop.out_of_rotation, std::nullopt,
+                                 stop.answers_due));
+        CPPUNIT_ASSERT(!may_begin(stop, start, duration{30'000}, late));
+    }
+
     // Guards against open requests that are lost with their process.
     void a_process_does_not_end_with_requests_open()
     {
