Answer what is open when a late event loop reaches its end

An event loop that is behind for half a second at the end of a stop runs the check for the end before the timers of the requests: the process ended with every open request unanswered, 0.3 s before it would have been killed.

Before the process ends, requests still open are ended as overdue and the loop runs for 50 ms to hand their answers to the kernel.

gateway.shutdown: with the loop blocked until the end is due the caller got no answer, and gets 504 now.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -375,6 +375,12 @@
     }
 }
 
+void end_overdue(exchange& of)
+{
+    of.deadline = std::min(of.deadline, of.shared.now.now());
+    of.ends_with_process = true;
+}
+
 void log_open_requests(core& shared)
 {
     std::size_t told = 0;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -131,6 +131,9 @@
 /// stopping.
 void bound_by_stop(exchange& of);
 
+/// As above, for a process that ends now.
+void end_overdue(exchange& of);
+
 /// Logs the requests that a process leaves without an answer when it ends.
 void log_open_requests(core& shared);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,8 @@
 constexpr duration repeats_told_every{2'000};
 constexpr std::chrono::seconds page_timeout{5};
 constexpr int backlog = 1'024;
+/// The answers only have to be handed to the kernel.
+constexpr duration longest_overdue{50};
 
 } // namespace
 
@@ -233,6 +235,21 @@
                            {{"outcome", "settings count from the next start"}});
 }
 
+void gateway_server::answer_overdue()
+{
+    if (this->shared.open_requests.empty())
+    {
+        return;
+    }
+    for (auto* const open : this->shared.open_requests)
+    {
+        end_overdue(*open);
+    }
+    this->wake_sessions();
+    this->loop.restart();
+    this->loop.run_for(to_chrono(longest_overdue));
+}
+
 void gateway_server::flush_log()
 {
     log_open_requests(this->shared);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -43,6 +43,11 @@
     /// from the next start on; requests under way are not touched.
     void reload();
 
+    /// Answers the requests that are open although their time is over: a loop
+    /// that is behind may come to the process's end before their timers. Call
+    /// when the loop has ended; runs it for a moment. @pre `stopped()`.
+    void answer_overdue();
+
     /// Writes what is left of the log. Call when the loop has ended.
     void flush_log();
 
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -3,6 +3,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
+#include <thread>
+
 using namespace caperpath;
 using namespace caperpath::gateway;
 
@@ -17,6 +20,7 @@
     CPPUNIT_TEST(a_request_read_in_part_at_the_end_is_answered);
     CPPUNIT_TEST(a_second_signal_and_a_configuration_change_no_deadline);
     CPPUNIT_TEST(a_router_stopped_at_its_start_answers_and_ends);
+    CPPUNIT_TEST(a_loop_that_is_behind_at_the_end_still_answers);
     CPPUNIT_TEST(an_outage_of_the_store_does_not_keep_answers_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -216,6 +220,21 @@
         CPPUNIT_ASSERT_EQUAL(503, caller.received().status);
     }
 
+    // Guards against a process that ends before its requests' timers were run.
+    void a_loop_that_is_behind_at_the_end_still_answers()
+    {
+        world here{duration{800}};
+        auto& server = here.site.add_server("i-1", "app", silent);
+        here.wait_ready();
+        auto caller = here.begin(
+            fleet_site::request("POST", "/order/1", "", "order"), server);
+        here.site.router->stop();
+        std::this_thread::sleep_for(std::chrono::milliseconds{900});
+        CPPUNIT_ASSERT(here.site.router->stopped());
+        here.site.router->answer_overdue();
+        CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
+    }
+
     // Guards against answers that wait for the store at the end of a stop.
     void an_outage_of_the_store_does_not_keep_answers_back()
     {
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -112,6 +112,7 @@
     }
     wait_for_signals(signals, loop, timer, serving);
     loop.run();
+    serving.answer_overdue();
     serving.flush_log();
     // Requests that are open beyond the grace time refer to the gateway from
     // the loop, and neither can be destroyed before the other.
