Close a caller's connection only when its answer was taken

Found by the review. An answer larger than the socket buffers was cut half a second after its last byte was queued, although its caller was reading: with Connection: close always, and in a planned stop for every answer. A kept connection whose answer was still on its way counted as idle and was closed when the router left the rotation.

A connection ends when its bytes were taken, or nothing was taken for half a second; one with unsent bytes is not idle.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -1,7 +1,6 @@
 #include "gateway/connection.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -151,29 +150,46 @@
     }
     this->writing = true;
     this->outgoing = std::exchange(this->queued, {});
-    asio::async_write(this->socket, asio::buffer(this->outgoing),
-                      [self = this->shared_from_this()](
-                          boost::system::error_code fault, std::size_t)
-                      {
-                          self->writing = false;
-                          self->outgoing.clear();
-                          self->used = std::chrono::steady_clock::now();
-                          if (fault)
-                          {
-                              self->ended(peer_end::broken);
-                              return;
-                          }
-                          self->write_on();
-                          if (!self->writing && self->sleeper)
-                          {
-                              self->sleeper->raise();
-                          }
-                      });
+    this->written = 0;
+    this->write_rest();
+}
+
+void connection::write_rest()
+{
+    this->socket.async_write_some(
+        asio::buffer(this->outgoing) + this->written,
+        [self = this->shared_from_this()](boost::system::error_code fault,
+                                          std::size_t size)
+        { self->wrote(fault, size); });
+}
+
+void connection::wrote(boost::system::error_code fault, std::size_t size)
+{
+    this->used = std::chrono::steady_clock::now();
+    this->written += size;
+    if (!fault && this->written < this->outgoing.size())
+    {
+        this->write_rest();
+        return;
+    }
+    this->writing = false;
+    this->outgoing.clear();
+    this->written = 0;
+    if (fault)
+    {
+        this->ended(peer_end::broken);
+        return;
+    }
+    this->write_on();
+    if (!this->writing && this->sleeper)
+    {
+        this->sleeper->raise();
+    }
 }
 
 std::size_t connection::unsent() const
 {
-    return this->outgoing.size() + this->queued.size();
+    return this->outgoing.size() - this->written + this->queued.size();
 }
 
 peer_end connection::end() const
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -79,6 +79,8 @@
 
     void read_on();
     void write_on();
+    void write_rest();
+    void wrote(boost::system::error_code fault, std::size_t size);
     void take_arrived(std::size_t size);
     void ended(peer_end how);
 
@@ -86,8 +88,9 @@
     boost::beast::flat_buffer arrived;
     std::array<char, read_size> scratch; ///< where the kernel puts bytes
     waker_ptr sleeper;
-    std::string outgoing; ///< handed to the kernel now
-    std::string queued;   ///< to be handed over next
+    std::string outgoing;  ///< handed to the kernel now
+    std::size_t written{}; ///< of `outgoing`
+    std::string queued;    ///< to be handed over next
     peer_end state{peer_end::open};
     bool reading{false};
     bool writing{false};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -278,9 +278,11 @@
     {
         return false;
     }
-    auto const idle = std::count_if(
-        shared.idle_callers.begin(), shared.idle_callers.end(),
-        [](auto const* caller) { return caller->has_input() ? 0 : 1; });
+    auto const idle =
+        std::count_if(shared.idle_callers.begin(), shared.idle_callers.end(),
+                      [](auto const* caller) {
+                          return !caller->has_input() && caller->unsent() == 0;
+                      });
     fleet::shutdown_work left;
     left.requests = std::ssize(shared.sessions) > idle;
     left.connections = !shared.sessions.empty();
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -25,8 +25,10 @@
 constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int request_timeout = 408;
 constexpr int header_too_large = 431;
-/// The kernel hands over the last answer before the connection is closed.
+/// A caller that takes nothing of its answer for so long has left.
 constexpr duration linger{500};
+/// However slowly a caller reads, its connection ends.
+constexpr duration longest_rest{30'000};
 constexpr unsigned http_11 = 11;
 
 using request_parser = http::request_parser<http::string_body>;
@@ -142,6 +144,7 @@
     {
         auto const& stop = this->shared.stop;
         return stop && this->now() >= stop->out_of_rotation &&
+               this->caller->unsent() == 0 &&
                this->now() - this->began >= first_request_time;
     }
 
@@ -241,20 +244,31 @@
 
     asio::awaitable<void> end()
     {
-        auto const until = this->now() + linger;
-        while (this->caller->unsent() > 0 &&
-               this->caller->end() == peer_end::open && this->now() < until)
-        {
-            static_cast<void>(co_await this->wait(until));
-        }
+        co_await this->send_rest();
         if (this->refused_in_part)
         {
-            co_await this->discard_rest(until);
+            co_await this->discard_rest(this->now() + linger);
         }
         this->caller->notify(nullptr);
         this->caller->close();
     }
 
+    /// Waits as long as the caller takes what it is owed.
+    asio::awaitable<void> send_rest()
+    {
+        auto const until = this->now() + longest_rest;
+        while (this->caller->unsent() > 0 &&
+               this->caller->end() == peer_end::open && this->now() < until)
+        {
+            auto const before = this->caller->unsent();
+            auto const raised = co_await this->wait(this->now() + linger);
+            if (!raised && this->caller->unsent() == before)
+            {
+                break;
+            }
+        }
+    }
+
     /// Closed with bytes unread, the connection would be reset and the answer
     /// could be lost on its way.
     asio::awaitable<void> discard_rest(instant until)
--- a/tests/gateway/plain_caller.cpp
+++ b/tests/gateway/plain_caller.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr std::size_t read_size = 65'536;
+constexpr std::uint64_t largest_answer = 64'000'000;
 
 } // namespace
 
@@ -24,6 +25,7 @@
     this->socket.connect({asio::ip::make_address("127.0.0.1"), port});
     this->socket.non_blocking(true);
     this->parser.eager(true);
+    this->parser.body_limit(largest_answer);
 }
 
 void plain_caller::send(std::string const& bytes)
@@ -31,17 +33,19 @@
     asio::write(this->socket, asio::buffer(bytes));
 }
 
-got_answer plain_caller::received()
+got_answer plain_caller::received(std::size_t most)
 {
     got_answer got;
     boost::system::error_code fault;
-    while (!fault)
+    std::size_t read = 0;
+    while (!fault && (most == 0 || read < most))
     {
         auto const size =
             this->socket.read_some(this->arrived.prepare(read_size), fault);
         this->arrived.commit(size);
+        read += size;
     }
-    got.closed = fault != asio::error::would_block;
+    got.closed = fault && fault != asio::error::would_block;
     while (this->arrived.size() > 0 && !this->parser.is_done())
     {
         boost::system::error_code incomplete;
--- a/tests/gateway/plain_caller.hpp
+++ b/tests/gateway/plain_caller.hpp
@@ -29,7 +29,8 @@
     void send(std::string const& bytes);
 
     /// The first answer, as far as it has arrived by now. Does not wait.
-    got_answer received();
+    /// Reads about `most` bytes; 0: all.
+    got_answer received(std::size_t most = 0);
 
 private:
     boost::asio::io_context own;
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(a_second_signal_and_a_configuration_change_no_deadline);
     CPPUNIT_TEST(a_router_stopped_at_its_start_answers_and_ends);
     CPPUNIT_TEST(a_loop_that_is_behind_at_the_end_still_answers);
+    CPPUNIT_TEST(a_large_answer_reaches_a_slow_caller_whole);
+    CPPUNIT_TEST(a_caller_that_still_reads_is_not_idle);
     CPPUNIT_TEST(an_outage_of_the_store_does_not_keep_answers_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -28,6 +30,8 @@
 
     static constexpr duration grace{4'000};
     static constexpr duration long_timeout{30'000};
+    static constexpr std::size_t large_size = 12'000'000;
+    static constexpr std::size_t slow_read = 60'000;
 
     /// A site whose requests may outlast the router's stop.
     struct world
@@ -235,6 +239,55 @@
         CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
     }
 
+    static script large(request const& got)
+    {
+        return {{whole_answer(got, 200, std::string(large_size, 'x'))}};
+    }
+
+    /// Reads `caller`'s answer in small steps, for `longest` at most.
+    static got_answer read_slowly(fleet_site& site, plain_caller& caller)
+    {
+        got_answer got;
+        site.run_until(
+            [&]
+            {
+                site.loop.run_for(std::chrono::milliseconds{5});
+                got = caller.received(slow_read);
+                return got.whole || got.closed;
+            });
+        return got;
+    }
+
+    // Guards against a connection closed while its caller reads the answer.
+    void a_large_answer_reaches_a_slow_caller_whole()
+    {
+        world here{duration{8'000}};
+        auto& server = here.site.add_server("i-1", "app", large);
+        here.wait_ready();
+        auto caller = here.begin(
+            fleet_site::request("POST", "/order/1", "Connection: close\r\n"),
+            server);
+        auto const got = read_slowly(here.site, *caller);
+        CPPUNIT_ASSERT(got.whole);
+        CPPUNIT_ASSERT_EQUAL(large_size, got.body.size());
+    }
+
+    // Guards against a kept connection that is closed as idle in a stop while
+    // its answer is on its way.
+    void a_caller_that_still_reads_is_not_idle()
+    {
+        world here{duration{3'000}};
+        auto& server = here.site.add_server("i-1", "app", large);
+        here.wait_ready();
+        auto caller =
+            here.begin(fleet_site::request("POST", "/order/1"), server);
+        CPPUNIT_ASSERT(here.site.run_until(
+            [&] { return caller->received(1).status == 200; }));
+        here.site.router->stop();
+        auto const got = read_slowly(here.site, *caller);
+        CPPUNIT_ASSERT(got.whole);
+    }
+
     // Guards against answers that wait for the store at the end of a stop.
     void an_outage_of_the_store_does_not_keep_answers_back()
     {
