Wait for the tokens of a stop's last requests

The process waited 1.5 s for shares to be given back, counted from when it left the rotation. A share cannot go back while a request has tokens of it set aside, so after a stream that ended at 7.2 s nothing was waited for: its tokens stayed in a row of a process that has ended, until a successor at the same address took them over.

The wait counts from the last request that ended with tokens set aside. gateway.shutdown: with the store away when the last stream ends, the process waits and the row is gone; before, it ended at once and the row stayed.

--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -65,9 +65,11 @@
     /// Open sends of requests that were at a crash.
     std::map<backend_server_id, std::int64_t> suspects_at;
     std::optional<fleet::shutdown_schedule> stop; ///< a planned one
-    std::int64_t taken_while_stopping{};          ///< requests
-    std::set<waker*> sessions;                    ///< one for each connection
-    std::set<connection const*> idle_callers;     ///< no request has begun
+    /// Shares are being given back, which needs all reservations to end.
+    std::optional<instant> returning_since;
+    std::int64_t taken_while_stopping{};      ///< requests
+    std::set<waker*> sessions;                ///< one for each connection
+    std::set<connection const*> idle_callers; ///< no request has begun
     std::set<exchange*> open_requests;
     fleet::service_times service_times;
     std::uint64_t requests{}; ///< numbers reservations
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -75,7 +75,12 @@
     {
         return;
     }
-    of.shared.budgets.finish(of.reservation, of.budget, used_tokens(of));
+    auto& shared = of.shared;
+    shared.budgets.finish(of.reservation, of.budget, used_tokens(of));
+    if (shared.returning_since)
+    {
+        shared.returning_since = shared.now.now();
+    }
 }
 
 void note_stopping(exchange& of)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -286,9 +286,10 @@
     fleet::shutdown_work left;
     left.requests = std::ssize(shared.sessions) > idle;
     left.connections = !shared.sessions.empty();
-    if (!this->left_rotation || !shared.budgets.closed())
+    if (!shared.returning_since || !shared.budgets.closed())
     {
-        left.returning_since = shared.stop->out_of_rotation;
+        left.returning_since =
+            shared.returning_since.value_or(shared.stop->out_of_rotation);
     }
     return fleet::may_exit(*shared.stop, shared.now.now(), left);
 }
@@ -355,9 +356,9 @@
                                {{"ready", this->was_ready ? "yes" : "no"}});
     }
     auto const& stop = this->shared.stop;
-    if (stop && !this->left_rotation && now >= stop->out_of_rotation)
+    if (stop && !this->shared.returning_since && now >= stop->out_of_rotation)
     {
-        this->left_rotation = true;
+        this->shared.returning_since = now;
         this->wake_sessions();
         this->shared.budgets.close();
         this->shared.roster.leave();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -93,7 +93,8 @@
     std::uint64_t peers_read{}; ///< reads of the heartbeat rows so far
     bool was_reachable{true};
     bool was_ready{false};
-    bool left_rotation{false}; ///< of a planned stop
+    instant last_tick{};
+    instant tick_before_last{};
 };
 
 } // namespace caperpath::gateway
