Send prompts elsewhere once a stopping router has no tokens

When its shares have gone back, a stopping router answered prompts as if the store could not be asked: budget_unknown, come back in 1 s. Other routers have the tokens, so they get `stopping` and 50 ms, without a wait.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -42,6 +42,12 @@
     return text.substr(0, text.find('?'));
 }
 
+bool needs_tokens(exchange const& of)
+{
+    return of.customer != nullptr && of.customer->paid &&
+           of.work.prompt_tokens + of.work.output_tokens > 0;
+}
+
 duration longest_wait(exchange const& of, token_count amount)
 {
     auto& shared = of.shared;
@@ -258,7 +264,8 @@
     }
     auto const now = of.shared.now.now();
     auto const expected = of.shared.service_times.usual_longest(of.route->name);
-    if (!fleet::may_begin(*stop, now, expected, of.deadline))
+    auto const lacks_tokens = of.shared.returning_since && needs_tokens(of);
+    if (lacks_tokens || !fleet::may_begin(*stop, now, expected, of.deadline))
     {
         co_return refusal{http_unavailable, "stopping", elsewhere_retry};
     }
@@ -273,8 +280,7 @@
 
 asio::awaitable<std::optional<refusal>> reserve(exchange& of)
 {
-    auto const amount = of.work.prompt_tokens + of.work.output_tokens;
-    if (of.customer == nullptr || !of.customer->paid || amount == 0)
+    if (!needs_tokens(of))
     {
         co_return std::nullopt;
     }
@@ -289,6 +295,7 @@
         id, of.budget, amount, wait,
         [reply, sleeper = of.sleeper](budget::reserve_reply const& decided)
         {
+    auto const amount = of.work.prompt_tokens + of.work.output_tokens;
             *reply = decided;
             sleeper->raise();
         });
