Learn the length of requests from whole answers

A server's quick 500 counted as a request that was served quickly, and a request whose caller left counted as nothing: with failing servers the estimate fell, and orders were begun in a stop that could not end. Only whole answers count now, and requests that ended otherwise if they raise the estimate.

--- a/include/caperpath/base/http_status.hpp
+++ b/include/caperpath/base/http_status.hpp
@@ -23,6 +23,13 @@
 inline constexpr int http_client_error = 400;
 inline constexpr int http_server_error = 500;
 
+constexpr bool is_success(int status)
+{
+    constexpr int first_success = 200;
+    constexpr int first_redirect = 300;
+    return status >= first_success && status < first_redirect;
+}
+
 } // namespace caperpath
 
 #endif
--- a/src/gateway/crash_step.cpp
+++ b/src/gateway/crash_step.cpp
@@ -15,8 +15,6 @@
 
 /// Another caller's attempt is on its way and clears the request or does not.
 constexpr duration probation_retry{500};
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 
 fleet::fingerprint const& fingerprint_of(exchange& of)
 {
@@ -126,9 +124,7 @@
 
 void note_whole_answer(exchange& of)
 {
-    auto const success =
-        of.status >= first_success && of.status < first_redirect;
-    if (success && of.shared.crashes.knows_any())
+    if (is_success(of.status) && of.shared.crashes.knows_any())
     {
         of.shared.crashes.answered(fingerprint_of(of));
     }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -99,15 +99,26 @@
     }
 }
 
-/// Requests that their caller or this process ended say nothing of how long
-/// such requests take.
+bool is_whole(exchange const& of)
+{
+    return of.reason == "served" && is_success(of.status);
+}
+
+/// Only whole answers tell how long requests take; one that ended otherwise
+/// would have taken longer, so it counts if it raises the estimate.
 void note_time(exchange& of)
 {
-    auto const cut = of.ends_with_process && of.reason != "served";
-    if (of.arrivals > 0 && !cut && of.reason != "caller_left")
+    if (of.arrivals == 0)
     {
-        auto const now = of.shared.now.now();
-        of.shared.service_times.note(of.route->name, now - of.arrived, now);
+        return;
+    }
+    auto& times = of.shared.service_times;
+    auto const now = of.shared.now.now();
+    auto const took = now - of.arrived;
+    auto const usual = times.usual_longest(of.route->name);
+    if (is_whole(of) || (usual && took > *usual))
+    {
+        times.note(of.route->name, took, now);
     }
 }
 
@@ -284,6 +295,7 @@
     {
         co_return std::nullopt;
     }
+    auto const amount = of.work.prompt_tokens + of.work.output_tokens;
     auto& shared = of.shared;
     auto const began = shared.now.now();
     shared.requests += 1;
@@ -295,7 +307,6 @@
         id, of.budget, amount, wait,
         [reply, sleeper = of.sleeper](budget::reserve_reply const& decided)
         {
-    auto const amount = of.work.prompt_tokens + of.work.output_tokens;
             *reply = decided;
             sleeper->raise();
         });
