Do not blame a server for a connect given up for want of time

Connects are bounded by the request's deadline. One that had a few ms left set a healthy server aside and closed its kept connections. Found by reading; no run showed it.

--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -127,7 +127,8 @@
     auto* const after = this->server();
     if (!this->connection)
     {
-        if (after != nullptr)
+        // Given up for want of time it says nothing about the server.
+        if (after != nullptr && this->of.deadline > shared.now.now())
         {
             fleet::note_failure(*after, true, shared.now.now());
             shared.pool.forget(this->where.server);
