Count the grace time from the signal when the loop is behind

A loop that was busy when SIGTERM came handled it late and reckoned all deadlines from then: with 0.8 s of delay the answers were due after the kill.

--- a/include/caperpath/fleet/shutdown.hpp
+++ b/include/caperpath/fleet/shutdown.hpp
@@ -38,6 +38,12 @@
 /// later. Thread safe. @pre `grace` is not negative.
 shutdown_schedule schedule_shutdown(instant began, duration grace);
 
+/// When a signal that is handled `now` came, at the earliest. An event loop
+/// that is behind handles it late, and the time to the kill counts from the
+/// signal. `before_last` is when the timer of `interval` ran the time before
+/// last. Thread safe.
+instant signal_time(instant before_last, instant now, duration interval);
+
 /// True if a request that arrives `now` should be begun: it is expected to end,
 /// after `expected`, or its own deadline ends it before the answers are due.
 /// One of unknown length is begun while the balancer still sends requests here,
--- a/src/fleet/shutdown.cpp
+++ b/src/fleet/shutdown.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t exit_part = 8;
 constexpr std::int64_t settling_part = 4;
 constexpr std::int64_t serving_part = 4;
+/// A loop that keeps up ran its timer twice within so many intervals.
+constexpr std::int64_t usual_intervals = 3;
 
 duration part(duration span, std::int64_t parts)
 {
@@ -29,6 +31,14 @@
 
 } // namespace
 
+instant signal_time(instant before_last, instant now, duration interval)
+{
+    // A signal and an overdue timer may be handled in any order, so the last
+    // time the timer ran can be later than the signal.
+    auto const is_behind = now - before_last > interval * usual_intervals;
+    return is_behind ? before_last : now;
+}
+
 shutdown_schedule schedule_shutdown(instant began, duration grace)
 {
     auto const exit = grace - std::min(longest_exit, part(grace, exit_part));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,6 +91,7 @@
     this->servers->start();
     this->shared.roster.start();
     this->shared.crashes.start();
+    this->last_tick = this->shared.now.now();
     this->tick();
     return {};
 }
@@ -219,8 +220,9 @@
     {
         return;
     }
-    shared.stop =
-        fleet::schedule_shutdown(shared.now.now(), shared.settings.grace);
+    auto const came =
+        fleet::signal_time(this->tick_before_last, shared.now.now(), tick_time);
+    shared.stop = fleet::schedule_shutdown(came, shared.settings.grace);
     for (auto* const open : shared.open_requests)
     {
         bound_by_stop(*open);
@@ -335,6 +337,7 @@
 void gateway_server::tick()
 {
     auto const now = this->shared.now.now();
+    this->tick_before_last = std::exchange(this->last_tick, now);
     this->shared.pool.sweep();
     for (auto const& id : fleet::sweep_servers(this->shared.servers, now))
     {
--- a/tests/fleet/shutdown_test.cpp
+++ b/tests/fleet/shutdown_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_process_does_not_end_with_requests_open);
     CPPUNIT_TEST(a_process_ends_before_it_is_killed);
     CPPUNIT_TEST(idle_connections_do_not_hold_the_end_back);
+    CPPUNIT_TEST(a_late_loop_counts_from_the_signal);
     CPPUNIT_TEST(the_usual_longest_time_covers_most_requests);
     CPPUNIT_TEST(old_times_are_forgotten);
     CPPUNIT_TEST(routes_that_are_not_used_make_room);
@@ -110,6 +111,18 @@
         CPPUNIT_ASSERT(!may_exit(stop, start, {}));
     }
 
+    // Guards against deadlines after the kill, when a busy loop sees the signal
+    // late.
+    void a_late_loop_counts_from_the_signal()
+    {
+        constexpr duration interval{100};
+        auto const now = start + duration{5'000};
+        auto const usual = now - duration{150};
+        CPPUNIT_ASSERT(signal_time(usual, now, interval) == now);
+        auto const late = now - duration{900};
+        CPPUNIT_ASSERT(signal_time(late, now, interval) == late);
+    }
+
     // Guards against an estimate below what most requests take.
     void the_usual_longest_time_covers_most_requests()
     {
