Get ready only after reading which requests crash servers

Callers saw a server crash under a request that the fleet had already held back: a router that had just started took callers before it had read the crash rows, and sent the request once more.

Cause: readiness waited for the configuration, the servers and the shares, not for these rows.

`gateway.crash`, new test: a router whose rows are not answered has all its shares. Without the change its readiness check answers 200 (the test fails, seen with `knows_crashes` held true); with it 503 until the rows are read, then the request gets 429.

The test server store leaves scans unanswered as it did reads.

--- a/src/gateway/crash_keeper.cpp
+++ b/src/gateway/crash_keeper.cpp
@@ -67,6 +67,11 @@
     this->sweep();
 }
 
+bool crash_keeper::has_read() const
+{
+    return this->rows_read;
+}
+
 bool crash_keeper::knows_any() const
 {
     return !this->record.entries.empty();
@@ -149,6 +154,7 @@
             {
                 this->take(row);
             }
+            this->rows_read = true;
         });
 }
 
--- a/src/gateway/crash_keeper.hpp
+++ b/src/gateway/crash_keeper.hpp
@@ -34,6 +34,9 @@
     /// Begins to read what other routers know; call once.
     void start();
 
+    /// True once it has read what other routers knew at its start.
+    bool has_read() const;
+
     /// Without any evidence no request needs a fingerprint.
     bool knows_any() const;
 
@@ -79,6 +82,7 @@
     /// Versions of the rows in the store.
     std::map<fleet::fingerprint, std::uint64_t> rows;
     std::set<fleet::fingerprint> unwritten;
+    bool rows_read{false};
     bool writing{false};
     int failures{}; ///< writes in a row that were not applied
     table_follower follower;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/session.hpp"
 
 #include <caperpath/base/http_status.hpp>
+#include <caperpath/fleet/readiness.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,8 +29,6 @@
 {
 
 constexpr duration tick_time{100};
-/// A router without a first share of some budget serves the other customers.
-constexpr duration longest_wait_for_shares{1'500};
 constexpr duration repeats_told_every{2'000};
 constexpr std::chrono::seconds page_timeout{5};
 constexpr int backlog = 1'024;
@@ -200,14 +199,11 @@
     {
         return false;
     }
-    // A router that comes back while the store is out of its reach would refuse
-    // callers whom others can serve.
-    if (!this->shared.budgets.knows_a_budget())
-    {
-        return false;
-    }
-    auto const since = this->shared.now.now() - this->site_known_at;
-    return this->shared.budgets.ready() || since >= longest_wait_for_shares;
+    auto const& shared = this->shared;
+    return fleet::may_take_callers(
+        {shared.budgets.knows_a_budget(), shared.budgets.ready(),
+         shared.crashes.has_read(), shared.servers.store_reachable,
+         shared.now.now() - this->site_known_at});
 }
 
 void gateway_server::stop()
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(a_request_that_crashes_servers_is_no_longer_sent);
     CPPUNIT_TEST(a_stream_that_crashes_servers_is_no_longer_sent);
     CPPUNIT_TEST(a_router_that_starts_knows_what_crashes_servers);
+    CPPUNIT_TEST(a_router_is_not_ready_before_it_knows_what_crashes_servers);
+    CPPUNIT_TEST(a_router_that_cannot_read_what_crashes_servers_gets_ready);
     CPPUNIT_TEST(a_first_crash_is_told_when_the_caller_got_no_answer);
     CPPUNIT_TEST(what_another_router_learned_holds_here);
     CPPUNIT_TEST(what_was_learned_in_an_outage_is_told_after_it);
@@ -155,6 +157,45 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, second.crashed());
     }
 
+    // Guards against a router that gets callers, and crashes a server, before
+    // it has read what the others know.
+    void a_router_is_not_ready_before_it_knows_what_crashes_servers()
+    {
+        world first;
+        first.read("fatal");
+        first.read("fatal");
+        CPPUNIT_ASSERT(first.has_row(1));
+        first.here->store.silent_for = "crash/";
+        auto const next = fleet_site::after_crash(std::move(first.here));
+        next->add_server("app-next", "app", fragile);
+        next->add_server("llm-next", "llm", fragile);
+        // It has its shares: nothing else keeps it from being ready.
+        CPPUNIT_ASSERT(next->run_until(
+            [&]
+            {
+                return next->send(fleet_site::prompt("/chat/other", 100, 10))
+                           .status == 200;
+            }));
+        CPPUNIT_ASSERT_EQUAL(503, next->readiness());
+        next->store.silent_for.clear();
+        CPPUNIT_ASSERT(
+            next->run_until([&] { return next->readiness() == 200; }));
+        CPPUNIT_ASSERT_EQUAL(
+            429, next->send(fleet_site::request("GET", "/read/fatal")).status);
+    }
+
+    // Guards against a fleet that stays out of rotation because these rows
+    // alone cannot be read.
+    void a_router_that_cannot_read_what_crashes_servers_gets_ready()
+    {
+        fleet_site site{false};
+        site.store.silent_for = "crash/";
+        site.put_configuration(1);
+        site.add_server("app-1", "app", fragile);
+        site.add_server("llm-1", "llm", fragile);
+        CPPUNIT_ASSERT(site.run_until([&] { return site.readiness() == 200; }));
+    }
+
     // Guards against a request that may run once only: each router sees one
     // crash of it.
     void a_first_crash_is_told_when_the_caller_got_no_answer()
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -29,6 +29,7 @@
     this->tables = before.tables;
     this->history = before.history;
     this->now_ms = before.now_ms;
+    this->silent_for = before.silent_for;
 }
 
 void fake_store::later(std::function<void()> call)
@@ -202,7 +203,9 @@
                 found.push_back(row);
             }
         }
-        auto const lost = !this->reachable;
+        auto const silent =
+            !this->silent_for.empty() && first.starts_with(this->silent_for);
+        auto const lost = !this->reachable || silent;
         this->later([done, found, lost]
                     { lost ? done(no_answer) : done(found); });
     };
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -41,7 +41,8 @@
     /// While false, no call is answered until it times out.
     bool reachable{true};
 
-    /// Reads of rows whose key begins so are not answered; empty: all are.
+    /// Reads and scans of rows whose key begins so are not answered; empty: all
+    /// are.
     std::string silent_for;
 
     /// So many of the next writes are refused: the store has too many.
