Follow what crashes servers with calls that the store holds for 15 s

Operators saw half a call a second at each router for rows that hardly ever change. Cause: a fixed hold of 2 s, since a call on a connection that went silent was only noticed when its hold ended, and word of a third crash must come within `stable-ms`.

The hold now doubles from 2 to 15 s while no call is lost, and what noticed a lost call is taken over by other means:

- The kernel probes the connection of a call that is held for more than 2 s and ends it 2 s after it went silent.
Connecting does not use up the hold.
- When the configuration's or the servers' follower loses a call, the crash rows are asked for at once (hold 100 ms), and the hold begins at 2 s again.

15 s is less than the 20 s for which the store keeps its history, so a lost call goes on from the version that is known; after 410 the rows are read anew, as before. The other followers keep their holds, limits and connections as they were. A lost call of this follower is logged now.

A held call that the store loses alone, on a connection that lives, is noticed when its hold ends.

--- a/include/caperpath/base/follow_pace.hpp
+++ b/include/caperpath/base/follow_pace.hpp
@@ -19,6 +19,12 @@
 /// safe.
 duration retry_pause(int failures, std::size_t salt);
 
+/// How long the store is to hold the next call for changes, after it held one
+/// for `last` without any: twice as long, up to `longest`. Short calls follow a
+/// lost one, since a held call may be lost unnoticed while the store is in
+/// trouble. Thread safe.
+duration next_hold(duration last, duration longest);
+
 /// True when the table is to be read whole again. A single lost call is no
 /// reason: the store tells when the changes since a version are incomplete.
 /// After more of them the changes may be larger than the table, since the store
--- a/src/base/follow_pace.cpp
+++ b/src/base/follow_pace.cpp
@@ -32,6 +32,11 @@
     return {least + static_cast<std::int64_t>(salt % spread)};
 }
 
+duration next_hold(duration last, duration longest)
+{
+    return std::max(last, std::min(last + last, longest));
+}
+
 bool reads_anew(int failures)
 {
     return failures >= failures_to_read_anew;
--- a/src/gateway/crash_keeper.cpp
+++ b/src/gateway/crash_keeper.cpp
@@ -16,7 +16,10 @@
 {
 
 /// Changes come as soon as they are written; a longer wait costs fewer calls.
+/// How late they may come is bounded: a connection that goes silent during the
+/// longer one is found by the kernel's probes, a lost call by other lost calls.
 constexpr duration hold_time{2'000};
+constexpr duration longest_hold_time{15'000};
 /// Requests that one crash ended are written together.
 constexpr duration gather_time{10};
 constexpr duration read_pause{500};
@@ -54,9 +57,10 @@
                {[this](store::feed_page const&) { this->read_rows(); },
                 [this](store::feed_page const& page) { this->take(page.rows); },
                 [](bool, error const&) {},
+                [this](error const& why) { this->log.fault(why); },
                 {},
-                {},
-                hold_time},
+                hold_time,
+                longest_hold_time},
                salt}
 {
 }
@@ -67,6 +71,11 @@
     this->sweep();
 }
 
+void crash_keeper::store_call_missed()
+{
+    this->follower.renew();
+}
+
 bool crash_keeper::has_read() const
 {
     return this->rows_read;
--- a/src/gateway/crash_keeper.hpp
+++ b/src/gateway/crash_keeper.hpp
@@ -34,6 +34,9 @@
     /// Begins to read what other routers know; call once.
     void start();
 
+    /// A call to the store was lost: what others wrote may be missed as well.
+    void store_call_missed();
+
     /// True once it has read what other routers knew at its start.
     bool has_read() const;
 
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -19,6 +19,7 @@
     auto const missed = [this](error const& why)
     {
         this->shared.log.fault(why);
+        this->shared.crashes.store_call_missed();
     };
     auto const on_site = [this](store::feed_page const& page)
     {
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -13,6 +13,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <utility>
 
@@ -26,8 +29,32 @@
 constexpr std::size_t most_idle = 4;
 constexpr std::size_t read_size = 65'536;
 
+/// After a second without bytes one probe has a second to be answered.
+constexpr int probe_after_s = 1;
+constexpr int probe_answer_s = 1;
+constexpr int unanswered_probes = 1;
+static_assert((probe_after_s + probe_answer_s * unanswered_probes) * 1'000 <=
+              longest_unnoticed_silence.ms);
+
 } // namespace
 
+void probe_silence(asio::ip::tcp::socket& socket, bool on)
+{
+    auto const set = [&socket](int level, int name, int value)
+    {
+        // An option that cannot be set leaves the bound of the whole call.
+        static_cast<void>(setsockopt(socket.native_handle(), level, name,
+                                     &value, sizeof value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, on ? 1 : 0);
+    if (on)
+    {
+        set(IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, probe_answer_s);
+        set(IPPROTO_TCP, TCP_KEEPCNT, unanswered_probes);
+    }
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(std::string const& address)
 {
     auto const colon = address.rfind(':');
@@ -102,11 +129,11 @@
     boost::system::error_code fault;
     auto const began = this->now.now();
     auto stream = this->take();
-    auto const limit = to_chrono(limits.answer);
+    auto const is_held = limits.held > duration{0};
     if (!stream)
     {
         stream = std::make_unique<boost::beast::tcp_stream>(this->executor);
-        stream->expires_after(limit);
+        stream->expires_after(to_chrono(limits.answer - limits.held));
         co_await stream->async_connect(
             this->peer, asio::redirect_error(asio::use_awaitable, fault));
         if (fault)
@@ -116,7 +143,11 @@
         }
         stream->socket().set_option(asio::ip::tcp::no_delay{true}, fault);
     }
-    stream->expires_after(limit);
+    if (is_held)
+    {
+        probe_silence(stream->socket(), true);
+    }
+    stream->expires_after(to_chrono(limits.answer));
     result.sent = true;
     co_await http::async_write(
         *stream, request, asio::redirect_error(asio::use_awaitable, fault));
@@ -130,6 +161,10 @@
     stream->expires_never();
     if (reusable && this->idle.size() < most_idle)
     {
+        if (is_held)
+        {
+            probe_silence(stream->socket(), false);
+        }
         this->idle.push_back(std::move(stream));
     }
     co_return result;
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -41,10 +41,20 @@
 {
     duration answer{};
     duration stall{};
+    /// The part of `answer` for which the peer holds the call on purpose. It is
+    /// not spent on connecting, and the kernel probes the connection meanwhile:
+    /// one that went silent ends the call within `longest_unnoticed_silence`.
+    duration held{};
 
     friend bool operator==(call_limits const&, call_limits const&) = default;
 };
 
+inline constexpr duration longest_unnoticed_silence{2'000};
+
+/// Makes the kernel probe a connection on which nothing comes, or stop it.
+/// Thread safe for different sockets.
+void probe_silence(asio::ip::tcp::socket& socket, bool on);
+
 /// HTTP/1.1 calls to one peer over a few kept connections. A call is sent
 /// at most once. Loop thread only; callbacks come later, never from within
 /// `send`. The caller outlives all calls.
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -52,6 +52,7 @@
 
 void table_follower::start()
 {
+    this->hold = this->listener.hold;
     this->list();
 }
 
@@ -74,46 +75,69 @@
                         this->version = page.version;
                         this->listener.reached(true, {});
                         this->listener.listed(page);
-                        this->follow(this->listener.hold);
+                        this->follow(this->hold);
                     });
 }
 
+void table_follower::renew()
+{
+    if (!this->held)
+    {
+        return;
+    }
+    this->hold = this->listener.hold;
+    this->follow(short_hold_time);
+    this->held = false;
+}
+
 void table_follower::follow(duration hold)
 {
-    this->port.follow(this->table, this->version, hold,
-                      answer_limit(change_answer, this->missed_changes),
-                      [this](std::variant<store::feed_page, error> const& reply)
-                      {
-                          if (auto const* fault = std::get_if<error>(&reply))
-                          {
-                              this->missed_changes += 1;
-                              this->retry(*fault);
-                              return;
-                          }
-                          auto const& page = std::get<store::feed_page>(reply);
-                          this->failures = 0;
-                          this->missed_changes = 0;
-                          this->version = page.version;
-                          this->listener.reached(true, {});
-                          this->listener.changed(page);
-                          if (lags_behind(page))
-                          {
-                              this->list();
-                              return;
-                          }
-                          this->follow_on();
-                      });
+    this->held = true;
+    this->asked += 1;
+    this->port.follow(
+        this->table, this->version, hold,
+        answer_limit(change_answer, this->missed_changes),
+        [this, hold,
+         call = this->asked](std::variant<store::feed_page, error> const& reply)
+        {
+            if (call != this->asked)
+            {
+                return; // was renewed
+            }
+            this->held = false;
+            if (auto const* fault = std::get_if<error>(&reply))
+            {
+                this->missed_changes += 1;
+                this->retry(*fault);
+                return;
+            }
+            auto const& page = std::get<store::feed_page>(reply);
+            this->failures = 0;
+            this->missed_changes = 0;
+            this->version = page.version;
+            this->listener.reached(true, {});
+            this->listener.changed(page);
+            if (page.rows.empty() && hold == this->hold)
+            {
+                this->hold = next_hold(this->hold, this->listener.longest_hold);
+            }
+            if (lags_behind(page))
+            {
+                this->list();
+                return;
+            }
+            this->follow_on();
+        });
 }
 
 void table_follower::follow_on()
 {
     if (!this->listener.pause)
     {
-        this->follow(this->listener.hold);
+        this->follow(this->hold);
         return;
     }
-    this->after(this->listener.pause(),
-                [this] { this->follow(this->listener.hold); });
+    this->after(this->listener.pause(), [this] { this->follow(this->hold); });
 }
 
 void table_follower::after(duration pause, std::function<void()> next)
@@ -134,6 +158,7 @@
         this->listener.missed(why);
     }
     this->failures += 1;
+    this->hold = this->listener.hold;
     if (history_gone || reads_anew(this->failures))
     {
         this->listed = false;
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -39,6 +39,11 @@
     /// How long the store holds a call without changes. A connection that went
     /// silent is noticed after this and the time for an answer.
     duration hold{usual_hold};
+
+    /// The hold grows up to this while no call is lost; if not set, it does
+    /// not. Less than the time for which the store keeps its history, or a lost
+    /// call reads the table anew.
+    duration longest_hold{};
 };
 
 /// Keeps up with a table that others write: reads it whole, then follows its
@@ -58,6 +63,10 @@
     /// Begins; call once.
     void start();
 
+    /// Asks again at once if the store holds a call: it may be lost as well
+    /// when another call to the store was.
+    void renew();
+
 private:
     void list();
     void follow(duration hold);
@@ -71,9 +80,12 @@
     std::size_t salt;
     boost::asio::steady_timer timer;
     std::uint64_t version{};
-    bool listed{false};   ///< all changes up to `version` are known
-    int failures{};       ///< calls in a row without an answer
-    int missed_changes{}; ///< calls for changes in a row without an answer
+    duration hold{};       ///< of the next call for changes
+    bool held{false};      ///< the store holds a call for changes
+    std::uint64_t asked{}; ///< calls for changes; only the last one counts
+    bool listed{false};    ///< all changes up to `version` are known
+    int failures{};        ///< calls in a row without an answer
+    int missed_changes{};  ///< calls for changes in a row without an answer
 };
 
 } // namespace caperpath::gateway
--- a/tests/base/follow_pace_test.cpp
+++ b/tests/base/follow_pace_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(limits_grow_with_lost_calls);
     CPPUNIT_TEST(routers_come_back_at_different_times);
     CPPUNIT_TEST(pauses_are_bounded);
+    CPPUNIT_TEST(holds_grow_up_to_the_longest);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against calls on a full link that are all given up too early.
@@ -34,6 +35,18 @@
         CPPUNIT_ASSERT(pauses.size() >= 40);
     }
 
+    void holds_grow_up_to_the_longest()
+    {
+        CPPUNIT_ASSERT(next_hold(duration{2'000}, duration{15'000}) ==
+                       duration{4'000});
+        CPPUNIT_ASSERT(next_hold(duration{8'000}, duration{15'000}) ==
+                       duration{15'000});
+        CPPUNIT_ASSERT(next_hold(duration{15'000}, duration{15'000}) ==
+                       duration{15'000});
+        // Without a longest one, a hold stays as it is.
+        CPPUNIT_ASSERT(next_hold(duration{600}, duration{0}) == duration{600});
+    }
+
     void pauses_are_bounded()
     {
         for (std::size_t salt = 0; salt < 300; ++salt)
--- /dev/null
+++ b/tests/gateway/http_call_test.cpp
@@ -0,0 +1,63 @@
+#include "gateway/http_call.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+using namespace caperpath;
+using namespace caperpath::gateway;
+
+class http_call_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_call_test);
+    CPPUNIT_TEST(probes_notice_silence_in_time);
+    CPPUNIT_TEST(probes_can_be_stopped);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct world
+    {
+        world()
+        {
+            this->socket.open(asio::ip::tcp::v4());
+        }
+
+        int option(int level, int name)
+        {
+            int value{};
+            socklen_t size = sizeof value;
+            CPPUNIT_ASSERT_EQUAL(0, getsockopt(this->socket.native_handle(),
+                                               level, name, &value, &size));
+            return value;
+        }
+
+        asio::io_context loop;
+        asio::ip::tcp::socket socket{loop};
+    };
+
+    // Guards against a held call on a connection that went silent: what the
+    // store tells meanwhile would be missed for as long as the call is held.
+    void probes_notice_silence_in_time()
+    {
+        world here;
+        probe_silence(here.socket, true);
+        CPPUNIT_ASSERT_EQUAL(1, here.option(SOL_SOCKET, SO_KEEPALIVE));
+        auto const noticed_s = here.option(IPPROTO_TCP, TCP_KEEPIDLE) +
+                               here.option(IPPROTO_TCP, TCP_KEEPINTVL) *
+                                   here.option(IPPROTO_TCP, TCP_KEEPCNT);
+        CPPUNIT_ASSERT(duration{noticed_s * 1'000} <= duration{2'000});
+    }
+
+    // Guards against idle connections that each lost packet ends.
+    void probes_can_be_stopped()
+    {
+        world here;
+        probe_silence(here.socket, true);
+        probe_silence(here.socket, false);
+        CPPUNIT_ASSERT_EQUAL(0, here.option(SOL_SOCKET, SO_KEEPALIVE));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_call_test);
