--- a/src/gateway/crash_keeper.hpp
+++ b/src/gateway/crash_keeper.hpp
@@ -34,6 +34,12 @@
     /// Begins to read what other routers know; call once.
     void start();
 
+    /// A call to the store was lost: what others wrote may be missed as well.
+    void store_call_missed();
+
+    /// True once it has read what other routers knew at its start.
+    bool has_read() const;
+
     /// Without any evidence no request needs a fingerprint.
     bool knows_any() const;
 
@@ -79,6 +85,7 @@
     /// Versions of the rows in the store.
     std::map<fleet::fingerprint, std::uint64_t> rows;
     std::set<fleet::fingerprint> unwritten;
+    bool rows_read{false};
     bool writing{false};
     int failures{}; ///< writes in a row that were not applied
     table_follower follower;
