Leave the rotation while the own link carries neither store nor servers

Cause: the hot customer's requests fill the links of four routers of 89. There, calls to the store and connects to servers time out together (450 connects a second at one of them), and these routers stayed in rotation all the time.

Reads are not too large: each logged one held one row, and the store has no deltas. Left was to take callers away.

The change: fleet/own_link tells from answers of the store about the configuration and from connects that most servers are silent while the configuration is not confirmed. Either alone changes nothing: the store or the servers may be down. The router is not ready then, and for four seconds more, since the balancer needs two questions a second apart. A process that did not run draws no conclusion from its pause.

--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -41,8 +41,13 @@
               [this](std::string const& to, std::string const& bytes)
               { this->peers.send(to, bytes); },
               this->log},
-      pool{loop}, crashes{loop, store, fleet::stable_hash(settings.vm),
-                          this->log},
+      pool{loop,
+           [this](bool answered)
+           {
+               this->link =
+                   fleet::server_tried(this->link, answered, this->now.now());
+           }},
+      crashes{loop, store, fleet::stable_hash(settings.vm), this->log},
       crash_checks{loop}
 {
 }
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -15,6 +15,7 @@
 #include "gateway/waker.hpp"
 
 #include <caperpath/base/clock.hpp>
+#include <caperpath/fleet/own_link.hpp>
 #include <caperpath/fleet/placement.hpp>
 #include <caperpath/fleet/retry_window.hpp>
 #include <caperpath/fleet/server_table.hpp>
@@ -58,6 +59,7 @@
     peer_link peers;
     roster_keeper roster;
     budget_book budgets;
+    fleet::own_link link;
     server_pool pool;
     crash_keeper crashes;
     crash_check crash_checks;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,7 +206,12 @@
     {
         return false;
     }
-    auto const since = this->shared.now.now() - this->site_known_at;
+    auto const now = this->shared.now.now();
+    if (fleet::sheds_callers(this->shared.link, now))
+    {
+        return false;
+    }
+    auto const since = now - this->site_known_at;
     return this->shared.budgets.ready() || since >= longest_wait_for_shares;
 }
 
@@ -322,6 +327,7 @@
         this->shared.prompts.forget(id);
     }
     this->tell_repeats();
+    this->shared.link = fleet::looked_at(this->shared.link, now);
     this->shared.budgets.note_routers(this->shared.roster.alive_vms());
     if (this->shared.roster.reads() != this->peers_read)
     {
@@ -332,8 +338,10 @@
     if (this->ready() != this->was_ready)
     {
         this->was_ready = this->ready();
+        auto const sheds = fleet::sheds_callers(this->shared.link, now);
         this->shared.log.write(log_weight::notable, "readiness",
-                               {{"ready", this->was_ready ? "yes" : "no"}});
+                               {{"ready", this->was_ready ? "yes" : "no"},
+                                {"link_failing", sheds ? "yes" : "no"}});
     }
     auto const& stop = this->shared.stop;
     if (stop && !this->left_rotation && now >= stop->out_of_rotation)
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -22,6 +22,7 @@
     };
     auto const on_site = [this](store::feed_page const& page)
     {
+        this->shared.link = fleet::confirmed(this->shared.link);
         this->apply_site(page);
     };
     this->sites = std::make_unique<table_follower>(
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-server_pool::server_pool(asio::any_io_executor executor)
-    : executor{std::move(executor)}
+server_pool::server_pool(asio::any_io_executor executor,
+                         std::function<void(bool answered)> tried)
+    : executor{std::move(executor)}, tried{std::move(tried)}
 {
 }
 
@@ -79,6 +80,12 @@
     co_await socket->async_connect(
         endpoint_of(address), asio::redirect_error(asio::use_awaitable, fault));
     limit.cancel();
+    // A refused connect is an answer.
+    auto const silent = !socket->is_open();
+    if (!silent || longest >= connect_timeout)
+    {
+        this->tried(!silent);
+    }
     if (fault || !socket->is_open())
     {
         co_return nullptr;
@@ -93,6 +100,7 @@
                             duration idle_timeout)
 {
     one->notify(nullptr);
+    this->tried(true);
     auto& all = this->idle[server];
     if (all.size() >= most_kept || !clean(*one))
     {
--- a/src/gateway/server_pool.hpp
+++ b/src/gateway/server_pool.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,7 +21,10 @@
 class server_pool
 {
 public:
-    explicit server_pool(asio::any_io_executor executor);
+    /// `tried` is told of each server that answered or that nothing came back
+    /// from, in the whole `connect_timeout`.
+    server_pool(asio::any_io_executor executor,
+                std::function<void(bool answered)> tried);
 
     /// A kept connection that was used within `max_idle`, or a new one; null if
     /// none was made in `longest`, at most `connect_timeout`.
@@ -53,6 +57,7 @@
                              duration max_idle);
 
     asio::any_io_executor executor;
+    std::function<void(bool answered)> tried;
     std::map<backend_server_id, std::vector<kept>> idle;
     std::uint64_t connections_made{};
 };
