--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -203,10 +203,12 @@
         return false;
     }
     auto const& shared = this->shared;
-    return fleet::may_take_callers(
-        {shared.budgets.knows_a_budget(), shared.budgets.ready(),
-         shared.crashes.has_read(), shared.servers.store_reachable,
-         shared.now.now() - this->site_known_at});
+    auto const now = shared.now.now();
+    return !fleet::sheds_callers(shared.link, now) &&
+           fleet::may_take_callers(
+               {shared.budgets.knows_a_budget(), shared.budgets.ready(),
+                shared.crashes.has_read(), shared.servers.store_reachable,
+                now - this->site_known_at});
 }
 
 void gateway_server::stop()
@@ -341,6 +343,7 @@
         this->shared.prompts.forget(id);
     }
     this->tell_repeats();
+    this->shared.link = fleet::looked_at(this->shared.link, now);
     this->shared.budgets.note_routers(this->shared.roster.alive_vms());
     if (this->shared.roster.reads() != this->peers_read)
     {
@@ -351,8 +354,10 @@
     if (this->ready() != this->was_ready)
     {
         this->was_ready = this->ready();
+        auto const sheds = fleet::sheds_callers(this->shared.link, now);
         this->shared.log.write(log_weight::notable, "readiness",
-                               {{"ready", this->was_ready ? "yes" : "no"}});
+                               {{"ready", this->was_ready ? "yes" : "no"},
+                                {"link_failing", sheds ? "yes" : "no"}});
     }
     auto const& stop = this->shared.stop;
     if (stop && !this->shared.returning_since && now >= stop->out_of_rotation)
