Write the answers that end during a planned stop of the chat router

Callers whose chat or service call was open when a planned stop of caperpath-router began got a head with status 200 and no body, and the connection was closed: the stop waited for the answer, billed it and threw it away. Streams whose first token had not come yet ended the same way.

Cause: `http::server::finish` called cpp-httplib's `stop`. That makes its socket invalid, and the library then begins no body that comes from a content provider, which all bodies of the router do (`http::set_body`).

`finish` now ends only the accept loop, by shutting the listening socket down; an own flag tells connections to close after their answer. Waiting until the accept loop runs is no longer needed: a loop that starts on a socket that was shut down ends at once.

The stand-in engine relied on the library to end its silent streams; its stop now cuts open streams itself, as its comment has always said.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -101,11 +101,6 @@
                                  {
                                      this->listen_after_bind();
                                  }};
-    // `stop` before the accept loop runs would be lost and `finish` would hang.
-    while (!this->is_running())
-    {
-        std::this_thread::yield();
-    }
 }
 
 int server::start(std::string const& address)
@@ -124,7 +119,10 @@
     {
         return;
     }
-    this->stop();
+    this->finishing = true;
+    // cpp-httplib's own `stop` also makes it leave out every body that is not
+    // begun yet. Ending only the accept loop lets open requests get theirs.
+    ::shutdown(this->svr_sock_, SHUT_RDWR);
     this->acceptor.join();
 }
 
@@ -140,7 +138,7 @@
         {
             return true;
         }
-        if (this->svr_sock_ == INVALID_SOCKET)
+        if (this->finishing)
         {
             return false;
         }
@@ -157,7 +155,7 @@
     while (served && !closed &&
            (stream.has_buffered() || this->next_request(socket)))
     {
-        bool const last = this->svr_sock_ == INVALID_SOCKET;
+        bool const last = this->finishing;
         served = this->process_request(stream, last, closed, nullptr);
     }
     ::shutdown(socket, SHUT_RDWR);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -5,6 +5,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -57,6 +58,7 @@
 
     server_options options;
     std::thread acceptor;
+    std::atomic<bool> finishing{false};
 };
 
 /// Sets a whole body. cpp-httplib would compress JSON for any caller that
--- a/src/stand_in/engine.cpp
+++ b/src/stand_in/engine.cpp
@@ -76,6 +76,7 @@
 {
     this->stopping.raise();
     this->batch.stop();
+    this->cut_open();
     this->server.finish();
 }
 
@@ -195,6 +196,10 @@
                       [](auto const& other) { return other.expired(); });
         this->open.push_back(stream);
     }
+    if (this->stopping.wait({}))
+    {
+        stream->faults.cut = 0; // `cut_open` may have run before
+    }
     // Whole answers go through a provider too: a handler that waits for the
     // last token couldn't see that its caller has left, and the engine would
     // spend its slot on an answer for nobody.
@@ -250,6 +255,19 @@
     }
 }
 
+// The server's stop waits for open streams, and a silent one has no end.
+void engine::cut_open()
+{
+    std::lock_guard const lock{this->open_mutex};
+    for (auto const& weak : this->open)
+    {
+        if (auto const stream = weak.lock())
+        {
+            stream->faults.cut = 0;
+        }
+    }
+}
+
 void engine::cancel(httplib::Request const& request,
                     httplib::Response& response)
 {
--- a/src/stand_in/engine.hpp
+++ b/src/stand_in/engine.hpp
@@ -50,6 +50,7 @@
     void take_faults(stream_faults& faults);
     void accept_fault(ordered_fault const& fault);
     void strike_open(ordered_fault const& fault);
+    void cut_open();
     void cancel(httplib::Request const& request, httplib::Response& response);
     void stats(httplib::Response& response) const;
     void load(httplib::Response& response) const;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -2,7 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <chrono>
+#include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace caperpath;
 
@@ -11,8 +16,61 @@
     CPPUNIT_TEST_SUITE(server_test);
     CPPUNIT_TEST(an_address_is_bound_once);
     CPPUNIT_TEST(a_large_answer_is_not_compressed);
+    CPPUNIT_TEST(an_answer_under_way_at_a_stop_arrives_whole);
+    CPPUNIT_TEST(a_stream_that_begins_after_a_stop_arrives_whole);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr int most_tries = 1'000;
+
+    static void pause()
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+
+    static bool refuses_connections(int port)
+    {
+        httplib::Client client{"127.0.0.1", port};
+        auto const answer = client.Get("/none");
+        return !answer && answer.error() == httplib::Error::Connection;
+    }
+
+    /// The body that a caller gets from a handler that ends only after the
+    /// server has begun to stop, or how the call failed.
+    static std::string answer_during_stop(
+        std::function<void(httplib::Response&)> const& make_answer)
+    {
+        http::server server;
+        std::promise<void> entered;
+        std::promise<void> stopped;
+        server.Get("/slow",
+                   [&](httplib::Request const&, httplib::Response& response)
+                   {
+                       entered.set_value();
+                       stopped.get_future().wait();
+                       make_answer(response);
+                   });
+        int const port = server.start("127.0.0.1:0");
+        auto caller = std::async(std::launch::async,
+                                 [port]
+                                 {
+                                     httplib::Client client{"127.0.0.1", port};
+                                     auto const answer = client.Get("/slow");
+                                     return answer ? answer->body
+                                                   : to_string(answer.error());
+                                 });
+        entered.get_future().wait();
+        auto stop =
+            std::async(std::launch::async, [&server] { server.finish(); });
+        for (int tries = 0; !refuses_connections(port); ++tries)
+        {
+            CPPUNIT_ASSERT(tries < most_tries);
+            pause();
+        }
+        stopped.set_value();
+        stop.wait();
+        return caller.get();
+    }
+
     // A second router is started on a VM by mistake while the first one runs.
     // If both could listen on the port, the second would take the first for
     // dead and hand its share of a budget to others while it is still spent.
@@ -45,6 +103,39 @@
                              answer->get_header_value("Content-Encoding"));
         CPPUNIT_ASSERT(answer->body == body);
     }
+
+    // Guards against a library that writes no body once its server stops.
+    void an_answer_under_way_at_a_stop_arrives_whole()
+    {
+        std::string const body(200'000, 'x');
+        auto const got = answer_during_stop(
+            [&](httplib::Response& response)
+            { http::set_body(response, body, "application/json"); });
+        CPPUNIT_ASSERT_EQUAL(body.size(), got.size());
+        CPPUNIT_ASSERT(body == got);
+    }
+
+    // Guards against the same for a body in chunks, whose first one comes after
+    // the server has begun to stop.
+    void a_stream_that_begins_after_a_stop_arrives_whole()
+    {
+        auto const got = answer_during_stop(
+            [](httplib::Response& response)
+            {
+                response.set_chunked_content_provider(
+                    "text/event-stream",
+                    [sent = 0](std::size_t, httplib::DataSink& sink) mutable
+                    {
+                        sink.write("piece ", 6);
+                        if (++sent == 3)
+                        {
+                            sink.done();
+                        }
+                        return true;
+                    });
+            });
+        CPPUNIT_ASSERT_EQUAL(std::string{"piece piece piece "}, got);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
