End service calls of the chat router at the drain bound

A plain service that did not answer kept a stopping caperpath-router until the request's own deadline, however short the drain bound: a process that is killed meanwhile leaves the caller without an answer, and its bills and shares unsettled. A chat that was given up at the bound was told that its own deadline had passed.

Cause: only the chat relay looked at the end of the drain, and only between two waits; a service call waited for its deadline in one piece.

Both now wait in short pieces that look for the end of the drain, and end with the code `router_stops`: 503 and not-run with Retry-After when nothing was sent, 504 and unknown otherwise; a stream ends in an error event. No further attempt is begun then.

--- a/src/filters/context.cpp
+++ b/src/filters/context.cpp
@@ -2,12 +2,23 @@
 
 #include "router/chat_relay.hpp"
 
+#include <caperpath/base/http_status.hpp>
+
 #include <algorithm>
 #include <utility>
 
 namespace caperpath::filters
 {
 
+namespace
+{
+
+// A stop may begin, and become due, while a request waits.
+constexpr duration stop_check{100};
+constexpr duration return_elsewhere{1'000};
+
+} // namespace
+
 context::context(services const& shared, incoming given)
     : shared{shared}, in{std::move(given)}, received{shared.time.now()}
 {
@@ -54,6 +65,43 @@
             this->keeps_answer};
 }
 
+bool stop_is_due(context const& request)
+{
+    auto const* const stop_at = request.shared.stop_at;
+    return stop_at != nullptr &&
+           request.shared.time.now().ms >= stop_at->load();
+}
+
+request::refusal stop_refusal(bool may_have_run)
+{
+    auto const kind =
+        may_have_run ? request::outcome::unknown : request::outcome::not_run;
+    return {may_have_run ? http_gateway_timeout : http_unavailable,
+            kind,
+            may_have_run ? duration{} : return_elsewhere,
+            "server_error",
+            "router_stops",
+            "",
+            "this router stops before the request can end"};
+}
+
+std::optional<http::exchange_event>
+wait_for_event(context const& request, http::exchange& open, duration bound)
+{
+    auto const until = request.shared.time.now() + bound;
+    while (!stop_is_due(request))
+    {
+        auto const left = until - request.shared.time.now();
+        auto const span = std::clamp(left, duration{}, stop_check);
+        auto event = open.wait(span);
+        if (event || left <= stop_check)
+        {
+            return event;
+        }
+    }
+    return std::nullopt;
+}
+
 observe::span_builder child_span(context const& request, std::string name)
 {
     return {std::move(name), request.span->context(), *request.shared.ids,
--- a/src/filters/context.hpp
+++ b/src/filters/context.hpp
@@ -133,6 +133,16 @@
     budget::bill bill() const;
 };
 
+/// True once a planned stop gives up open work. Thread safe.
+bool stop_is_due(context const& request);
+
+/// How a request ends that a planned stop gives up. Thread safe.
+request::refusal stop_refusal(bool may_have_run);
+
+/// The next event within `bound`; nothing earlier only when the stop is due.
+std::optional<http::exchange_event>
+wait_for_event(context const& request, http::exchange& open, duration bound);
+
 /// Opens a child span of the request's span; finish it with `finish_span`.
 observe::span_builder child_span(context const& request, std::string name);
 
--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -53,6 +53,12 @@
             this->ready.pop_front();
             return event;
         }
+        if (filters::stop_is_due(this->request))
+        {
+            this->end_attempt(routing::attempt_result::abandoned);
+            return {relay_event::kind::failed, "",
+                    filters::stop_refusal(this->may_have_run)};
+        }
         if (this->time_is_up())
         {
             this->end_attempt(routing::attempt_result::abandoned);
@@ -66,10 +72,11 @@
                 return *failed;
             }
         }
-        auto event = this->open->wait(this->next_bound());
-        auto ended = event                ? this->take(*event)
-                     : this->time_is_up() ? std::nullopt
-                                          : this->retry_after_silence();
+        auto event = filters::wait_for_event(this->request, *this->open,
+                                             this->next_bound());
+        auto ended = event                 ? this->take(*event)
+                     : this->is_given_up() ? std::nullopt
+                                           : this->retry_after_silence();
         if (ended)
         {
             return *ended;
@@ -93,10 +100,12 @@
 
 bool chat_relay::time_is_up() const
 {
-    auto const now = this->request.shared.time.now();
-    auto const* stop_at = this->request.shared.stop_at;
-    bool const stopped = stop_at != nullptr && now.ms >= stop_at->load();
-    return stopped || now >= this->request.deadline;
+    return this->request.shared.time.now() >= this->request.deadline;
+}
+
+bool chat_relay::is_given_up() const
+{
+    return this->time_is_up() || filters::stop_is_due(this->request);
 }
 
 routing::choose_reply chat_relay::choose(int attempt) const
--- a/src/router/chat_relay.hpp
+++ b/src/router/chat_relay.hpp
@@ -73,6 +73,7 @@
                      duration retry_after = {});
     duration next_bound() const;
     bool time_is_up() const;
+    bool is_given_up() const;
     http::exchange_request wire_request() const;
 
     filters::context& request;
--- a/src/router/service_call.cpp
+++ b/src/router/service_call.cpp
@@ -67,7 +67,8 @@
     while (true)
     {
         auto const left = request.deadline - request.shared.time.now();
-        auto event = left.ms > 0 ? open.wait(left) : std::nullopt;
+        auto event = left.ms > 0 ? filters::wait_for_event(request, open, left)
+                                 : std::nullopt;
         if (!event)
         {
             return {attempt_end::unknown,
@@ -158,6 +159,10 @@
     bool may_have_run = false;
     for (int number = 1; number <= most_attempts; ++number)
     {
+        if (filters::stop_is_due(request))
+        {
+            return filters::stop_refusal(may_have_run);
+        }
         auto const target = request.shared.backends.choose(
             {config::backend_kind::plain_service, work.service.value,
              request.document->routing.policy, avoid, number});
@@ -176,6 +181,10 @@
             return std::move(made.answer);
         }
         may_have_run = may_have_run || made.end == attempt_end::unknown;
+        if (filters::stop_is_due(request))
+        {
+            return filters::stop_refusal(may_have_run);
+        }
         // A parts order that may have arrived must not be sent again: the
         // client would get two batteries and pay for both.
         if (may_have_run && !work.call.idempotent)
--- a/tests/router/site.cpp
+++ b/tests/router/site.cpp
@@ -65,8 +65,8 @@
 }
 
 site::site(std::size_t router_count, stand_in::engine_settings const& engine,
-           duration request_timeout)
-    : request_timeout{request_timeout},
+           duration request_timeout, router_limits const& limits)
+    : request_timeout{request_timeout}, limits{limits},
       first_key{
           config::make_key({"agency"}, std::string(config::secret_bytes, 'a'))},
       second_key{config::make_key({"technicians"},
@@ -187,7 +187,7 @@
     settings.settle_interval = {5};
     settings.deferred_settle_interval = {20};
     settings.balancer_lag = {0};
-    settings.drain_bound = {20'000};
+    settings.drain_bound = this->limits.drain_bound;
     settings.read_timeout = {1'000};
     this->routers.push_back(std::make_unique<router::router>(
         settings, settings.vm + "-1", 1 + index));
--- a/tests/router/site.hpp
+++ b/tests/router/site.hpp
@@ -19,6 +19,12 @@
 namespace caperpath::tests
 {
 
+/// What a test changes of a router's settings.
+struct router_limits
+{
+    duration drain_bound{20'000};
+};
+
 /// A small site in one process, on free ports: the platform, two model engines,
 /// a plain service and routers, with one customer per budget policy.
 class site
@@ -26,7 +32,8 @@
 public:
     explicit site(std::size_t routers = 1,
                   stand_in::engine_settings const& engine = fast_engine(),
-                  duration request_timeout = {20'000});
+                  duration request_timeout = {20'000},
+                  router_limits const& limits = {});
     ~site();
 
     site(site const&) = delete;
@@ -100,6 +107,7 @@
     std::vector<std::unique_ptr<router::router>> routers;
     std::vector<int> router_ports;
     duration request_timeout;
+    router_limits limits;
     std::string first_key;
     std::string second_key;
 };
