Do not call a chat "not-run" that an engine may be running

A chat whose time was over (its deadline, or the end of a stop's drain) before the engine had sent its first byte was answered as not-run. A caller may take that as a promise and send it elsewhere while the engine runs it.

Cause: an attempt counted as one that may have run only when its head or its failure had come back. An attempt that is ended with neither now counts too; this also holds for one that is given up as silent.

--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -153,6 +153,7 @@
     this->silences = 0;
     this->token_in_attempt = false;
     this->accepted_head = false;
+    this->unanswered = true;
     this->span.emplace(filters::child_span(this->request, "attempt"));
     this->span->with_attribute(observe::peer_attribute, this->target.address);
     this->open = http::exchange::start(
@@ -179,6 +180,7 @@
 
 std::optional<relay_event> chat_relay::take(http::exchange_event const& event)
 {
+    this->unanswered = false;
     switch (event.what)
     {
     case http::exchange_event::kind::head:
@@ -341,6 +343,7 @@
     {
         return;
     }
+    this->may_have_run = this->may_have_run || this->unanswered;
     // An exchange that was read to its end closes by itself and its connection
     // is kept; the rest of any other would be taken for the next answer.
     if (!this->read_to_end)
--- a/src/router/chat_relay.hpp
+++ b/src/router/chat_relay.hpp
@@ -91,6 +91,7 @@
     bool token_in_attempt{false};
     bool accepted_head{false};
     bool may_have_run{false};
+    bool unanswered{false}; ///< nothing came back for the open attempt
     bool read_to_end{false};
 };
 
--- a/tests/router/stream_test.cpp
+++ b/tests/router/stream_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_caller_who_leaves_is_cancelled_and_billed);
     CPPUNIT_TEST(a_leaving_engine_gets_no_new_work);
     CPPUNIT_TEST(a_passed_deadline_is_told);
+    CPPUNIT_TEST(a_chat_without_any_answer_may_have_run);
     CPPUNIT_TEST(an_answer_without_a_safe_bill_is_not_complete);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,22 @@
         CPPUNIT_ASSERT(here.ledger().empty() || total(here) == 0);
     }
 
+    // Guards against "not-run" for a chat that an engine has and has not
+    // answered yet.
+    void a_chat_without_any_answer_may_have_run()
+    {
+        site here{1, site::fast_engine(), {600}};
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            site::post_fault(
+                here.engine_address(i),
+                {{"kind", "delay"}, {"ms", 5'000}, {"count", 1'000}});
+        }
+        auto const got = chat(here.router_address(0), here.key(), "hello");
+        CPPUNIT_ASSERT_EQUAL(504, got.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, got.outcome);
+    }
+
     // The store goes down while an agency reads its answer. If this router died
     // before the store came back, nobody would know of the bill, and the agency
     // could have the same tokens again: more than it paid for.
