Refuse requests that the chat router reads after its drain

A request that is read when the drain bound has passed (its connection waited for a thread, or its body came late) went the whole way: it waited for its claim and its budget and was sent to a backend server that nobody would wait for.

A filter after `account` refuses it at once with 503, `router_stops`, not-run and Retry-After; with an idempotency key the outcome is unknown, since an earlier try may have run elsewhere.

--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -58,9 +58,9 @@
 std::vector<filter> const& request_filters()
 {
     static std::vector<filter> const filters{
-        account_filter(),  authenticate_filter(), understand_filter(),
-        identify_filter(), limit_filter(),        reserve_filter(),
-        keep_filter(),     dispatch_filter()};
+        account_filter(),    drain_filter(),    authenticate_filter(),
+        understand_filter(), identify_filter(), limit_filter(),
+        reserve_filter(),    keep_filter(),     dispatch_filter()};
     return filters;
 }
 
--- a/src/filters/steps.hpp
+++ b/src/filters/steps.hpp
@@ -9,6 +9,9 @@
 /// Opens the request's span; at the end counts it and writes its log line.
 filter account_filter();
 
+/// Refuses what is read when a planned stop gives up open work already.
+filter drain_filter();
+
 /// Finds the customer by the bearer key, and the configuration version that
 /// this request keeps to its end.
 filter authenticate_filter();
