Serve the connections that wait to be accepted when a server stops

Callers whose connection the kernel had established, and which the accept loop had not taken yet, got it reset when a stop of the chat router (or a stand-in) closed the listening socket, although their request was on its way. A request that came between the last look at an idle connection and the stop was dropped likewise.

The stop now waits, bounded, until the accept queue is empty before it ends the loop, and looks at an idle connection once more. What comes between the last look and the close is still lost: nothing in this process can see it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,6 +4,8 @@
 #include "http/worker_pool.hpp"
 
 #include <functional>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -40,6 +42,17 @@
     worker_pool workers;
 };
 
+// Connections that are established and not accepted; 0 when unknown.
+unsigned waiting_connections(int listener)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    bool const known =
+        getsockopt(listener, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    // Of a listening socket this is the length of its accept queue.
+    return known ? info.tcpi_unacked : 0;
+}
+
 std::chrono::milliseconds to_chrono(duration span)
 {
     return std::chrono::milliseconds{span.ms};
@@ -122,10 +135,25 @@
     this->finishing = true;
     // cpp-httplib's own `stop` also makes it leave out every body that is not
     // begun yet. Ending only the accept loop lets open requests get theirs.
-    ::shutdown(this->svr_sock_, SHUT_RDWR);
+    this->end_accepting();
     this->acceptor.join();
 }
 
+// Closing a listening socket resets the connections that were established and
+// not accepted.
+void server::end_accepting() const
+{
+    constexpr int most_looks = 500;
+    constexpr std::chrono::milliseconds between_looks{1};
+    for (int looks = 0;
+         looks < most_looks && waiting_connections(this->svr_sock_) > 0;
+         ++looks)
+    {
+        std::this_thread::sleep_for(between_looks);
+    }
+    ::shutdown(this->svr_sock_, SHUT_RDWR);
+}
+
 // Waits for the next request on a connection that is kept; looks up now and
 // then, so that a stop does not wait out the whole time.
 bool server::next_request(socket_t socket) const
@@ -140,7 +168,8 @@
         }
         if (this->finishing)
         {
-            return false;
+            // It may have come since.
+            return wait_readable(socket, {});
         }
     }
     return false;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -49,12 +49,14 @@
     /// `bind`, then `serve` if that gave a port.
     int start(std::string const& address);
 
-    /// Stops accepting, waits for the running handlers and joins. Idempotent.
+    /// Accepts what is established and no more, waits for the running handlers
+    /// and joins. Idempotent.
     void finish();
 
 private:
     bool process_and_close_socket(socket_t socket) override;
     bool next_request(socket_t socket) const;
+    void end_accepting() const;
 
     server_options options;
     std::thread acceptor;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -3,14 +3,77 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
 #include <chrono>
 #include <future>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace caperpath;
 
+namespace
+{
+
+// A connection on which a test sends any bytes.
+class raw_caller
+{
+public:
+    explicit raw_caller(int port) : socket{::socket(AF_INET, SOCK_STREAM, 0)}
+    {
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(static_cast<std::uint16_t>(port));
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CPPUNIT_ASSERT_EQUAL(0, connect(this->socket,
+                                        reinterpret_cast<sockaddr*>(&peer),
+                                        sizeof(peer)));
+    }
+
+    raw_caller(raw_caller&& other) noexcept
+        : socket{std::exchange(other.socket, -1)}
+    {
+    }
+
+    raw_caller(raw_caller const&) = delete;
+    raw_caller& operator=(raw_caller const&) = delete;
+    raw_caller& operator=(raw_caller&&) = delete;
+
+    ~raw_caller()
+    {
+        if (this->socket >= 0)
+        {
+            close(this->socket);
+        }
+    }
+
+    void send(std::string const& bytes) const
+    {
+        ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    std::string read_all() const
+    {
+        std::string all;
+        std::array<char, 4096> piece{};
+        ssize_t got = 0;
+        while ((got = recv(this->socket, piece.data(), piece.size(), 0)) > 0)
+        {
+            all.append(piece.data(), static_cast<std::size_t>(got));
+        }
+        return all;
+    }
+
+private:
+    int socket;
+};
+
+} // namespace
+
 class server_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(server_test);
@@ -18,6 +81,7 @@
     CPPUNIT_TEST(a_large_answer_is_not_compressed);
     CPPUNIT_TEST(an_answer_under_way_at_a_stop_arrives_whole);
     CPPUNIT_TEST(a_stream_that_begins_after_a_stop_arrives_whole);
+    CPPUNIT_TEST(connections_that_wait_at_a_stop_are_served);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int most_tries = 1'000;
@@ -136,6 +200,30 @@
             });
         CPPUNIT_ASSERT_EQUAL(std::string{"piece piece piece "}, got);
     }
+
+    // Guards against requests that the kernel has taken and the accept loop has
+    // not when the server stops.
+    void connections_that_wait_at_a_stop_are_served()
+    {
+        constexpr std::size_t callers = 100;
+        http::server server;
+        server.Get("/", [](httplib::Request const&, httplib::Response& response)
+                   { http::set_body(response, "served", "text/plain"); });
+        int const port = server.bind("127.0.0.1:0");
+        std::vector<raw_caller> waiting;
+        for (std::size_t i = 0; i < callers; ++i)
+        {
+            waiting.emplace_back(port).send(
+                "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        server.serve();
+        server.finish();
+        auto const served =
+            std::count_if(waiting.begin(), waiting.end(),
+                          [](auto const& caller)
+                          { return caller.read_all().ends_with("served"); });
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::ptrdiff_t>(callers), served);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
