Wait for a slow reader of the log when the gateway ends

The last lines of a router's log, which tell how its process ended (`stop`, `end`, the requests left open), were lost when the pipe was full at that moment: the last `flush` writes what the descriptor takes at once, and the process then exits with the rest in memory.

`decision_log::finish` waits for the reader, at most 100 ms, well within the time that a stop leaves for the exit; it ends at once when the reader has gone.

--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -5,6 +5,7 @@
 #include <caperpath/observe/log.hpp>
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -93,6 +94,24 @@
     }
 }
 
+void decision_log::finish(duration bound)
+{
+    auto const time = caperpath::clock::monotonic();
+    auto const until = time.now() + bound;
+    this->flush();
+    while (!this->pending.empty() && time.now() < until)
+    {
+        pollfd writable{this->descriptor, POLLOUT, 0};
+        auto const left = std::max(until - time.now(), duration{});
+        ::poll(&writable, 1, static_cast<int>(left.ms));
+        if ((writable.revents & (POLLERR | POLLNVAL)) != 0)
+        {
+            return; // the reader has gone
+        }
+        this->flush();
+    }
+}
+
 std::uint64_t decision_log::dropped() const
 {
     return this->lines_dropped;
--- a/src/gateway/decision_log.hpp
+++ b/src/gateway/decision_log.hpp
@@ -50,6 +50,10 @@
     /// Hands over what the descriptor takes now.
     void flush();
 
+    /// For the end of the process: a `flush` that waits for a slow reader, but
+    /// not beyond `bound`. Blocks.
+    void finish(duration bound);
+
     /// Lines that were not written, since the start.
     std::uint64_t dropped() const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,6 +31,8 @@
 /// A router without a first share of some budget serves the other customers.
 constexpr duration longest_wait_for_shares{1'500};
 constexpr duration repeats_told_every{2'000};
+/// The process ends meanwhile; it must not be killed over its log.
+constexpr duration longest_log_wait{100};
 constexpr std::chrono::seconds page_timeout{5};
 constexpr int backlog = 1'024;
 
@@ -237,7 +239,7 @@
 {
     log_open_requests(this->shared);
     this->log_stop("end");
-    this->shared.log.flush();
+    this->shared.log.finish(longest_log_wait);
 }
 
 void gateway_server::log_stop(std::string_view step)
