--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -53,6 +53,12 @@
             this->ready.pop_front();
             return event;
         }
+        if (filters::stop_is_due(this->request))
+        {
+            this->end_attempt(routing::attempt_result::abandoned);
+            return {relay_event::kind::failed, "",
+                    filters::stop_refusal(this->may_have_run)};
+        }
         if (this->time_is_up())
         {
             this->end_attempt(routing::attempt_result::abandoned);
@@ -66,10 +72,11 @@
                 return *failed;
             }
         }
-        auto event = this->open->wait(this->next_bound());
-        auto ended = event                ? this->take(*event)
-                     : this->time_is_up() ? std::nullopt
-                                          : this->retry_after_silence();
+        auto event = filters::wait_for_event(this->request, *this->open,
+                                             this->next_bound());
+        auto ended = event                 ? this->take(*event)
+                     : this->is_given_up() ? std::nullopt
+                                           : this->retry_after_silence();
         if (ended)
         {
             return *ended;
@@ -93,10 +100,12 @@
 
 bool chat_relay::time_is_up() const
 {
-    auto const now = this->request.shared.time.now();
-    auto const* stop_at = this->request.shared.stop_at;
-    bool const stopped = stop_at != nullptr && now.ms >= stop_at->load();
-    return stopped || now >= this->request.deadline;
+    return this->request.shared.time.now() >= this->request.deadline;
+}
+
+bool chat_relay::is_given_up() const
+{
+    return this->time_is_up() || filters::stop_is_due(this->request);
 }
 
 routing::choose_reply chat_relay::choose(int attempt) const
@@ -144,6 +153,7 @@
     this->silences = 0;
     this->token_in_attempt = false;
     this->accepted_head = false;
+    this->unanswered = true;
     this->span.emplace(filters::child_span(this->request, "attempt"));
     this->span->with_attribute(observe::peer_attribute, this->target.address);
     this->open = http::exchange::start(
@@ -170,6 +180,7 @@
 
 std::optional<relay_event> chat_relay::take(http::exchange_event const& event)
 {
+    this->unanswered = false;
     switch (event.what)
     {
     case http::exchange_event::kind::head:
@@ -332,6 +343,7 @@
     {
         return;
     }
+    this->may_have_run = this->may_have_run || this->unanswered;
     // An exchange that was read to its end closes by itself and its connection
     // is kept; the rest of any other would be taken for the next answer.
     if (!this->read_to_end)
--- a/src/router/chat_relay.hpp
+++ b/src/router/chat_relay.hpp
@@ -73,6 +73,7 @@
                      duration retry_after = {});
     duration next_bound() const;
     bool time_is_up() const;
+    bool is_given_up() const;
     http::exchange_request wire_request() const;
 
     filters::context& request;
@@ -90,6 +91,7 @@
     bool token_in_attempt{false};
     bool accepted_head{false};
     bool may_have_run{false};
+    bool unanswered{false}; ///< nothing came back for the open attempt
     bool read_to_end{false};
 };
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -2,17 +2,139 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <future>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+#include <vector>
 
 using namespace caperpath;
 
+namespace
+{
+
+// A connection on which a test sends any bytes.
+class raw_caller
+{
+public:
+    explicit raw_caller(int port) : socket{::socket(AF_INET, SOCK_STREAM, 0)}
+    {
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(static_cast<std::uint16_t>(port));
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CPPUNIT_ASSERT_EQUAL(0, connect(this->socket,
+                                        reinterpret_cast<sockaddr*>(&peer),
+                                        sizeof(peer)));
+    }
+
+    raw_caller(raw_caller&& other) noexcept
+        : socket{std::exchange(other.socket, -1)}
+    {
+    }
+
+    raw_caller(raw_caller const&) = delete;
+    raw_caller& operator=(raw_caller const&) = delete;
+    raw_caller& operator=(raw_caller&&) = delete;
+
+    ~raw_caller()
+    {
+        if (this->socket >= 0)
+        {
+            close(this->socket);
+        }
+    }
+
+    void send(std::string const& bytes) const
+    {
+        ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    std::string read_all() const
+    {
+        std::string all;
+        std::array<char, 4096> piece{};
+        ssize_t got = 0;
+        while ((got = recv(this->socket, piece.data(), piece.size(), 0)) > 0)
+        {
+            all.append(piece.data(), static_cast<std::size_t>(got));
+        }
+        return all;
+    }
+
+private:
+    int socket;
+};
+
+} // namespace
+
 class server_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(server_test);
     CPPUNIT_TEST(an_address_is_bound_once);
     CPPUNIT_TEST(a_large_answer_is_not_compressed);
+    CPPUNIT_TEST(an_answer_under_way_at_a_stop_arrives_whole);
+    CPPUNIT_TEST(a_stream_that_begins_after_a_stop_arrives_whole);
+    CPPUNIT_TEST(connections_that_wait_at_a_stop_are_served);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr int most_tries = 1'000;
+
+    static void pause()
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+
+    static bool refuses_connections(int port)
+    {
+        httplib::Client client{"127.0.0.1", port};
+        auto const answer = client.Get("/none");
+        return !answer && answer.error() == httplib::Error::Connection;
+    }
+
+    /// The body that a caller gets from a handler that ends only after the
+    /// server has begun to stop, or how the call failed.
+    static std::string answer_during_stop(
+        std::function<void(httplib::Response&)> const& make_answer)
+    {
+        http::server server;
+        std::promise<void> entered;
+        std::promise<void> stopped;
+        server.Get("/slow",
+                   [&](httplib::Request const&, httplib::Response& response)
+                   {
+                       entered.set_value();
+                       stopped.get_future().wait();
+                       make_answer(response);
+                   });
+        int const port = server.start("127.0.0.1:0");
+        auto caller = std::async(std::launch::async,
+                                 [port]
+                                 {
+                                     httplib::Client client{"127.0.0.1", port};
+                                     auto const answer = client.Get("/slow");
+                                     return answer ? answer->body
+                                                   : to_string(answer.error());
+                                 });
+        entered.get_future().wait();
+        auto stop =
+            std::async(std::launch::async, [&server] { server.finish(); });
+        for (int tries = 0; !refuses_connections(port); ++tries)
+        {
+            CPPUNIT_ASSERT(tries < most_tries);
+            pause();
+        }
+        stopped.set_value();
+        stop.wait();
+        return caller.get();
+    }
+
     // A second router is started on a VM by mistake while the first one runs.
     // If both could listen on the port, the second would take the first for
     // dead and hand its share of a budget to others while it is still spent.
@@ -45,6 +167,63 @@
                              answer->get_header_value("Content-Encoding"));
         CPPUNIT_ASSERT(answer->body == body);
     }
+
+    // Guards against a library that writes no body once its server stops.
+    void an_answer_under_way_at_a_stop_arrives_whole()
+    {
+        std::string const body(200'000, 'x');
+        auto const got = answer_during_stop(
+            [&](httplib::Response& response)
+            { http::set_body(response, body, "application/json"); });
+        CPPUNIT_ASSERT_EQUAL(body.size(), got.size());
+        CPPUNIT_ASSERT(body == got);
+    }
+
+    // Guards against the same for a body in chunks, whose first one comes after
+    // the server has begun to stop.
+    void a_stream_that_begins_after_a_stop_arrives_whole()
+    {
+        auto const got = answer_during_stop(
+            [](httplib::Response& response)
+            {
+                response.set_chunked_content_provider(
+                    "text/event-stream",
+                    [sent = 0](std::size_t, httplib::DataSink& sink) mutable
+                    {
+                        sink.write("piece ", 6);
+                        if (++sent == 3)
+                        {
+                            sink.done();
+                        }
+                        return true;
+                    });
+            });
+        CPPUNIT_ASSERT_EQUAL(std::string{"piece piece piece "}, got);
+    }
+
+    // Guards against requests that the kernel has taken and the accept loop has
+    // not when the server stops.
+    void connections_that_wait_at_a_stop_are_served()
+    {
+        constexpr std::size_t callers = 100;
+        http::server server;
+        server.Get("/", [](httplib::Request const&, httplib::Response& response)
+                   { http::set_body(response, "served", "text/plain"); });
+        int const port = server.bind("127.0.0.1:0");
+        std::vector<raw_caller> waiting;
+        for (std::size_t i = 0; i < callers; ++i)
+        {
+            waiting.emplace_back(port).send(
+                "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        server.serve();
+        server.finish();
+        auto const served =
+            std::count_if(waiting.begin(), waiting.end(),
+                          [](auto const& caller)
+                          { return caller.read_all().ends_with("served"); });
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::ptrdiff_t>(callers), served);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
