Soak router processes with planned stops in overlapping series

Requests that routers had accepted ended without an answer when a stopping process came to its end.

The soak starts real router processes and stops them again and again, in overlapping series that the seed draws: some right after their start, some with a second SIGTERM, SIGHUP or a new configuration during the stop, some while the store answers nothing. Callers keep their connections until they are closed, send more to routers that stop, and half of them come back to the same process. Checked from outside: a request that a server saw, or that was sent over 200 ms before its connection ended, has an answer or a stream that visibly breaks off; 503, 429 and 402 are true; an order runs at most once; what looks whole is whole; no customer is served more than was paid; a stopped process has ended by itself before its grace time, which is 4 s here.

The stand-in of the store keeps rows of any table with versions and feeds, which tests/gateway/fake_store does not, so that the routers know of each other.

--- /dev/null
+++ b/tests/soak/router_process.hpp
@@ -0,0 +1,76 @@
+#ifndef CAPERPATH_TESTS_SOAK_ROUTER_PROCESS_HPP
+#define CAPERPATH_TESTS_SOAK_ROUTER_PROCESS_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace caperpath::soak
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// What a router process is started with.
+struct router_plan
+{
+    std::string gateway;          ///< the binary's path
+    std::filesystem::path folder; ///< of settings and logs
+    std::string store;            ///< "IP:port"
+    int number{};
+    int grace_s{};
+};
+
+/// One router as a real process, started again and again at the same address.
+/// Loop thread only.
+class router_process
+{
+public:
+    router_process(asio::io_context& loop, router_plan plan);
+    router_process(router_process const&) = delete;
+    router_process& operator=(router_process const&) = delete;
+
+    /// Kills a process that still runs.
+    ~router_process();
+
+    /// @pre no process runs. @throws std::system_error
+    void start();
+
+    /// Does nothing if the process has ended.
+    void signal(int number);
+
+    /// False once the process has ended; `exit_fault` then tells how.
+    bool runs();
+
+    /// Empty for a process that ended in order, or before its first caller.
+    std::string exit_fault() const;
+
+    std::uint16_t port() const;
+
+    std::int64_t connections{}; ///< that callers made to this process
+    bool stopping{false};
+
+private:
+    void write_settings() const;
+    void reserve_port();
+
+    asio::io_context& loop;
+    router_plan plan;
+    /// Bound and not listening, so that no other process gets these ports while
+    /// the router is down.
+    std::vector<tcp::acceptor> reserved;
+    std::filesystem::path settings;
+    std::filesystem::path log;
+    pid_t pid{-1};
+    int status{};
+};
+
+} // namespace caperpath::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,228 @@
+#include "soak/soak_site.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <string_view>
+
+#include <sys/socket.h>
+
+namespace caperpath::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int prompt_tokens = 300;
+constexpr milliseconds connect_time{2'000};
+/// Far longer than the time limit of each request.
+constexpr std::chrono::seconds longest_answer{30};
+
+/// A caller's connection to a router.
+struct link
+{
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    int router{};
+};
+
+struct caller_request
+{
+    std::string id;
+    request_kind kind{};
+    std::string customer;
+    int events{};
+    std::string bytes;
+};
+
+caller_request draw_request(std::string const& id, dice& draw)
+{
+    caller_request made{id, request_kind::order, "large", 0, {}};
+    auto const kind = draw.between(0, 9);
+    std::string path = "/order/1";
+    if (kind >= 4)
+    {
+        made.kind = kind < 7 ? request_kind::read : request_kind::stream;
+        path = kind < 7 ? "/read/1" : draw.chance(50) ? "/chat/1" : "/resume/1";
+    }
+    std::string prompt;
+    if (made.kind == request_kind::stream)
+    {
+        made.customer = draw.chance(30) ? "small" : "large";
+        made.events = draw.between(5, 60);
+        prompt = "Token-Count: " + std::to_string(prompt_tokens) + "," +
+                 std::to_string(made.events) + "\r\n";
+    }
+    std::string const body(
+        made.kind == request_kind::read
+            ? std::size_t{0}
+            : static_cast<std::size_t>(draw.between(1, 1'500)),
+        'b');
+    made.bytes =
+        (made.kind == request_kind::read ? "GET " : "POST ") + path +
+        " HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + id +
+        "\r\nDeadline-Ms: " + std::to_string(draw.between(500, 8'000)) +
+        "\r\nAuthorization: Bearer key-" + made.customer + "\r\n" + prompt +
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return made;
+}
+
+/// True when the router has closed the connection, or sends what nobody asked.
+bool is_closed(link& to)
+{
+    char byte{};
+    auto const got = ::recv(to.stream.socket().native_handle(), &byte, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+asio::awaitable<bool> connect(soak_site& site, link& to)
+{
+    boost::system::error_code fault;
+    auto& router = *site.routers[to.router];
+    to.stream.expires_after(connect_time);
+    co_await to.stream.async_connect(
+        tcp::endpoint{asio::ip::make_address("127.0.0.1"), router.port()},
+        asio::redirect_error(asio::use_awaitable, fault));
+    router.connections += fault ? 0 : 1;
+    co_return !fault;
+}
+
+/// Sends the request, sometimes in pieces. False if it could not be sent.
+asio::awaitable<bool> send(link& to, std::string_view bytes, dice& draw)
+{
+    auto const in_pieces = draw.chance(20);
+    while (!bytes.empty())
+    {
+        auto const size = in_pieces
+                              ? static_cast<std::size_t>(draw.between(100, 900))
+                              : bytes.size();
+        auto const piece = bytes.substr(0, size);
+        boost::system::error_code fault;
+        co_await asio::async_write(
+            to.stream, asio::buffer(piece),
+            asio::redirect_error(asio::use_awaitable, fault));
+        if (fault)
+        {
+            co_return false;
+        }
+        bytes.remove_prefix(piece.size());
+        if (!bytes.empty())
+        {
+            co_await pause(to.stream.get_executor(), draw.ms(1, 150));
+        }
+    }
+    co_return true;
+}
+
+int events_in(std::string_view body)
+{
+    int count = 0;
+    for (auto at = body.find("\n\n"); at != std::string_view::npos;
+         at = body.find("\n\n", at + 2))
+    {
+        count += 1;
+    }
+    return count;
+}
+
+/// Sends one request and reads its answer. True if the connection may be used
+/// again.
+asio::awaitable<bool> call(soak_site& site, link& to, dice& draw,
+                           caller_request const& request)
+{
+    auto& record = site.record;
+    auto const& router = *site.routers[to.router];
+    record.begin(request.id, request.kind);
+    record.note(request.id, request.bytes.substr(0, request.bytes.find(' ')) +
+                                " to router " + std::to_string(to.router) +
+                                (router.stopping ? ", which stops" : ""));
+    ending how;
+    to.stream.expires_after(longest_answer);
+    how.sent = co_await send(to, request.bytes, draw);
+    how.sent_ms = record.now_ms();
+    record.note(request.id, how.sent ? "sent" : "not sent to its end");
+    http::response_parser<http::string_body> parser;
+    boost::system::error_code fault;
+    co_await http::async_read(to.stream, to.buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, fault));
+    how.whole = !fault && parser.is_done();
+    how.closed = fault && fault != boost::beast::error::timeout;
+    if (parser.is_header_done())
+    {
+        how.status = static_cast<int>(parser.get().result_int());
+    }
+    auto const& body = parser.get().body();
+    auto const events = events_in(body);
+    how.right = request.kind == request_kind::stream
+                    ? events == request.events
+                    : body == body_of(request.id);
+    if (request.kind == request_kind::stream && how.status == 200)
+    {
+        record.spend(request.id, request.customer, prompt_tokens + events);
+    }
+    record.end(request.id, how);
+    co_return how.whole&& parser.keep_alive();
+}
+
+/// Half of those whose connection was closed come back to the same router as
+/// long as its process runs: not every load balancer turns them away.
+void choose_router(soak_site& site, link& to, dice& draw)
+{
+    if (draw.chance(50) || !site.routers[to.router]->runs())
+    {
+        to.router = draw.between(0, site.options.routers - 1);
+    }
+}
+
+/// Calls over one connection until it is closed.
+asio::awaitable<void> use_connection(soak_site& site, link& to, dice& draw,
+                                     std::string const& name, int& requests)
+{
+    auto open = co_await connect(site, to);
+    if (!open)
+    {
+        co_await pause(to.stream.get_executor(), draw.ms(5, 50));
+    }
+    while (open)
+    {
+        requests += 1;
+        auto const request =
+            draw_request(name + std::to_string(requests), draw);
+        open = co_await call(site, to, draw, request);
+        auto const stopping = site.routers[to.router]->stopping;
+        co_await pause(to.stream.get_executor(),
+                       stopping ? draw.ms(0, 20) : draw.ms(0, 200));
+        open = open && !is_closed(to);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> call_routers(soak_site& site, int number)
+{
+    dice draw{site.options.seed * 1'000'000 +
+              static_cast<std::uint64_t>(number)};
+    auto const name =
+        std::to_string(site.options.seed) + "-" + std::to_string(number) + "-";
+    int requests = 0;
+    int router = number % site.options.routers;
+    while (!site.over())
+    {
+        link to{boost::beast::tcp_stream{site.loop}, {}, router};
+        choose_router(site, to, draw);
+        router = to.router;
+        co_await use_connection(site, to, draw, name, requests);
+    }
+    site.callers_left -= 1;
+}
+
+} // namespace caperpath::soak
--- /dev/null
+++ b/tests/soak/soak_servers.cpp
@@ -0,0 +1,171 @@
+#include "soak/soak_servers.hpp"
+
+#include "soak/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace caperpath::soak
+{
+
+namespace
+{
+
+constexpr int silent_percent = 1;
+constexpr int slow_percent = 5;
+
+int number_in(std::string_view text)
+{
+    int number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+std::uint64_t seed_of(std::string_view id)
+{
+    std::uint64_t seed = 1;
+    for (unsigned char const c : id)
+    {
+        seed = seed * 1'099'511'628'211U + c;
+    }
+    return seed;
+}
+
+std::string head_of(std::string const& id, std::string const& more)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nUpstream-Signature: s1\r\n" + more + "\r\n\r\n";
+}
+
+asio::awaitable<bool> send(boost::beast::tcp_stream& stream,
+                           std::string const& bytes)
+{
+    boost::system::error_code fault;
+    co_await asio::async_write(
+        stream, asio::buffer(bytes),
+        asio::redirect_error(asio::use_awaitable, fault));
+    co_return !fault;
+}
+
+/// Answers nothing until the router closes the connection.
+asio::awaitable<void> be_silent(boost::beast::tcp_stream& stream)
+{
+    boost::system::error_code fault;
+    char byte{};
+    co_await stream.async_read_some(
+        asio::buffer(&byte, 1),
+        asio::redirect_error(asio::use_awaitable, fault));
+}
+
+} // namespace
+
+int events_of(http::request<http::string_body> const& got)
+{
+    auto const tokens = got["Token-Count"];
+    std::string_view const text{tokens.data(), tokens.size()};
+    return number_in(text.substr(std::min(text.find(',') + 1, text.size())));
+}
+
+std::string body_of(std::string const& id)
+{
+    return "done " + id;
+}
+
+soak_server::soak_server(asio::io_context& loop, soak_record& record)
+    : record{record}, acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}}
+{
+    asio::co_spawn(loop, this->accept(), asio::detached);
+}
+
+std::string soak_server::address() const
+{
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+}
+
+asio::awaitable<void> soak_server::accept()
+{
+    while (true)
+    {
+        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(this->acceptor.get_executor(),
+                       this->serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> soak_server::serve(tcp::socket socket)
+{
+    boost::beast::tcp_stream stream{std::move(socket)};
+    boost::beast::flat_buffer buffer;
+    while (true)
+    {
+        boost::system::error_code fault;
+        request got;
+        co_await http::async_read(
+            stream, buffer, got,
+            asio::redirect_error(asio::use_awaitable, fault));
+        if (fault || !co_await this->answer(stream, got))
+        {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> soak_server::answer(boost::beast::tcp_stream& stream,
+                                          request const& got)
+{
+    std::string const id{got["Request-Id"]};
+    this->record.server_saw(id);
+    dice draw{seed_of(id)};
+    if (draw.chance(silent_percent))
+    {
+        co_await be_silent(stream);
+        co_return false;
+    }
+    if (events_of(got) > 0)
+    {
+        co_return co_await this->send_events(stream, got);
+    }
+    auto const slow = draw.chance(slow_percent);
+    co_await pause(this->acceptor.get_executor(),
+                   slow ? draw.ms(500, 2'500) : draw.ms(2, 60));
+    auto const body = body_of(id);
+    auto const size = "Content-Length: " + std::to_string(body.size());
+    co_return co_await send(stream, head_of(id, size) + body);
+}
+
+asio::awaitable<bool> soak_server::send_events(boost::beast::tcp_stream& stream,
+                                               request const& got)
+{
+    std::string const id{got["Request-Id"]};
+    dice draw{seed_of(id)};
+    auto const events = events_of(got);
+    auto const gap = draw.ms(5, 80);
+    auto const last = got["Last-Event-Id"];
+    auto next = number_in({last.data(), last.size()}) + 1;
+    auto open =
+        co_await send(stream, head_of(id, "Content-Type: text/event-stream\r\n"
+                                          "Transfer-Encoding: chunked"));
+    for (; open && next <= events; ++next)
+    {
+        co_await pause(this->acceptor.get_executor(), gap);
+        auto const event = "id: " + std::to_string(next) + "\ndata: t\n\n";
+        std::ostringstream chunk;
+        chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+        open = co_await send(stream, chunk.str());
+    }
+    co_return open&& co_await send(stream, "0\r\n\r\n");
+}
+
+} // namespace caperpath::soak
--- /dev/null
+++ b/tests/soak/soak_servers.hpp
@@ -0,0 +1,54 @@
+#ifndef CAPERPATH_TESTS_SOAK_SOAK_SERVERS_HPP
+#define CAPERPATH_TESTS_SOAK_SOAK_SERVERS_HPP
+
+#include "soak/soak_record.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+
+namespace caperpath::soak
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+/// A backend server: short calls, streams of up to some seconds, and now and
+/// then silence. What it does with a request depends on the request's id alone.
+/// Loop thread only.
+class soak_server
+{
+public:
+    soak_server(asio::io_context& loop, soak_record& record);
+
+    std::string address() const;
+
+private:
+    using request = http::request<http::string_body>;
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<bool> answer(boost::beast::tcp_stream& stream,
+                                 request const& got);
+    asio::awaitable<bool> send_events(boost::beast::tcp_stream& stream,
+                                      request const& got);
+
+    soak_record& record;
+    tcp::acceptor acceptor;
+};
+
+/// How many events the stream that answers `got` has in all.
+int events_of(http::request<http::string_body> const& got);
+
+/// The body that answers a call.
+std::string body_of(std::string const& id);
+
+} // namespace caperpath::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_site.cpp
@@ -0,0 +1,229 @@
+#include "soak/soak_site.hpp"
+
+#include <csignal>
+#include <sstream>
+#include <utility>
+
+namespace caperpath::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int app_servers = 3;
+constexpr int engines = 2;
+constexpr int grace_s = 4;
+constexpr milliseconds look{10};
+/// Small enough to be used up during a soak.
+constexpr std::int64_t small_budget = 60'000;
+constexpr std::int64_t large_budget = 1'000'000'000;
+
+std::string route(std::string const& prefix, std::string const& kind,
+                  std::string const& service, std::string const& more)
+{
+    return R"({"name":")" + prefix + R"(","hostname":"site.example",)" +
+           R"("prefix":"/)" + prefix + R"(/","route-type":")" + kind +
+           R"(","backend":")" + service +
+           R"(","timeout-ms":8000,"target-latency-ms":300,"priority":1)" +
+           more + "}";
+}
+
+std::string customer(std::string const& name, std::int64_t paid)
+{
+    return R"({"name":")" + name + R"(","api-keys":["key-)" + name +
+           R"("],"reserved":)" + std::to_string(paid) + "}";
+}
+
+/// What comes in the way of a router while it stops.
+struct disturbance
+{
+    milliseconds after; ///< SIGTERM
+    enum class kind
+    {
+        none,
+        second_term,
+        hang_up,
+        configuration
+    } what{kind::none};
+};
+
+disturbance draw_disturbance(dice& draw)
+{
+    using kind = disturbance::kind;
+    constexpr kind all[] = {kind::none, kind::second_term, kind::hang_up,
+                            kind::configuration};
+    return {draw.ms(0, grace_s * 1'000), all[draw.between(0, 3)]};
+}
+
+void apply(soak_site& site, router_process& router, disturbance const& what)
+{
+    switch (what.what)
+    {
+    case disturbance::kind::none:
+        break;
+    case disturbance::kind::second_term:
+        router.signal(SIGTERM);
+        break;
+    case disturbance::kind::hang_up:
+        // Before its first caller it may not handle signals yet.
+        if (router.connections > 0)
+        {
+            router.signal(SIGHUP);
+        }
+        break;
+    case disturbance::kind::configuration:
+        site.put_configuration();
+        break;
+    }
+}
+
+void check_exit(soak_site& site, router_process const& router, int number,
+                bool asked)
+{
+    auto const fault = router.exit_fault();
+    if (!asked || !fault.empty())
+    {
+        site.record.broken("a process ends when it is asked to, in order",
+                           "  " + std::to_string(site.record.now_ms()) +
+                               " ms: router " + std::to_string(number) +
+                               " ended" + (asked ? ": " : " by itself: ") +
+                               fault + "\n");
+    }
+}
+
+asio::awaitable<void> stop(soak_site& site, int number, disturbance disturbed)
+{
+    auto& router = *site.routers[number];
+    auto const began = steady_clock::now();
+    router.signal(SIGTERM);
+    while (router.runs())
+    {
+        auto const since = steady_clock::now() - began;
+        // Another look: this process may have been late itself.
+        if (since >= std::chrono::seconds{grace_s} && router.runs())
+        {
+            router.signal(SIGKILL);
+            site.record.broken("a stopped process is gone before its grace "
+                               "time ends",
+                               "  router " + std::to_string(number) + "\n");
+            co_return;
+        }
+        if (since >= disturbed.after)
+        {
+            apply(site, router, std::exchange(disturbed, {}));
+        }
+        co_await pause(site.loop.get_executor(), look);
+    }
+    site.record.count("stops");
+    check_exit(site, router, number, true);
+}
+
+} // namespace
+
+soak_site::soak_site(soak_options const& options)
+    : options{options}, record{[this]
+                               {
+                                   this->loop.stop();
+                               }},
+      store{this->loop}, end{steady_clock::now() + options.time}
+{
+    for (int i = 0; i < app_servers + engines; ++i)
+    {
+        auto const& server =
+            this->servers.emplace_back(this->loop, this->record);
+        std::string const service = i < app_servers ? "app" : "llm";
+        this->store.put("servers", "i-" + std::to_string(i),
+                        R"({"backend":")" + service + R"(","address":")" +
+                            server.address() +
+                            R"(","zone":"z","batch-slots":16,)"
+                            R"("state":"healthy"})");
+    }
+    this->record.pay("small", small_budget);
+    this->record.pay("large", large_budget);
+    this->put_configuration();
+    for (int i = 0; i < options.routers; ++i)
+    {
+        this->routers.push_back(std::make_unique<router_process>(
+            this->loop, router_plan{options.gateway, options.folder,
+                                    this->store.address(), i, grace_s}));
+    }
+    this->series_left = options.routers;
+    this->callers_left = options.callers;
+}
+
+void soak_site::put_configuration()
+{
+    this->configuration += 1;
+    std::ostringstream text;
+    text << R"({"version":)" << this->configuration << R"(,"route-table":[)"
+         << route("order", "non_idempotent", "app", R"(,"attempts":1)") << ","
+         << route("read", "idempotent", "app", R"(,"attempts":2)") << ","
+         << route("chat", "streaming", "llm",
+                  R"(,"attempts":1,"session-affinity":true)")
+         << ","
+         << route("resume", "streaming", "llm",
+                  R"(,"attempts":2,"session-affinity":true,)"
+                  R"("stream-resume":true)")
+         << R"(],"backends":[{"name":"app"},{"name":"llm","engine-type":)"
+         << R"({"batch-slots":16,"kv-capacity":444000,"stride":1}}],)"
+         << R"("limits":{"max-body-bytes":2000},"tenants":[)"
+         << customer("small", small_budget) << ","
+         << customer("large", large_budget) << "]}";
+    this->store.put("op", "config", text.str());
+}
+
+bool soak_site::over() const
+{
+    return this->series_left == 0;
+}
+
+asio::awaitable<void> stop_again_and_again(soak_site& site, int number)
+{
+    dice draw{site.options.seed * 1'000 + static_cast<std::uint64_t>(number)};
+    auto& router = *site.routers[number];
+    router.start();
+    // The first stops come in a series.
+    constexpr milliseconds gap{700};
+    co_await pause(site.loop.get_executor(),
+                   milliseconds{2'000} + number * gap);
+    while (true)
+    {
+        auto const early = draw.chance(15);
+        co_await pause(site.loop.get_executor(),
+                       early ? draw.ms(0, 200) : draw.ms(500, 3'500));
+        if (!router.runs())
+        {
+            check_exit(site, router, number, false);
+            co_return;
+        }
+        if (draw.chance(20))
+        {
+            site.put_configuration();
+        }
+        co_await stop(site, number, draw_disturbance(draw));
+        if (steady_clock::now() >= site.end)
+        {
+            break;
+        }
+        co_await pause(site.loop.get_executor(), draw.ms(0, 600));
+        router.start();
+    }
+    site.series_left -= 1;
+}
+
+asio::awaitable<void> lose_store(soak_site& site)
+{
+    dice draw{site.options.seed * 1'000 + 999};
+    while (!site.over())
+    {
+        co_await pause(site.loop.get_executor(), draw.ms(3'000, 8'000));
+        site.store.reachable = false;
+        co_await pause(site.loop.get_executor(), draw.ms(500, 4'000));
+        site.store.reachable = true;
+    }
+}
+
+} // namespace caperpath::soak
--- /dev/null
+++ b/tests/soak/store_stand_in.hpp
@@ -0,0 +1,70 @@
+#ifndef CAPERPATH_TESTS_SOAK_STORE_STAND_IN_HPP
+#define CAPERPATH_TESTS_SOAK_STORE_STAND_IN_HPP
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace caperpath::soak
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using json = nlohmann::json;
+
+/// The platform's metadata store over HTTP, in memory: transactions, ranges and
+/// feeds of rows. Loop thread only.
+class store_stand_in
+{
+public:
+    explicit store_stand_in(asio::io_context& loop);
+
+    std::string address() const;
+
+    /// Writes a row as the operator does.
+    void put(std::string const& table, std::string const& key,
+             std::string const& value);
+
+    /// While false, calls get no answer, and every other write is applied.
+    bool reachable{true};
+
+private:
+    using request = http::request<http::string_body>;
+    using parameters = std::map<std::string, std::string>;
+    struct answer
+    {
+        http::status status;
+        json body;
+    };
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<answer> answer_to(request const& got);
+    asio::awaitable<answer> changes(parameters of);
+    answer range(parameters of) const;
+    answer commit(json const& transaction);
+    bool holds(json const& expected) const;
+    void write(json row, bool deleted);
+    json page(json const& rows) const;
+
+    tcp::acceptor acceptor;
+    std::uint64_t version{1};
+    std::uint64_t lost_writes{};
+    /// By table, part and key.
+    std::map<std::tuple<std::string, std::string, std::string>, json> rows;
+    std::map<std::string, std::vector<json>> history; ///< by table
+};
+
+} // namespace caperpath::soak
+
+#endif
