Tell in the soak's histories how a connection ended

A request that crossed its connection's close was counted, and nothing told whether the router had closed or reset the connection.

--- a/tests/soak/planned_stops_test.cpp
+++ b/tests/soak/planned_stops_test.cpp
@@ -76,7 +76,10 @@
     std::cout << site.record.summary();
     if (site.record.first_broken().empty())
     {
-        std::filesystem::remove_all(options.folder);
+        if (!options.keep_logs)
+        {
+            std::filesystem::remove_all(options.folder);
+        }
         std::cout << "all promises kept" << std::endl;
         return 0;
     }
@@ -92,7 +95,7 @@
 {
     CLI::App app{"Stops and starts router processes in overlapping series and "
                  "checks what their callers were promised."};
-    soak_options options{20'261'203, {}, 4, 32, CAPERPATH_GATEWAY, {}};
+    soak_options options{20'261'203, {}, 4, 32, CAPERPATH_GATEWAY, {}, false};
     double minutes = 1;
     options.folder = std::filesystem::temp_directory_path() /
                      ("caperpath-soak-" + std::to_string(::getpid()));
@@ -101,6 +104,8 @@
         ->check(CLI::PositiveNumber);
     app.add_option("--routers", options.routers)->check(CLI::Range(1, 999));
     app.add_option("--callers", options.callers)->check(CLI::PositiveNumber);
+    app.add_flag("--keep-logs", options.keep_logs,
+                 "keep the routers' logs of a run that held, too");
     app.add_option("--gateway", options.gateway, "the routers' binary")
         ->check(CLI::ExistingFile);
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -156,6 +156,7 @@
                               asio::redirect_error(asio::use_awaitable, fault));
     how.whole = !fault && parser.is_done();
     how.closed = fault && fault != boost::beast::error::timeout;
+    how.fault = fault.message();
     if (parser.is_header_done())
     {
         how.status = static_cast<int>(parser.get().result_int());
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -61,7 +61,7 @@
     text << "ended with status " << how.status
          << (how.whole ? ", whole" : ", not whole")
          << (how.sent ? "" : ", request not sent to its end")
-         << (how.closed ? ", connection closed" : "");
+         << (how.closed ? ", connection closed: " + how.fault : "");
     this->note(id, text.str());
     this->count("status " + std::to_string(how.status) +
                 (how.whole ? "" : " cut"));
@@ -130,7 +130,7 @@
         this->broken("a request that was read is answered", of.history);
         return;
     }
-    this->count("crossed a close");
+    this->count("crossed a close: " + how.fault);
     this->note(id, "it crossed the close");
 }
 
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -27,6 +27,7 @@
     bool sent{false};         ///< the whole request was sent
     bool closed{true};        ///< the connection ended
     std::int64_t sent_ms{-1}; ///< when the last byte was sent
+    std::string fault;        ///< how the connection ended
 };
 
 /// What was promised to callers, checked from outside. Loop thread only.
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -25,6 +25,7 @@
     int callers{};
     std::string gateway; ///< the binary's path
     std::filesystem::path folder;
+    bool keep_logs{false}; ///< also when every promise was kept
 };
 
 /// Router processes, what they work with, and what was promised. Loop thread
