--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -48,8 +48,8 @@
     /// Bytes that have arrived; consume what was used, then call `resume`.
     boost::beast::flat_buffer& input();
 
-    /// Tells the other side that no more comes; it may still send. @pre nothing
-    /// is unsent.
+    /// Tells the other side that no more comes; it may still send. What is
+    /// unsent is lost.
     void finish_sending();
 
     /// True when something of the input is left.
