--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -32,8 +32,6 @@
 constexpr duration not_ready_retry{500};
 /// Requests without a time limit of the caller's are bounded by their route.
 constexpr duration longest_patience{600'000};
-/// Lines about requests without an answer at the process's end.
-constexpr std::size_t most_open_told = 50;
 
 std::string_view path_of(caller_request const& request)
 {
@@ -42,12 +40,6 @@
     return text.substr(0, text.find('?'));
 }
 
-bool needs_tokens(exchange const& of)
-{
-    return of.customer != nullptr && of.customer->paid &&
-           of.work.prompt_tokens + of.work.output_tokens > 0;
-}
-
 duration longest_wait(exchange const& of, token_count amount)
 {
     auto& shared = of.shared;
@@ -89,16 +81,6 @@
     }
 }
 
-void note_stopping(exchange& of)
-{
-    auto& shared = of.shared;
-    if (shared.stop)
-    {
-        of.stopping_for = shared.now.now() - shared.stop->began;
-        shared.taken_while_stopping += 1;
-    }
-}
-
 bool is_whole(exchange const& of)
 {
     return of.reason == "served" && is_success(of.status);
@@ -122,14 +104,6 @@
     }
 }
 
-void add_stopping(std::vector<log_field>& fields, exchange const& of)
-{
-    if (of.stopping_for)
-    {
-        fields.push_back({"stopping_ms", std::to_string(of.stopping_for->ms)});
-    }
-}
-
 /// One line a request, with what decided its end.
 void write_line(exchange const& of)
 {
@@ -196,6 +170,12 @@
     of.caller->send(head_text(head));
 }
 
+bool needs_tokens(exchange const& of)
+{
+    return of.customer != nullptr && of.customer->paid &&
+           of.work.prompt_tokens + of.work.output_tokens > 0;
+}
+
 bool caller_left(exchange const& of)
 {
     return of.caller->end() != peer_end::open;
@@ -264,26 +244,6 @@
     co_return std::nullopt;
 }
 
-/// A stopping process begins only what it can be expected to finish. Whoever
-/// is refused comes back over a new connection, to another router.
-asio::awaitable<std::optional<refusal>> admit(exchange& of)
-{
-    auto const& stop = of.shared.stop;
-    if (!stop)
-    {
-        co_return std::nullopt;
-    }
-    auto const now = of.shared.now.now();
-    auto const expected = of.shared.service_times.usual_longest(of.route->name);
-    auto const lacks_tokens = of.shared.returning_since && needs_tokens(of);
-    if (lacks_tokens || !fleet::may_begin(*stop, now, expected, of.deadline))
-    {
-        co_return refusal{http_unavailable, "stopping", elsewhere_retry};
-    }
-    bound_by_stop(of);
-    co_return std::nullopt;
-}
-
 asio::awaitable<std::optional<refusal>> quarantine(exchange& of)
 {
     co_return refuse_for_crashes(of);
@@ -388,43 +348,4 @@
     of.shared.open_requests.erase(&of);
 }
 
-void bound_by_stop(exchange& of)
-{
-    auto const due = of.shared.stop->answers_due;
-    if (of.deadline > due)
-    {
-        of.deadline = due;
-        of.ends_with_process = true;
-    }
-}
-
-void end_overdue(exchange& of)
-{
-    of.deadline = std::min(of.deadline, of.shared.now.now());
-    of.ends_with_process = true;
-}
-
-void log_open_requests(core& shared)
-{
-    std::size_t told = 0;
-    for (auto const* const of : shared.open_requests)
-    {
-        told += 1;
-        if (told > most_open_told)
-        {
-            return;
-        }
-        auto const age = shared.now.now() - of->arrived;
-        std::vector<log_field> fields{
-            {"request", of->facts.id},
-            {"at", std::string{of->step}},
-            {"route", of->route != nullptr ? of->route->name : ""},
-            {"ms", std::to_string(age.ms)},
-            {"sends", std::to_string(of->arrivals)},
-            {"server", of->server}};
-        add_stopping(fields, *of);
-        shared.log.write(log_weight::notable, "unanswered", fields);
-    }
-}
-
 } // namespace caperpath::gateway
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -96,6 +96,9 @@
 /// Sends the gateway's own answer to the caller.
 void send_refusal(exchange& of, refusal const& why);
 
+/// True when the request needs tokens of a budget.
+bool needs_tokens(exchange const& of);
+
 /// True when the caller has closed its connection.
 bool caller_left(exchange const& of);
 
@@ -127,6 +130,12 @@
 /// reservation and writes the request's log line.
 asio::awaitable<void> serve(exchange& of);
 
+/// Notes that a stopping process took the request.
+void note_stopping(exchange& of);
+
+/// Adds how long the process had been stopping when it took the request.
+void add_stopping(std::vector<log_field>& fields, exchange const& of);
+
 /// Ends the request in time for the process to answer it. @pre The process is
 /// stopping.
 void bound_by_stop(exchange& of);
