Look twice before a caller is taken for gone

A loop that is behind for half a second finds the timer expired together with the progress that the caller made meanwhile, and closed the connection.

Two looks of a quarter of a second without progress are needed now.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -27,6 +27,8 @@
 constexpr int header_too_large = 431;
 /// A caller that takes nothing of its answer for so long has left.
 constexpr duration linger{500};
+constexpr int most_idle_looks = 2;
+constexpr duration linger_look{linger.ms / most_idle_looks};
 /// However slowly a caller reads, its connection ends.
 constexpr duration longest_rest{30'000};
 constexpr unsigned http_11 = 11;
@@ -256,16 +258,17 @@
     /// Waits as long as the caller takes what it is owed.
     asio::awaitable<void> send_rest()
     {
+        // After a loop that was behind the timer can come before what was
+        // written meanwhile, so one look without progress proves nothing.
         auto const until = this->now() + longest_rest;
-        while (this->caller->unsent() > 0 &&
+        auto idle_looks = 0;
+        while (this->caller->unsent() > 0 && idle_looks < most_idle_looks &&
                this->caller->end() == peer_end::open && this->now() < until)
         {
             auto const before = this->caller->unsent();
-            auto const raised = co_await this->wait(this->now() + linger);
-            if (!raised && this->caller->unsent() == before)
-            {
-                break;
-            }
+            auto const raised = co_await this->wait(this->now() + linger_look);
+            auto const idle = !raised && this->caller->unsent() == before;
+            idle_looks = idle ? idle_looks + 1 : 0;
         }
     }
 
