Log connect failures by kind, and services without a direct path

The connect line now has the outcome and the time, a reach line and a gauge tell when the last direct path to a service is lost and regained. No decision uses the recorded paths yet.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -3,6 +3,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/fleet/server_path.hpp>
 
 #include <cstdint>
 #include <map>
@@ -67,6 +68,7 @@
     /// from this time on; before, the entry may have lapsed only because of an
     /// outage of the store.
     std::optional<instant> gone_from;
+    server_path path;
 
     friend bool operator==(server const&, server const&) = default;
 };
--- /dev/null
+++ b/src/fleet/server_path.cpp
@@ -0,0 +1,124 @@
+#include <caperpath/fleet/server_path.hpp>
+#include <caperpath/fleet/server_table.hpp>
+
+#include <algorithm>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+/// Bounds the shift; the longest interval is reached after fewer doublings.
+constexpr std::int64_t max_doublings = 4;
+
+duration probe_interval(std::int64_t failed_probes)
+{
+    auto const doublings = std::min(failed_probes, max_doublings);
+    return {std::min(longest_probe_interval.ms,
+                     first_probe_interval.ms << doublings)};
+}
+
+service_reach with_server(service_reach reach, server_path const& path)
+{
+    reach.servers += 1;
+    if (!path.direct_failed)
+    {
+        reach.direct += 1;
+    }
+    else if (!path.relay_failed)
+    {
+        reach.relayed += 1;
+    }
+    return reach;
+}
+
+} // namespace
+
+std::string_view to_text(connect_outcome outcome)
+{
+    switch (outcome)
+    {
+    case connect_outcome::reached:
+        return "reached";
+    case connect_outcome::refused:
+        return "refused";
+    case connect_outcome::silent:
+        break;
+    }
+    return "silent";
+}
+
+server_path note_direct(server_path path, connect_outcome outcome,
+                        instant began, instant now)
+{
+    if (outcome == connect_outcome::reached)
+    {
+        path = {};
+        path.connected_at = now;
+        return path;
+    }
+    if (path.connected_at >= began)
+    {
+        return path;
+    }
+    if (!path.direct_failed)
+    {
+        path.direct_failed = true;
+        path.relay_failed = false;
+        path.failed_since = now;
+        path.failed_probes = 0;
+        path.unanswered_since = {};
+    }
+    path.direct_silent = outcome == connect_outcome::silent;
+    path.next_probe = now + probe_interval(path.failed_probes);
+    path.failed_probes += 1;
+    return path;
+}
+
+server_path note_relay(server_path path, bool reached)
+{
+    path.relay_failed = !reached;
+    return path;
+}
+
+bool is_reachable(server_path const& path)
+{
+    return !path.direct_failed || !path.relay_failed;
+}
+
+service_reach reach_of(server_table const& table, service_id const& service,
+                       instant now)
+{
+    service_reach all;
+    for (auto const& [id, target] : table.servers)
+    {
+        if (target.entry.service == service && !is_draining(target, now))
+        {
+            all = with_server(all, target.path);
+        }
+    }
+    return all;
+}
+
+std::map<service_id, service_reach> reach_by_service(server_table const& table,
+                                                     instant now)
+{
+    std::map<service_id, service_reach> all;
+    for (auto const& [id, target] : table.servers)
+    {
+        if (!is_draining(target, now))
+        {
+            auto& reach = all[target.entry.service];
+            reach = with_server(reach, target.path);
+        }
+    }
+    return all;
+}
+
+bool is_cut_off(service_reach const& reach)
+{
+    return reach.servers > 0 && reach.direct == 0;
+}
+
+} // namespace caperpath::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -351,6 +351,7 @@
         this->shared.prompts.forget(id);
     }
     this->report_retries();
+    this->report_reach();
     this->shared.uplink = fleet::advance_time(this->shared.uplink, now);
     this->shared.budgets.set_router_count(this->shared.membership.alive_vms());
     if (this->shared.membership.completed_reads() != this->membership_reads)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -75,6 +76,8 @@
     void replace_servers(store::feed_page const& page);
     void record_store_call(bool reachable, error const& why);
     void tick();
+    /// Logs services whose servers become reachable or unreachable.
+    void report_reach();
     /// Logs how this router uses its part of the retry limit.
     void report_retries();
     bool ready() const;
@@ -91,6 +94,9 @@
     std::unique_ptr<table_follower> server_follower;
     instant configuration_known_at{};
     instant retries_reported_at{};
+    instant reach_reported_at{};
+    /// Services without a direct path, with the time since then.
+    std::map<service_id, instant> cut_off_since;
     std::int64_t reported_sharers{};
     std::uint64_t membership_reads{}; ///< reads that were handled
     bool was_reachable{true};
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -70,6 +70,8 @@
     prometheus::Gauge& version{
         this->gauges.Add({{"name", "configuration_version"}})};
     prometheus::Gauge& servers{this->gauges.Add({{"name", "servers_listed"}})};
+    prometheus::Gauge& cut_off{
+        this->gauges.Add({{"name", "services_cut_off"}})};
     prometheus::Gauge& dropped{
         this->gauges.Add({{"name", "log_lines_dropped"}})};
 };
@@ -118,6 +120,11 @@
     this->self->servers.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::services_cut_off(std::size_t count)
+{
+    this->self->cut_off.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::store_call(bool reached)
 {
     (reached ? this->self->reached : this->self->failed).Increment();
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -39,6 +39,9 @@
     void site_version(std::uint64_t version);
     void servers_listed(std::size_t count);
 
+    /// Services of which this router reaches no server itself.
+    void services_cut_off(std::size_t count);
+
     /// Counts a store call by whether the store responded.
     void store_call(bool reached);
 
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -122,10 +122,20 @@
     auto const max_idle = fleet::may_run_again(this->current.attempts)
                               ? max_idle_repeatable
                               : max_idle_non_repeatable;
-    auto const time_left = this->current.deadline - shared.now.now();
-    this->connection = co_await shared.pool.acquire(
+    auto const began = shared.now.now();
+    auto const time_left = this->current.deadline - began;
+    auto const result = co_await shared.pool.acquire(
         this->where.server, target->entry.address, max_idle, time_left);
+    this->connection = result.link;
     auto* const after = this->server();
+    auto const connect_time = shared.now.now() - began;
+    auto const cut_short =
+        !this->connection && shared.now.now() >= this->current.deadline;
+    if (after != nullptr && result.is_new && !cut_short)
+    {
+        after->path = fleet::note_direct(after->path, result.outcome, began,
+                                         shared.now.now());
+    }
     if (!this->connection)
     {
         // If the deadline cut the connect short, it says nothing about the
@@ -138,7 +148,8 @@
         shared.log.write(log_weight::notable, "connect",
                          {{"request", this->current.facts.id},
                           {"server", this->where.server.value},
-                          {"outcome", "not_reached"}});
+                          {"outcome", std::string{to_text(result.outcome)}},
+                          {"ms", std::to_string(connect_time.ms)}});
         co_return attempt_outcome::not_reached;
     }
     if (caller_disconnected(this->current))
--- a/src/gateway/server_pool.cpp
+++ b/src/gateway/server_pool.cpp
@@ -55,14 +55,15 @@
     return nullptr;
 }
 
-asio::awaitable<connection_ptr>
+asio::awaitable<connect_result>
 server_pool::acquire(backend_server_id const& server,
                      std::string const& address, duration max_idle,
                      duration longest)
 {
     if (auto idle_connection = this->acquire_idle(server, max_idle))
     {
-        co_return idle_connection;
+        co_return connect_result{idle_connection,
+                                 fleet::connect_outcome::reached, false};
     }
     // Shared with the timer, whose handler may run after this function has
     // returned.
@@ -88,15 +89,18 @@
     {
         this->on_result(!timed_out);
     }
-    if (fault || !socket->is_open())
+    if (fault || timed_out)
     {
-        co_return nullptr;
+        co_return connect_result{nullptr,
+                                 timed_out ? fleet::connect_outcome::silent
+                                           : fleet::connect_outcome::refused,
+                                 true};
     }
     this->connections_made += 1;
     auto link = std::make_shared<connection>(std::move(*socket),
                                              server_silence_timeout);
     link->start();
-    co_return link;
+    co_return connect_result{link, fleet::connect_outcome::reached, true};
 }
 
 void server_pool::release(backend_server_id const& server, connection_ptr link,
--- a/src/gateway/server_pool.hpp
+++ b/src/gateway/server_pool.hpp
@@ -5,6 +5,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/fleet/server_path.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -16,6 +17,14 @@
 namespace caperpath::gateway
 {
 
+/// A connection to a server, or why there is none.
+struct connect_result
+{
+    connection_ptr link; ///< null unless `reached`
+    fleet::connect_outcome outcome{fleet::connect_outcome::silent};
+    bool is_new{false}; ///< false for an idle connection
+};
+
 /// A pool of connections to backend servers. An acquired connection is used
 /// exclusively until it is released. Loop thread only.
 class server_pool
@@ -29,9 +38,9 @@
                 std::function<void(bool answered)> on_result);
 
     /// Returns an idle connection that was used within `max_idle`, or a new
-    /// one; null if connecting failed or took longer than `longest`, at most
+    /// one; none if connecting failed or took longer than `longest`, at most
     /// `connect_timeout`.
-    asio::awaitable<connection_ptr> acquire(backend_server_id const& server,
+    asio::awaitable<connect_result> acquire(backend_server_id const& server,
                                             std::string const& address,
                                             duration max_idle,
                                             duration longest);
