--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -63,7 +63,7 @@
 
 fleet_site::fleet_site(without_router with)
     : log_descriptor{::open("/dev/null", O_WRONLY)}, retries{with.retries},
-      grace{with.grace}, port{free_port()}
+      grace{with.grace}, port{free_port()}, peer_port{free_port()}
 {
 }
 
@@ -93,6 +93,7 @@
     all.readiness = "127.0.0.1:0";
     all.metrics = "127.0.0.1:0";
     all.store_address = "127.0.0.1:1";
+    all.first_peer_port = this->peer_port;
     all.retries = this->retries;
     all.grace = this->grace;
     this->router_starts += 1;
@@ -132,15 +133,33 @@
                                     fake_server::responder respond)
 {
     auto one = std::make_unique<fake_server>(this->loop, std::move(respond));
-    this->store.put("servers", id,
-                    R"({"backend":")" + service + R"(","address":")" +
-                        one->address() +
-                        R"(","zone":"z","batch-slots":4,"state":"healthy"})");
+    this->list_server(id, service, one->address());
     auto& added = *one;
     this->servers[id] = std::move(one);
     return added;
 }
 
+void fleet_site::list_server(std::string const& id, std::string const& service,
+                             std::string const& address)
+{
+    this->store.put("servers", id,
+                    R"({"backend":")" + service + R"(","address":")" + address +
+                        R"(","zone":"z","batch-slots":4,"state":"healthy"})");
+}
+
+void fleet_site::add_peer(std::string const& incarnation,
+                          std::string const& address)
+{
+    store::transaction txn;
+    txn.writes.push_back({"router/" + incarnation + "/fleet", address});
+    this->store.port().commit(txn, [](store::commit_result const&) {});
+}
+
+std::string fleet_site::peer_address() const
+{
+    return "127.0.0.1:" + std::to_string(this->peer_port);
+}
+
 std::unique_ptr<fleet_site>
 fleet_site::after_crash(std::unique_ptr<fleet_site> crashed)
 {
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -91,6 +91,16 @@
 
     std::uint16_t callers_port() const;
 
+    /// The address for messages from other routers.
+    std::string peer_address() const;
+
+    /// Lists a server at an address that no fake server listens at.
+    void list_server(std::string const& id, std::string const& service,
+                     std::string const& address);
+
+    /// Adds the heartbeat row of a router of another site.
+    void add_peer(std::string const& incarnation, std::string const& address);
+
 private:
     struct without_router
     {
@@ -107,6 +117,7 @@
     duration grace;
     int router_starts{};
     std::uint16_t port{};
+    std::uint16_t peer_port{};
 };
 
 } // namespace caperpath::gateway
--- a/tests/gateway/uplink_test.cpp
+++ b/tests/gateway/uplink_test.cpp
@@ -1,6 +1,6 @@
 #include "gateway/fleet_site.hpp"
+#include "gateway/silent_address.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -18,34 +18,6 @@
     CPPUNIT_TEST(a_router_without_the_store_stays_in_rotation);
     CPPUNIT_TEST_SUITE_END();
 
-    /// An address whose accept queue is full, so that connects are neither
-    /// accepted nor rejected.
-    struct silent_address
-    {
-        explicit silent_address(asio::io_context& loop) : acceptor{loop}
-        {
-            this->acceptor.open(tcp::v4());
-            this->acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
-            this->acceptor.listen(0);
-            auto const to = this->acceptor.local_endpoint();
-            constexpr int more_than_its_queue = 4;
-            for (int i = 0; i < more_than_its_queue; ++i)
-            {
-                this->queue.emplace_back(loop);
-                this->queue.back().async_connect(to, [](auto const&) {});
-            }
-        }
-
-        std::string text() const
-        {
-            return "127.0.0.1:" +
-                   std::to_string(this->acceptor.local_endpoint().port());
-        }
-
-        tcp::acceptor acceptor;
-        std::vector<tcp::socket> queue;
-    };
-
     /// A site whose callers send requests all the time.
     struct scenario
     {
--- a/tests/soak/fake_store.cpp
+++ b/tests/soak/fake_store.cpp
@@ -38,6 +38,43 @@
     return text;
 }
 
+std::string from_base64(std::string const& text)
+{
+    std::string bytes(3 * text.size() / 4 + 1, '\0');
+    auto const size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()),
+                        static_cast<int>(text.size()));
+    auto const padding =
+        static_cast<int>(std::count(text.begin(), text.end(), '='));
+    bytes.resize(static_cast<std::size_t>(std::max(0, size - padding)));
+    return bytes;
+}
+
+/// Replaces the first occurrence of each key in the data of the rows.
+void replace_in_rows(json& body,
+                     std::map<std::string, std::string> const& replaced)
+{
+    if (replaced.empty() || !body.contains("rows"))
+    {
+        return;
+    }
+    for (auto& row : body["rows"])
+    {
+        auto data = from_base64(row.value("data", ""));
+        for (auto const& [from, to] : replaced)
+        {
+            auto const at = data.find(from);
+            if (at != std::string::npos)
+            {
+                data.replace(at, from.size(), to);
+                row["data"] = base64(data);
+                break;
+            }
+        }
+    }
+}
+
 std::string unescaped(std::string const& text)
 {
     std::string all;
@@ -79,16 +116,25 @@
 
 } // namespace
 
-fake_store::fake_store(asio::io_context& loop)
-    : acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}}
+fake_store::fake_store(asio::io_context& loop) : loop{loop}
 {
-    asio::co_spawn(loop, this->accept(), asio::detached);
+    this->add_view({});
 }
 
 std::string fake_store::address() const
 {
+    auto const& at = this->views.front().acceptor;
+    return "127.0.0.1:" + std::to_string(at.local_endpoint().port());
+}
+
+std::string fake_store::add_view(std::map<std::string, std::string> replaced)
+{
+    auto& added = this->views.emplace_back(
+        view{{this->loop, {asio::ip::make_address("127.0.0.1"), 0}},
+             std::move(replaced)});
+    asio::co_spawn(this->loop, this->accept(added), asio::detached);
     return "127.0.0.1:" +
-           std::to_string(this->acceptor.local_endpoint().port());
+           std::to_string(added.acceptor.local_endpoint().port());
 }
 
 void fake_store::put(std::string const& table, std::string const& key,
@@ -100,17 +146,17 @@
         false);
 }
 
-asio::awaitable<void> fake_store::accept()
+asio::awaitable<void> fake_store::accept(view& at)
 {
     while (true)
     {
-        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(this->acceptor.get_executor(),
-                       this->serve(std::move(socket)), asio::detached);
+        auto socket = co_await at.acceptor.async_accept(asio::use_awaitable);
+        asio::co_spawn(this->loop, this->serve(std::move(socket), at),
+                       asio::detached);
     }
 }
 
-asio::awaitable<void> fake_store::serve(tcp::socket socket)
+asio::awaitable<void> fake_store::serve(tcp::socket socket, view const& at)
 {
     boost::beast::tcp_stream stream{std::move(socket)};
     boost::beast::flat_buffer buffer;
@@ -135,12 +181,13 @@
         }
         while (!this->reachable)
         {
-            co_await pause(this->acceptor.get_executor(), poll_interval);
+            co_await pause(this->loop.get_executor(), poll_interval);
         }
         if (lost)
         {
             co_return; // no further requests on this connection
         }
+        replace_in_rows(made.body, at.replaced);
         http::response<http::string_body> sent{made.status, got.version()};
         sent.body() = made.body.dump();
         sent.prepare_payload();
@@ -190,7 +237,7 @@
         {
             co_return answer{http::status::ok, this->page(found)};
         }
-        co_await pause(this->acceptor.get_executor(), poll_interval);
+        co_await pause(this->loop.get_executor(), poll_interval);
     }
 }
 
--- a/tests/soak/fake_store.hpp
+++ b/tests/soak/fake_store.hpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <tuple>
@@ -31,6 +32,11 @@
 
     std::string address() const;
 
+    /// Opens another address of the same store. Calls to it see `replaced`, a
+    /// part of the rows' data, as the text that it maps to. Returns its
+    /// "IP:port".
+    std::string add_view(std::map<std::string, std::string> replaced);
+
     /// Writes a row as an operator would.
     void put(std::string const& table, std::string const& key,
              std::string const& value);
@@ -41,14 +47,20 @@
 private:
     using request = http::request<http::string_body>;
     using parameters = std::map<std::string, std::string>;
+    using replacements = std::map<std::string, std::string>;
+    struct view
+    {
+        tcp::acceptor acceptor;
+        replacements replaced;
+    };
     struct answer
     {
         http::status status;
         json body;
     };
 
-    asio::awaitable<void> accept();
-    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<void> accept(view& at);
+    asio::awaitable<void> serve(tcp::socket socket, view const& at);
     asio::awaitable<answer> answer_to(request const& got);
     asio::awaitable<answer> changes(parameters of);
     answer range(parameters of) const;
@@ -57,7 +69,8 @@
     void write(json row, bool deleted);
     json page(json const& rows) const;
 
-    tcp::acceptor acceptor;
+    asio::io_context& loop;
+    std::deque<view> views; ///< the first one replaces nothing
     std::uint64_t version{1};
     std::uint64_t lost_writes{};
     /// By table, part and key.
--- /dev/null
+++ b/tests/soak/server_link.hpp
@@ -0,0 +1,93 @@
+#ifndef CAPERPATH_TESTS_SOAK_SERVER_LINK_HPP
+#define CAPERPATH_TESTS_SOAK_SERVER_LINK_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperpath::soak
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// How a network path fails.
+enum class link_fault
+{
+    refuse,  ///< open connections live on, new ones are refused
+    reset,   ///< open connections are reset, new ones are refused
+    silent,  ///< nothing is delivered, new connections get no response
+    one_way, ///< the same, but open connections still carry requests
+};
+
+/// A proxy for the connections of one router to one server, which can be cut.
+/// Loop thread only; must outlive the loop's last run.
+class server_link
+{
+public:
+    server_link(asio::io_context& loop, std::string const& server);
+    server_link(server_link const&) = delete;
+    server_link& operator=(server_link const&) = delete;
+
+    std::string address() const;
+
+    /// @pre it is not cut.
+    void cut(link_fault how);
+
+    /// @pre it is cut.
+    void restore();
+
+    bool is_cut() const;
+
+private:
+    struct direction
+    {
+        explicit direction(asio::io_context& loop) : socket{loop}, timer{loop}
+        {
+        }
+
+        tcp::socket socket; ///< read by this direction
+        asio::steady_timer timer;
+        std::array<char, 8'192> buffer{};
+    };
+    struct connection
+    {
+        explicit connection(asio::io_context& loop)
+            : requests{loop}, responses{loop}
+        {
+        }
+
+        direction requests;  ///< from the router
+        direction responses; ///< from the server
+    };
+    using connection_ptr = std::shared_ptr<connection>;
+
+    void listen(int backlog);
+    void fill_backlog();
+    void accept();
+    void begin(connection_ptr both);
+    void read(connection_ptr both, bool responses);
+    void deliver(connection_ptr both, bool responses,
+                 boost::system::error_code fault, std::size_t size);
+    bool blocks(bool responses) const;
+
+    asio::io_context& loop;
+    tcp::endpoint server;
+    tcp::endpoint local;
+    tcp::acceptor acceptor;
+    int generation{}; ///< of the acceptor
+    bool cut_now{false};
+    link_fault fault{link_fault::refuse};
+    std::vector<std::weak_ptr<connection>> open;
+    std::vector<std::unique_ptr<tcp::socket>> fillers;
+};
+
+} // namespace caperpath::soak
+
+#endif
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -22,6 +22,9 @@
 using std::chrono::milliseconds;
 
 constexpr int prompt_tokens = 300;
+constexpr int ok = 200;
+constexpr int budget_used_up = 402;
+constexpr int budget_low = 429;
 constexpr milliseconds connect_timeout{2'000};
 /// Far longer than the deadline of each request.
 constexpr std::chrono::seconds response_timeout{30};
@@ -144,6 +147,7 @@
     auto& record = site.record;
     auto const& router = *site.routers[to.router];
     record.begin(request.id, request.kind);
+    auto const began_ms = record.now_ms();
     record.note(request.id, request.bytes.substr(0, request.bytes.find(' ')) +
                                 " to router " + std::to_string(to.router) +
                                 (router.stopping ? ", which is stopping" : ""));
@@ -168,11 +172,19 @@
     how.right = request.kind == request_kind::stream
                     ? events == request.events
                     : body == body_of(request.id);
-    if (request.kind == request_kind::stream && how.status == 200)
+    if (request.kind == request_kind::stream && how.status == ok)
     {
         record.spend(request.id, request.customer, prompt_tokens + events);
     }
     record.end(request.id, how);
+    // A used-up budget says nothing about paths.
+    if (how.status != budget_used_up && how.status != budget_low)
+    {
+        count_first_attempt(site, to.router,
+                            request.kind == request_kind::stream ? "llm"
+                                                                 : "app",
+                            began_ms, how.status == ok && how.whole);
+    }
     co_return how.whole&& parser.keep_alive();
 }
 
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,130 @@
+#include "soak/soak_main.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <exception>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace caperpath::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick{20};
+constexpr milliseconds stall{100};
+
+/// Records when this process is scheduled late. Stops the loop once all callers
+/// are done.
+asio::awaitable<void> watch(soak_site& site)
+{
+    auto last = std::chrono::steady_clock::now();
+    while (!site.over() || site.callers_left > 0)
+    {
+        co_await pause(site.loop.get_executor(), tick);
+        auto const now = std::chrono::steady_clock::now();
+        if (now - last > tick + stall)
+        {
+            site.record.record_stall();
+        }
+        last = now;
+    }
+    site.loop.stop();
+}
+
+void run(soak_site& site)
+{
+    auto const spawn = [&site](asio::awaitable<void> task)
+    {
+        asio::co_spawn(site.loop, std::move(task),
+                       [](std::exception_ptr const& thrown)
+                       {
+                           if (thrown)
+                           {
+                               std::rethrow_exception(thrown);
+                           }
+                       });
+    };
+    spawn(watch(site));
+    spawn(interrupt_store(site));
+    constexpr int series = 2;
+    for (int i = 0; site.options.partitions && i < series; ++i)
+    {
+        spawn(partition_routers(site, i));
+    }
+    for (int i = 0; i < site.options.routers; ++i)
+    {
+        spawn(restart_repeatedly(site, i));
+    }
+    for (int i = 0; i < site.options.callers; ++i)
+    {
+        spawn(call_routers(site, i));
+    }
+    site.loop.run();
+}
+
+int soak(soak_options const& options)
+{
+    std::cout << "seed " << options.seed << ", routers " << options.routers
+              << ", " << options.time.count() << " s" << std::endl;
+    std::filesystem::create_directories(options.folder);
+    soak_site site{options};
+    run(site);
+    site.record.check_coverage();
+    check_partitioned_routers(site);
+    std::cout << site.record.summary();
+    if (site.record.first_violation().empty())
+    {
+        if (!options.keep_logs)
+        {
+            std::filesystem::remove_all(options.folder);
+        }
+        std::cout << "all promises kept" << std::endl;
+        return 0;
+    }
+    std::cout << "seed " << options.seed
+              << " broke: " << site.record.first_violation()
+              << "logs: " << options.folder.string() << std::endl;
+    return 1;
+}
+
+} // namespace
+
+int run_soak(int argc, char** argv, std::string const& description,
+             soak_options options)
+{
+    CLI::App app{description};
+    double minutes = 1;
+    options.folder = std::filesystem::temp_directory_path() /
+                     ("caperpath-soak-" + std::to_string(::getpid()));
+    app.add_option("--seed", options.seed);
+    app.add_option("--minutes", minutes, "run time, plus one last stop")
+        ->check(CLI::PositiveNumber);
+    app.add_option("--routers", options.routers)->check(CLI::Range(1, 999));
+    app.add_option("--callers", options.callers)->check(CLI::PositiveNumber);
+    app.add_flag("--keep-logs", options.keep_logs,
+                 "keep the routers' logs of a passed run, too");
+    app.add_option("--gateway", options.gateway, "path of the routers' binary")
+        ->check(CLI::ExistingFile);
+    CLI11_PARSE(app, argc, argv);
+    constexpr double seconds = 60;
+    options.time =
+        std::chrono::seconds{static_cast<std::int64_t>(minutes * seconds)};
+    try
+    {
+        return soak(options);
+    }
+    catch (std::exception const& fault)
+    {
+        std::cerr << fault.what() << std::endl;
+        return 2;
+    }
+}
+
+} // namespace caperpath::soak
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -165,6 +165,12 @@
     this->counts[what] += 1;
 }
 
+std::int64_t soak_record::counted(std::string const& what) const
+{
+    auto const found = this->counts.find(what);
+    return found == this->counts.end() ? 0 : found->second;
+}
+
 void soak_record::check_coverage()
 {
     constexpr std::size_t kinds = 3;
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -53,6 +53,9 @@
     /// Increments a counter of the summary.
     void count(std::string const& what);
 
+    /// The value of a counter; 0 if it was never incremented.
+    std::int64_t counted(std::string const& what) const;
+
     /// Reports a violation if requests of some kind were never served, as such
     /// a run proves nothing.
     void check_coverage();
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr int app_servers = 3;
+constexpr int app_servers = soak_site::app_servers;
 constexpr int engines = 2;
 constexpr int grace_s = 4;
 constexpr milliseconds poll_interval{10};
@@ -58,6 +58,13 @@
     return {draw.ms(0, grace_s * 1'000), all[draw.between(0, 3)]};
 }
 
+milliseconds draw_uptime(soak_site const& site, dice& draw)
+{
+    auto const early = draw.chance(15);
+    auto const longest = site.options.partitions ? 30'000 : 3'500;
+    return early ? draw.ms(0, 200) : draw.ms(500, longest);
+}
+
 void apply(soak_site& site, router_process& router, disturbance const& what)
 {
     switch (what.what)
@@ -147,14 +154,30 @@
     this->put_configuration();
     for (int i = 0; i < options.routers; ++i)
     {
+        auto const store =
+            options.partitions ? this->add_links() : this->store.address();
         this->routers.push_back(std::make_unique<router_process>(
-            this->loop, router_plan{options.gateway, options.folder,
-                                    this->store.address(), i, grace_s}));
+            this->loop,
+            router_plan{options.gateway, options.folder, store, i, grace_s}));
     }
     this->series_left = options.routers;
     this->callers_left = options.callers;
 }
 
+std::string soak_site::add_links()
+{
+    auto& links = this->links.emplace_back();
+    std::map<std::string, std::string> addresses;
+    for (auto const& server : this->servers)
+    {
+        links.push_back(
+            std::make_unique<server_link>(this->loop, server.address()));
+        addresses[server.address()] = links.back()->address();
+    }
+    this->paths.emplace_back();
+    return this->store.add_view(addresses);
+}
+
 void soak_site::put_configuration()
 {
     this->configuration += 1;
@@ -192,9 +215,7 @@
                    milliseconds{2'000} + number * gap);
     while (true)
     {
-        auto const early = draw.chance(15);
-        co_await pause(site.loop.get_executor(),
-                       early ? draw.ms(0, 200) : draw.ms(500, 3'500));
+        co_await pause(site.loop.get_executor(), draw_uptime(site, draw));
         if (!router.runs())
         {
             check_exit(site, router, number, false);
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -4,12 +4,14 @@
 #include "soak/fake_store.hpp"
 #include "soak/pause.hpp"
 #include "soak/router_process.hpp"
+#include "soak/server_link.hpp"
 #include "soak/soak_record.hpp"
 #include "soak/soak_servers.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,12 +28,23 @@
     std::string gateway; ///< the binary's path
     std::filesystem::path folder;
     bool keep_logs{false}; ///< also if no guarantee was violated
+    /// Routers lose their paths to servers, and restart less often.
+    bool partitions{false};
+};
+
+/// Whether a router has its paths to all servers of a service.
+struct path_state
+{
+    std::int64_t cut_at{-1};     ///< ms of the record; -1 unless cut now
+    std::int64_t changed_at{-1}; ///< latest cut or restoration
 };
 
 /// Router processes with their store and servers, and the record of what
 /// callers saw. Loop thread only.
 struct soak_site
 {
+    static constexpr int app_servers = 3; ///< the first ones; then engines
+
     explicit soak_site(soak_options const& options);
 
     void put_configuration();
@@ -49,8 +62,30 @@
     std::chrono::steady_clock::time_point end;
     int series_left{};  ///< restart series that are not finished
     int callers_left{}; ///< that are still active
+
+    /// Only with `partitions`: by router, a link to each server and the state
+    /// of its paths by service.
+    std::vector<std::vector<std::unique_ptr<server_link>>> links;
+    std::vector<std::map<std::string, path_state>> paths;
+
+private:
+    /// Returns the address of the store for a router.
+    std::string add_links();
 };
 
+/// Cuts paths of routers to servers in series, until the soak time is over.
+asio::awaitable<void> partition_routers(soak_site& site, int series);
+
+/// Counts how a first attempt at `router` ended, by whether the router had its
+/// paths all the time or was cut off all the time.
+void count_first_attempt(soak_site& site, int router,
+                         std::string const& service, std::int64_t began_ms,
+                         bool served);
+
+/// Reports a violation if routers without a path served their callers' first
+/// attempts less often than the others.
+void check_partitioned_routers(soak_site& site);
+
 /// Restarts one router until the soak time is over.
 asio::awaitable<void> restart_repeatedly(soak_site& site, int number);
 
