Connect to servers through other routers while the direct path has failed

Callers of routers that had lost their links to all backend servers were rejected: a router sent only over its own connections, so that nothing could be done for a request there although every other router reached the servers. A failed connect excluded a server for 0.4 to 3 s and was then tried again by a caller's request.

A path is now recorded apart from the server's own failures. While a connect fails or does not respond within 100 ms, another router is asked for a connection to the same server; it connects, never through a third one, and forwards bytes. The request itself stays at the router that accepted it: reservation, bill, retry limit, deadline and the count of runs are those of a direct send, and the relay cannot loop. A router that fails to reach a server proves its own link first (it reaches another server of the service since); if it cannot, a further one is asked. Failed paths are probed in the background, not by callers' requests, at most 20 a second.

A starting router repeats its first read of the members after 1 s instead of 4 s.

--- a/include/caperpath/fleet/server_path.hpp
+++ b/include/caperpath/fleet/server_path.hpp
@@ -4,9 +4,12 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
+#include <vector>
 
 /// What a router knows of its network path to a backend server. A connect that
 /// fails does not show whether the server is down or the router's own link to
@@ -80,6 +83,19 @@
 /// Thread safe.
 bool is_cut_off(service_reach const& reach);
 
+/// At most `most` servers whose failed direct path is to be probed `now`, the
+/// longest overdue first; they become due again after their interval. Thread
+/// safe.
+std::vector<backend_server_id> take_due_probes(server_table& table, instant now,
+                                               std::size_t most);
+
+/// The server other than `except` whose direct path worked last and has not
+/// failed since: of `service` if that has others, else of any. Thread safe.
+std::optional<backend_server_id> another_server(server_table const& table,
+                                                backend_server_id const& except,
+                                                service_id const& service,
+                                                instant now);
+
 /// Interval of the probes of a failed path; doubles from the first to the
 /// longest.
 inline constexpr duration first_probe_interval{250};
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -17,6 +17,8 @@
 /// cost of a second prefill of a small shared prefix, and above 0 so that
 /// routers agree on the second choice.
 constexpr double rank_penalty_ms = 0.4;
+/// Penalty of a server without a direct path, for the relay's round trips.
+constexpr double relay_penalty_ms = 5.0;
 constexpr double full_report_weight = 1.0;
 constexpr std::int64_t percent_per_whole = 100;
 
@@ -220,7 +222,10 @@
             item.shared_part != 0 &&
             (rank == 0 || memory.holds(target.entry.id, item.shared_part, now));
         auto const time = expected_ms(target, of, item, holds, speed, now);
-        auto const cost = time + rank_penalty_ms * static_cast<double>(rank);
+        auto const relay_cost =
+            target.path.direct_failed ? relay_penalty_ms : 0.0;
+        auto const cost =
+            time + relay_cost + rank_penalty_ms * static_cast<double>(rank);
         if (!best || cost < least)
         {
             least = cost;
--- a/src/fleet/server_path.cpp
+++ b/src/fleet/server_path.cpp
@@ -121,4 +121,67 @@
     return reach.servers > 0 && reach.direct == 0;
 }
 
+std::vector<backend_server_id> take_due_probes(server_table& table, instant now,
+                                               std::size_t most)
+{
+    std::vector<server*> due;
+    for (auto& [id, target] : table.servers)
+    {
+        if (target.path.direct_failed && now >= target.path.next_probe &&
+            !is_draining(target, now))
+        {
+            due.push_back(&target);
+        }
+    }
+    std::sort(due.begin(), due.end(),
+              [](server const* a, server const* b)
+              { return a->path.next_probe < b->path.next_probe; });
+    due.resize(std::min(due.size(), most));
+    std::vector<backend_server_id> ids;
+    for (auto* const each : due)
+    {
+        // Until the result is known; it then sets the next one.
+        each->path.next_probe = now + longest_probe_interval;
+        ids.push_back(each->entry.id);
+    }
+    return ids;
+}
+
+std::optional<backend_server_id> another_server(server_table const& table,
+                                                backend_server_id const& except,
+                                                service_id const& service,
+                                                instant now)
+{
+    server const* best = nullptr;
+    auto best_is_of_service = false;
+    auto others_of_service = false;
+    for (auto const& [id, target] : table.servers)
+    {
+        if (id == except || is_draining(target, now))
+        {
+            continue;
+        }
+        auto const of_service = target.entry.service == service;
+        others_of_service = others_of_service || of_service;
+        if (target.path.direct_failed)
+        {
+            continue;
+        }
+        auto const is_better =
+            best == nullptr || (of_service && !best_is_of_service) ||
+            (of_service == best_is_of_service &&
+             target.path.connected_at > best->path.connected_at);
+        if (is_better)
+        {
+            best = &target;
+            best_is_of_service = of_service;
+        }
+    }
+    if (best == nullptr || (others_of_service && !best_is_of_service))
+    {
+        return std::nullopt;
+    }
+    return best->entry.id;
+}
+
 } // namespace caperpath::fleet
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -123,7 +123,8 @@
 
 bool usable(server const& target, instant now)
 {
-    return !is_draining(target, now) && now >= target.set_aside_until;
+    return !is_draining(target, now) && now >= target.set_aside_until &&
+           is_reachable(target.path);
 }
 
 void note_failure(server& target, bool decisive, instant now)
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -12,7 +12,7 @@
 /// Number of shared prompt prefixes to remember.
 constexpr std::size_t max_remembered_prefixes = 20'000;
 
-std::string peer_address(settings const& from)
+std::string peer_address_of(settings const& from)
 {
     auto const ip = from.callers.substr(0, from.callers.rfind(':'));
     return ip + ":" + std::to_string(from.first_peer_port);
@@ -23,13 +23,14 @@
 core::core(asio::any_io_executor const& loop, gateway::settings const& settings,
            protocol_adapter adapter, store::async_port const& store,
            incarnation_id incarnation, int log_descriptor)
-    : loop{loop}, settings{settings}, adapter{std::move(adapter)},
+    : loop{loop}, settings{settings},
+      peer_address{peer_address_of(settings)}, adapter{std::move(adapter)},
       log{loop, log_descriptor, settings.vm}, prompts{max_remembered_prefixes},
-      retries{settings.retries}, peers{loop, peer_address(settings), this->log},
+      retries{settings.retries}, peers{loop, this->peer_address, this->log},
       membership{loop,
                  store,
                  incarnation,
-                 peer_address(settings),
+                 this->peer_address,
                  settings.retries.window,
                  this->log},
       budgets{loop,
@@ -37,16 +38,21 @@
               settings.vm,
               settings.callers,
               std::move(incarnation),
-              peer_address(settings),
+              this->peer_address,
               [this](std::string const& to, std::string const& bytes)
               { this->peers.send(to, bytes); },
               this->log},
-      pool{loop,
-           [this](bool answered)
+      pool{[this]
            {
-               this->uplink = fleet::note_connect_result(this->uplink, answered,
+               this->uplink = fleet::note_connect_result(this->uplink, true,
                                                          this->now.now());
            }},
+      relays{loop, this->peer_address, this->log}, connector{loop,
+                                                             this->servers,
+                                                             this->pool,
+                                                             this->relays,
+                                                             this->uplink,
+                                                             this->log},
       crashes{loop, store, fleet::stable_hash(settings.vm), this->log},
       crash_checks{loop}
 {
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -10,6 +10,8 @@
 #include "gateway/membership_tracker.hpp"
 #include "gateway/peer_socket.hpp"
 #include "gateway/protocol_adapter.hpp"
+#include "gateway/relay_client.hpp"
+#include "gateway/server_connector.hpp"
 #include "gateway/server_pool.hpp"
 #include "gateway/settings.hpp"
 #include "gateway/waker.hpp"
@@ -28,6 +30,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace caperpath::gateway
 {
@@ -43,6 +46,7 @@
 
     asio::any_io_executor loop;
     gateway::settings const settings;
+    std::string const peer_address; ///< "IP:port" for other routers
     protocol_adapter const adapter;
     caperpath::clock const now{caperpath::clock::monotonic()};
     /// For the retry limit: includes time in suspend, so that the limit of the
@@ -62,6 +66,9 @@
     budget_share_manager budgets;
     fleet::uplink uplink;
     server_pool pool;
+    relay_client relays;
+    server_connector connector;
+    std::int64_t relayed{}; ///< connections that this router relays for others
     crash_tracker crashes;
     crash_check crash_checks;
     std::set<fleet::fingerprint> on_probation; ///< requests on probation that
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -128,6 +128,10 @@
         {"ms", std::to_string(elapsed.ms)},
         {"sends", std::to_string(current.attempts.sends)},
         {"server", current.server}};
+    if (!current.relay.empty())
+    {
+        fields.push_back({"relay", current.relay});
+    }
     if (current.customer != nullptr)
     {
         fields.push_back({"customer", current.customer->id.value});
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -90,6 +90,7 @@
     int status{};
     std::string_view reason{"served"};
     std::string server;
+    std::string relay; ///< of the latest attempt; empty if it was direct
     duration expected{};
     std::optional<duration> first_part;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange.hpp"
 #include "gateway/http_client.hpp"
+#include "gateway/relay_session.hpp"
 #include "gateway/run_after.hpp"
 #include "gateway/session.hpp"
 
@@ -46,7 +47,7 @@
     : loop{loop}, shared{loop.get_executor(),    settings,
                          std::move(adapter),     store,
                          std::move(incarnation), log_descriptor},
-      callers{loop}, readiness{loop}, metrics{loop}, timer{loop}
+      callers{loop}, readiness{loop}, metrics{loop}, routers{loop}, timer{loop}
 {
     this->follow_store(store);
 }
@@ -85,6 +86,7 @@
     this->shared.peers.start(
         [this](std::string const& from, std::string const& bytes)
         { this->shared.budgets.receive_datagram(from, bytes); });
+    this->listen_to_routers();
     this->accept_callers();
     this->accept_status_clients(this->readiness);
     this->accept_status_clients(this->metrics);
@@ -127,6 +129,42 @@
         });
 }
 
+void gateway_server::listen_to_routers()
+{
+    auto const& address = this->shared.peer_address;
+    auto const listening = value_or_error(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_CHECK(this->listen(this->routers, address));
+            return true;
+        });
+    if (auto const* fault = std::get_if<error>(&listening))
+    {
+        this->shared.log.write_error(*fault);
+        return;
+    }
+    this->accept_relayed();
+}
+
+void gateway_server::accept_relayed()
+{
+    this->routers.async_accept(
+        [this](boost::system::error_code fault, tcp::socket socket)
+        {
+            if (fault == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!fault)
+            {
+                asio::co_spawn(this->loop,
+                               serve_relay(this->shared, std::move(socket)),
+                               asio::detached);
+            }
+            this->accept_after(fault, [this] { this->accept_relayed(); });
+        });
+}
+
 /// Pauses after an error. Otherwise a process without free descriptors would
 /// retry in a busy loop, and requests whose end would free descriptors would
 /// not proceed.
@@ -291,7 +329,7 @@
                           return !caller->has_input() && caller->unsent() == 0;
                       });
     fleet::shutdown_work left;
-    left.requests = std::ssize(shared.sessions) > idle;
+    left.requests = std::ssize(shared.sessions) > idle || shared.relayed > 0;
     left.connections = !shared.sessions.empty();
     if (!shared.returning_since || !shared.budgets.closed())
     {
@@ -350,6 +388,7 @@
         this->shared.pool.drop(id);
         this->shared.prompts.forget(id);
     }
+    this->shared.connector.probe_paths();
     this->report_retries();
     this->report_reach();
     this->shared.uplink = fleet::advance_time(this->shared.uplink, now);
@@ -357,7 +396,15 @@
     if (this->shared.membership.completed_reads() != this->membership_reads)
     {
         this->membership_reads = this->shared.membership.completed_reads();
-        this->shared.budgets.set_peers(this->shared.membership.live_routers());
+        auto const routers = this->shared.membership.live_routers();
+        this->shared.budgets.set_peers(routers);
+        std::vector<std::string> addresses;
+        addresses.reserve(routers.size());
+        for (auto const& [address, incarnation] : routers)
+        {
+            addresses.push_back(address);
+        }
+        this->shared.relays.set_routers(addresses);
     }
     this->shared.metrics.lines_dropped(this->shared.log.dropped());
     if (this->ready() != this->was_ready)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -63,6 +63,9 @@
 private:
     result<void> listen(tcp::acceptor& acceptor, std::string const& address);
     void accept_callers();
+    void accept_relayed();
+    /// Listens for other routers. A router that cannot still serves callers.
+    void listen_to_routers();
     /// Accepts clients of the readiness check and of the metrics.
     void accept_status_clients(tcp::acceptor& acceptor);
     void accept_after(boost::system::error_code fault,
@@ -89,6 +92,7 @@
     tcp::acceptor callers;
     tcp::acceptor readiness;
     tcp::acceptor metrics;
+    tcp::acceptor routers;
     asio::steady_timer timer;
     std::unique_ptr<table_follower> configuration_follower;
     std::unique_ptr<table_follower> server_follower;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -65,6 +65,12 @@
         this->times.Add({{"step", "reserve"}}, wait_buckets)};
     prometheus::Counter& first_sends{this->sends.Add({{"repeat", "no"}})};
     prometheus::Counter& retries{this->sends.Add({{"repeat", "yes"}})};
+    prometheus::Counter& relayed{
+        BuildCounter()
+            .Name("caperpath_relayed_sends_total")
+            .Help("Requests sent to servers through another router.")
+            .Register(this->registry)
+            .Add({})};
     prometheus::Counter& reached{this->calls.Add({{"result", "answered"}})};
     prometheus::Counter& failed{this->calls.Add({{"result", "failed"}})};
     prometheus::Gauge& version{
@@ -105,9 +111,13 @@
     this->self->reserve.Observe(static_cast<double>(ms) / ms_per_second);
 }
 
-void gateway_metrics::sent(bool retry)
+void gateway_metrics::sent(bool retry, bool relayed)
 {
     (retry ? this->self->retries : this->self->first_sends).Increment();
+    if (relayed)
+    {
+        this->self->relayed.Increment();
+    }
 }
 
 void gateway_metrics::site_version(std::uint64_t version)
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -32,8 +32,9 @@
     /// Time that a reservation of tokens took.
     void reserve_wait(std::int64_t ms);
 
-    /// Counts a send to a server; `retry` if the request was sent before.
-    void sent(bool retry);
+    /// Counts a send to a server; `retry` if the request was sent before,
+    /// `relayed` if another router relays it.
+    void sent(bool retry, bool relayed);
 
     /// The configuration in use and the number of listed servers.
     void site_version(std::uint64_t version);
--- a/src/gateway/membership_tracker.cpp
+++ b/src/gateway/membership_tracker.cpp
@@ -19,6 +19,8 @@
 constexpr char range_begin[] = "router//fleet";
 constexpr char range_end[] = "router0/fleet";
 
+constexpr duration first_read_retry{1'000};
+
 std::string key_of(incarnation_id const& router)
 {
     return std::string{key_begin} + router.value + std::string{key_end};
@@ -134,7 +136,10 @@
             if (auto const* fault = std::get_if<error>(&reply))
             {
                 this->log.write_error(*fault);
-                this->read_members_after(fleet::heartbeat_interval);
+                // Without a first read no router can relay for this one.
+                this->read_members_after(this->read_count == 0
+                                             ? first_read_retry
+                                             : fleet::heartbeat_interval);
                 return;
             }
             this->apply(std::get<std::vector<store::row>>(reply),
--- /dev/null
+++ b/src/gateway/relay_session.cpp
@@ -0,0 +1,239 @@
+#include "gateway/relay_session.hpp"
+
+#include "gateway/relay_message.hpp"
+#include "gateway/run_after.hpp"
+
+#include <caperpath/fleet/server_path.hpp>
+
+#include <boost/beast/core/buffers_to_string.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds router_silence_timeout{1'500};
+/// The request normally arrives within a round trip.
+constexpr duration request_timeout{500};
+/// Bounds the memory, descriptors and processor time spent for others.
+constexpr std::int64_t most_relayed = 256;
+/// Reading from one side pauses while the other has more unsent bytes.
+constexpr std::size_t max_unsent = 65'536;
+
+/// Moves received bytes on, unless the receiver is behind.
+void move_bytes(connection& from, connection& to)
+{
+    auto& input = from.input();
+    if (input.size() == 0 || to.unsent() > max_unsent)
+    {
+        return;
+    }
+    to.send(boost::beast::buffers_to_string(input.data()));
+    input.consume(input.size());
+    from.resume();
+}
+
+class relay_session
+{
+public:
+    relay_session(core& shared, tcp::socket socket)
+        : shared{shared}, wakeup{std::make_shared<waker>(shared.loop)},
+          router{std::make_shared<connection>(std::move(socket),
+                                              router_silence_timeout)}
+    {
+        this->shared.relayed += 1;
+        this->router->set_waker(this->wakeup);
+        this->router->start();
+    }
+
+    ~relay_session()
+    {
+        this->shared.relayed -= 1;
+    }
+
+    relay_session(relay_session const&) = delete;
+    relay_session& operator=(relay_session const&) = delete;
+
+    asio::awaitable<void> run()
+    {
+        auto const request = co_await this->read_request();
+        if (!request)
+        {
+            this->router->close(true);
+            co_return;
+        }
+        auto const reply = co_await this->open(*request);
+        this->log_reply(*request, reply);
+        this->router->send(encode(reply));
+        if (this->server && !request->probe_only)
+        {
+            co_await this->forward();
+            co_return;
+        }
+        co_await this->finish();
+    }
+
+private:
+    asio::awaitable<void> wait(duration span)
+    {
+        static_cast<void>(co_await this->wakeup->wait(
+            std::chrono::steady_clock::now() + to_chrono(span)));
+    }
+
+    asio::awaitable<std::optional<relay_request>> read_request()
+    {
+        auto const until = this->shared.now.now() + request_timeout;
+        while (true)
+        {
+            auto const taken = value_or_error(
+                [this] { return take_relay_request(this->router->input()); });
+            if (auto const* fault = std::get_if<error>(&taken))
+            {
+                this->shared.log.write_error(*fault);
+                co_return std::nullopt;
+            }
+            auto const& request = std::get<std::optional<relay_request>>(taken);
+            auto const left = until - this->shared.now.now();
+            if (request || left <= duration{0} ||
+                this->router->end() != peer_end::open)
+            {
+                co_return request;
+            }
+            co_await this->wait(left);
+        }
+    }
+
+    asio::awaitable<relay_reply> open(relay_request const& request)
+    {
+        auto const now = this->shared.now.now();
+        if (this->shared.stop)
+        {
+            co_return relay_reply{relay_outcome::stopping};
+        }
+        if (this->shared.relayed > most_relayed)
+        {
+            co_return relay_reply{relay_outcome::busy};
+        }
+        auto const& servers = this->shared.servers;
+        auto const found = servers.servers.find(request.server);
+        if (found == servers.servers.end())
+        {
+            co_return relay_reply{relay_outcome::unknown_server};
+        }
+        auto const reach =
+            fleet::reach_of(servers, found->second.entry.service, now);
+        if (fleet::is_cut_off(reach))
+        {
+            co_return relay_reply{relay_outcome::cut_off};
+        }
+        auto const known = found->second.path;
+        if (known.direct_failed)
+        {
+            co_return co_await this->failure(
+                request, now,
+                known.direct_silent ? fleet::connect_outcome::silent
+                                    : fleet::connect_outcome::refused);
+        }
+        auto const result = co_await this->shared.connector.connect_directly(
+            request.server, connect_timeout);
+        this->server = result.link;
+        if (this->server)
+        {
+            this->server->set_waker(this->wakeup);
+            co_return relay_reply{relay_outcome::connected, true};
+        }
+        co_return co_await this->failure(request, now, result.outcome);
+    }
+
+    asio::awaitable<relay_reply> failure(relay_request const& request,
+                                         instant since,
+                                         fleet::connect_outcome outcome)
+    {
+        auto const proven = !request.probe_only &&
+                            co_await this->shared.connector.reaches_others(
+                                request.server, since);
+        co_return relay_reply{outcome == fleet::connect_outcome::refused
+                                  ? relay_outcome::refused
+                                  : relay_outcome::silent,
+                              proven};
+    }
+
+    asio::awaitable<void> forward()
+    {
+        while (true)
+        {
+            move_bytes(*this->router, *this->server);
+            move_bytes(*this->server, *this->router);
+            if (this->router->end() != peer_end::open)
+            {
+                // The other router has given up: the server must not go on.
+                this->server->close(true);
+                this->router->close();
+                co_return;
+            }
+            if (this->server->end() == peer_end::broken)
+            {
+                break;
+            }
+            auto const all_sent = this->server->input().size() == 0 &&
+                                  this->router->unsent() == 0;
+            if (this->server->end() == peer_end::finished && all_sent)
+            {
+                break;
+            }
+            co_await this->wait(longest_wait);
+        }
+        this->router->close(this->server->end() == peer_end::broken);
+        this->server->close();
+    }
+
+    /// Closes the connection once the reply was sent.
+    asio::awaitable<void> finish()
+    {
+        while (this->router->unsent() > 0 &&
+               this->router->end() == peer_end::open)
+        {
+            co_await this->wait(request_timeout);
+        }
+        this->router->close();
+        if (this->server)
+        {
+            this->server->close();
+        }
+    }
+
+    void log_reply(relay_request const& request, relay_reply const& reply)
+    {
+        this->shared.log.write(
+            log_weight::routine, "relay",
+            {{"server", request.server.value},
+             {"outcome", std::string{to_text(reply.outcome)}},
+             {"proven", reply.proven ? "yes" : "no"},
+             {"probe", request.probe_only ? "yes" : "no"},
+             {"open", std::to_string(this->shared.relayed)}});
+    }
+
+    /// Only a bound: the ends of both connections wake the session.
+    static constexpr duration longest_wait{10'000};
+
+    core& shared;
+    waker_ptr wakeup;
+    connection_ptr router;
+    connection_ptr server;
+};
+
+} // namespace
+
+asio::awaitable<void> serve_relay(core& shared, tcp::socket socket)
+{
+    relay_session session{shared, std::move(socket)};
+    co_await session.run();
+}
+
+} // namespace caperpath::gateway
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -69,7 +69,7 @@
 {
     auto const keep_idle =
         this->facts.idle_timeout.value_or(default_idle_timeout) - idle_margin;
-    if (this->reusable && this->connection->unsent() == 0 &&
+    if (this->reusable && !this->relayed && this->connection->unsent() == 0 &&
         keep_idle > duration{0})
     {
         this->current.shared.pool.release(this->where.server, this->connection,
@@ -118,40 +118,27 @@
 asio::awaitable<std::optional<attempt_outcome>> server_call::connect()
 {
     auto& shared = this->current.shared;
-    auto const* const target = this->server();
     auto const max_idle = fleet::may_run_again(this->current.attempts)
                               ? max_idle_repeatable
                               : max_idle_non_repeatable;
     auto const began = shared.now.now();
-    auto const time_left = this->current.deadline - began;
-    auto const result = co_await shared.pool.acquire(
-        this->where.server, target->entry.address, max_idle, time_left);
-    this->connection = result.link;
-    auto* const after = this->server();
-    auto const connect_time = shared.now.now() - began;
-    auto const cut_short =
-        !this->connection && shared.now.now() >= this->current.deadline;
-    if (after != nullptr && result.is_new && !cut_short)
-    {
-        after->path = fleet::note_direct(after->path, result.outcome, began,
-                                         shared.now.now());
-    }
+    auto link = co_await shared.connector.connect(
+        this->where.server, max_idle, this->current.deadline - began);
+    this->connection = std::move(link.connection);
+    this->current.relay = link.relay;
+    this->relayed = !link.relay.empty();
+    this->relay_use = std::move(link.relay_use);
     if (!this->connection)
     {
-        // If the deadline cut the connect short, it says nothing about the
-        // server.
-        if (after != nullptr && this->current.deadline > shared.now.now())
-        {
-            fleet::note_failure(*after, true, shared.now.now());
-            shared.pool.drop(this->where.server);
-        }
+        auto const connect_time = shared.now.now() - began;
         shared.log.write(log_weight::notable, "connect",
                          {{"request", this->current.facts.id},
                           {"server", this->where.server.value},
-                          {"outcome", std::string{to_text(result.outcome)}},
+                          {"outcome", "not_reached"},
                           {"ms", std::to_string(connect_time.ms)}});
         co_return attempt_outcome::not_reached;
     }
+    auto const* const after = this->server();
     if (caller_disconnected(this->current))
     {
         this->reusable = true;
@@ -200,7 +187,7 @@
         head.set(http::field::content_length, std::to_string(content.size()));
     }
     this->connection->send(head_text(head) + content);
-    shared.metrics.sent(this->current.possible_deliveries > 0);
+    shared.metrics.sent(this->current.possible_deliveries > 0, this->relayed);
     this->current.possible_deliveries += 1;
     if (auto* const target = this->server())
     {
@@ -387,7 +374,11 @@
     {
         return;
     }
-    fleet::note_success(*target, now - this->sent_at, this->where.expected);
+    // Over a relay the time says nothing about the server alone.
+    if (!this->relayed)
+    {
+        fleet::note_success(*target, now - this->sent_at, this->where.expected);
+    }
     if (this->counted_unread)
     {
         target->own.unread -= this->current.work.prompt_tokens;
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -62,6 +62,8 @@
     bool counted_unread{false};
     bool counted_open{false};
     bool reusable{false}; ///< the connection can carry another request
+    bool relayed{false};  ///< another router relays the connection
+    std::shared_ptr<void> relay_use; ///< keeps the use of the relay counted
 };
 
 } // namespace caperpath::gateway
--- /dev/null
+++ b/src/gateway/timed_connect.hpp
@@ -0,0 +1,32 @@
+#ifndef CAPERPATH_SRC_GATEWAY_TIMED_CONNECT_HPP
+#define CAPERPATH_SRC_GATEWAY_TIMED_CONNECT_HPP
+
+#include "gateway/connection.hpp"
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/fleet/server_path.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+namespace caperpath::gateway
+{
+
+/// A new connection, or why there is none.
+struct connect_result
+{
+    connection_ptr link; ///< null unless `reached`; already reading
+    fleet::connect_outcome outcome{fleet::connect_outcome::silent};
+};
+
+/// Connects to "IP:port" within `limit`. All arguments must outlive the call.
+/// Loop thread only.
+asio::awaitable<connect_result>
+timed_connect(asio::any_io_executor const& executor, std::string const& address,
+              duration limit);
+
+} // namespace caperpath::gateway
+
+#endif
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -78,6 +78,16 @@
     this->start_router();
 }
 
+fleet_site::fleet_site(fleet_site const& peer)
+    : fleet_site{without_router{peer.retries, peer.grace}}
+{
+    store::transaction txn;
+    txn.writes.push_back({"router/vm-2-1/fleet", peer.peer_address()});
+    this->store.port().commit(txn, [](store::commit_result const&) {});
+    this->put_configuration(1);
+    this->start_router();
+}
+
 fleet_site::~fleet_site()
 {
     this->loop.stop();
@@ -147,14 +157,6 @@
                         R"(","zone":"z","batch-slots":4,"state":"healthy"})");
 }
 
-void fleet_site::add_peer(std::string const& incarnation,
-                          std::string const& address)
-{
-    store::transaction txn;
-    txn.writes.push_back({"router/" + incarnation + "/fleet", address});
-    this->store.port().commit(txn, [](store::commit_result const&) {});
-}
-
 std::string fleet_site::peer_address() const
 {
     return "127.0.0.1:" + std::to_string(this->peer_port);
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -46,6 +46,9 @@
     explicit fleet_site(bool with_configuration = true,
                         fleet::retry_limit retries = {10, 50, {10'000}},
                         duration grace = duration{8'000});
+
+    /// The same with the heartbeat row of another site's router.
+    explicit fleet_site(fleet_site const& peer);
     ~fleet_site();
 
     /// Adds a server of `service` ("app" or "llm") that responds by `respond`.
@@ -98,9 +101,6 @@
     void list_server(std::string const& id, std::string const& service,
                      std::string const& address);
 
-    /// Adds the heartbeat row of a router of another site.
-    void add_peer(std::string const& incarnation, std::string const& address);
-
 private:
     struct without_router
     {
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -26,7 +26,6 @@
                   { return script{{complete_response(got, 200, "done")}}; })}
         {
             this->cut_off.list_server("i-1", "app", unreachable);
-            this->cut_off.add_peer("vm-2-1", this->reaching.peer_address());
             CPPUNIT_ASSERT(this->cut_off.run_until(
                 [&] { return this->cut_off.readiness() == 200; }));
             CPPUNIT_ASSERT(this->reaching.run_until(
@@ -57,7 +56,7 @@
         }
 
         fleet_site reaching;
-        fleet_site cut_off;
+        fleet_site cut_off{this->reaching};
         fake_server* server{};
     };
 
--- a/tests/soak/fake_store.cpp
+++ b/tests/soak/fake_store.cpp
@@ -137,6 +137,18 @@
            std::to_string(added.acceptor.local_endpoint().port());
 }
 
+void fake_store::set_reachable(bool now_reachable)
+{
+    this->reachable = now_reachable;
+    (now_reachable ? this->back_at : this->lost_at) =
+        std::chrono::steady_clock::now();
+}
+
+bool fake_store::is_reachable() const
+{
+    return this->reachable;
+}
+
 void fake_store::put(std::string const& table, std::string const& key,
                      std::string const& value)
 {
--- a/tests/soak/fake_store.hpp
+++ b/tests/soak/fake_store.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -42,7 +43,13 @@
              std::string const& value);
 
     /// While false, calls get no response, but every other write is applied.
-    bool reachable{true};
+    void set_reachable(bool now_reachable);
+
+    bool is_reachable() const;
+
+    /// Begin and end of the latest outage.
+    std::chrono::steady_clock::time_point lost_at{};
+    std::chrono::steady_clock::time_point back_at{};
 
 private:
     using request = http::request<http::string_body>;
@@ -73,6 +80,7 @@
     std::deque<view> views; ///< the first one replaces nothing
     std::uint64_t version{1};
     std::uint64_t lost_writes{};
+    bool reachable{true};
     /// By table, part and key.
     std::map<std::tuple<std::string, std::string, std::string>, json> rows;
     std::map<std::string, std::vector<json>> history; ///< by table
--- a/tests/soak/partitions.cpp
+++ b/tests/soak/partitions.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds start_time{10'000};
 /// A partitioned router needs some time to notice.
 constexpr std::int64_t notice_ms = 1'500;
+constexpr std::chrono::milliseconds settling_time{4'000};
 constexpr std::int64_t least_attempts = 40;
 /// At least this many routers keep their paths, since one of them may restart.
 constexpr std::ptrdiff_t least_whole = 2;
@@ -77,6 +78,37 @@
     }
 }
 
+/// True if the router has had time to learn of the others, so that a load
+/// balancer would send callers to it.
+bool is_settled(soak_site const& site, router_process const& router)
+{
+    auto const now = std::chrono::steady_clock::now();
+    auto const before_outage =
+        router.started + settling_time < site.store.lost_at;
+    auto const after_outage =
+        site.store.is_reachable() &&
+        now - std::max(router.started, site.store.back_at) > settling_time;
+    return !router.stopping && (before_outage || after_outage);
+}
+
+/// True if some router has had its paths all the time and does not stop, so
+/// that it can relay.
+bool has_relay(soak_site& site, std::string const& service,
+               std::int64_t began_ms)
+{
+    for (std::size_t i = 0; i < site.paths.size(); ++i)
+    {
+        auto const& paths = site.paths[i][service];
+        auto& router = *site.routers[i];
+        if (paths.cut_at < 0 && paths.changed_at + notice_ms <= began_ms &&
+            router.runs() && is_settled(site, router))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string bucket_of(path_state const& paths, std::int64_t began_ms)
 {
     if (paths.cut_at >= 0)
@@ -113,7 +145,8 @@
                          std::string const& service, std::int64_t began_ms,
                          bool served)
 {
-    if (!site.options.partitions || site.routers[router]->stopping)
+    if (!site.options.partitions || !is_settled(site, *site.routers[router]) ||
+        !has_relay(site, service, began_ms))
     {
         return;
     }
--- a/tests/soak/router_process.cpp
+++ b/tests/soak/router_process.cpp
@@ -114,6 +114,7 @@
     {
         throw std::system_error{fault, std::system_category(), "start router"};
     }
+    this->started = std::chrono::steady_clock::now();
     this->connections = 0;
     this->stopping = false;
 }
--- a/tests/soak/router_process.hpp
+++ b/tests/soak/router_process.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <string>
@@ -54,6 +55,7 @@
 
     std::uint16_t port() const;
 
+    std::chrono::steady_clock::time_point started;
     std::int64_t connections{}; ///< accepted by this process from callers
     bool stopping{false};
 
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -242,9 +242,9 @@
     while (!site.over())
     {
         co_await pause(site.loop.get_executor(), draw.ms(3'000, 8'000));
-        site.store.reachable = false;
+        site.store.set_reachable(false);
         co_await pause(site.loop.get_executor(), draw.ms(500, 4'000));
-        site.store.reachable = true;
+        site.store.set_reachable(true);
     }
 }
 
