Probe a direct path on which no server of a service responds any more

When a path goes silent, requests went out over one idle connection after the other, as many as there were, and waited for their deadline: only a new connect shows the silence. If nothing has come from any server of a service for 200 ms while requests to it wait, the waiting servers are connected to anew, each at most once a second; a silent one is then marked and its idle connections are closed. A single slow server changes nothing, since the others are heard.

gateway.partition, silent_idle_connections_are_noticed: 504 for the third of three requests in a row before, 200 now.

--- a/include/caperpath/fleet/server_path.hpp
+++ b/include/caperpath/fleet/server_path.hpp
@@ -43,6 +43,7 @@
     std::int64_t failed_probes{};
     /// Oldest direct send since which no bytes came from the server; 0 if none.
     instant unanswered_since{};
+    instant heard_at{-1'000'000}; ///< latest bytes from the server
 
     friend bool operator==(server_path const&, server_path const&) = default;
 };
@@ -52,6 +53,12 @@
 server_path note_direct(server_path path, connect_outcome outcome,
                         instant began, instant now);
 
+/// Records a request sent over a direct connection. Thread safe.
+server_path note_sent(server_path path, instant now);
+
+/// Records bytes received over a direct connection. Thread safe.
+server_path note_heard(server_path path, instant now);
+
 /// Records whether a relay reached the server. Thread safe.
 server_path note_relay(server_path path, bool reached);
 
@@ -89,6 +96,13 @@
 std::vector<backend_server_id> take_due_probes(server_table& table, instant now,
                                                std::size_t most);
 
+/// At most `most` servers to probe because requests sent to them may be lost on
+/// the network: nothing came from any server of their service for
+/// `silence_to_probe`, and a request to them is that old. They become due again
+/// after `longest_probe_interval`. Thread safe.
+std::vector<backend_server_id> take_suspects(server_table& table, instant now,
+                                             std::size_t most);
+
 /// The server other than `except` whose direct path worked last and has not
 /// failed since: of `service` if that has others, else of any. Thread safe.
 std::optional<backend_server_id> another_server(server_table const& table,
@@ -96,6 +110,10 @@
                                                 service_id const& service,
                                                 instant now);
 
+/// Longer than a server with free slots takes to respond, and shorter than a
+/// caller waits.
+inline constexpr duration silence_to_probe{200};
+
 /// Interval of the probes of a failed path; doubles from the first to the
 /// longest.
 inline constexpr duration first_probe_interval{250};
--- a/src/fleet/server_path.cpp
+++ b/src/fleet/server_path.cpp
@@ -54,9 +54,12 @@
 {
     if (outcome == connect_outcome::reached)
     {
-        path = {};
-        path.connected_at = now;
-        return path;
+        server_path restored;
+        restored.connected_at = now;
+        restored.heard_at = path.heard_at;
+        restored.unanswered_since = path.unanswered_since;
+        restored.next_probe = path.next_probe;
+        return restored;
     }
     if (path.connected_at >= began)
     {
@@ -76,6 +79,22 @@
     return path;
 }
 
+server_path note_sent(server_path path, instant now)
+{
+    if (path.unanswered_since == instant{})
+    {
+        path.unanswered_since = now;
+    }
+    return path;
+}
+
+server_path note_heard(server_path path, instant now)
+{
+    path.unanswered_since = {};
+    path.heard_at = now;
+    return path;
+}
+
 server_path note_relay(server_path path, bool reached)
 {
     path.relay_failed = !reached;
@@ -147,6 +166,33 @@
     return ids;
 }
 
+std::vector<backend_server_id> take_suspects(server_table& table, instant now,
+                                             std::size_t most)
+{
+    std::map<service_id, instant> heard;
+    for (auto const& [id, target] : table.servers)
+    {
+        auto& latest = heard[target.entry.service];
+        latest = std::max(latest, target.path.heard_at);
+    }
+    std::vector<backend_server_id> suspects;
+    for (auto& [id, target] : table.servers)
+    {
+        auto& path = target.path;
+        auto const waits =
+            target.own.open > 0 && path.unanswered_since != instant{} &&
+            now - path.unanswered_since >= silence_to_probe;
+        if (suspects.size() < most && waits && !path.direct_failed &&
+            now >= path.next_probe &&
+            now - heard[target.entry.service] >= silence_to_probe)
+        {
+            path.next_probe = now + longest_probe_interval;
+            suspects.push_back(id);
+        }
+    }
+    return suspects;
+}
+
 std::optional<backend_server_id> another_server(server_table const& table,
                                                 backend_server_id const& except,
                                                 service_id const& service,
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -45,6 +45,10 @@
     if (this->counted_open && target != nullptr)
     {
         target->own.open -= 1;
+        if (target->own.open == 0)
+        {
+            target->path.unanswered_since = {};
+        }
         target->own.in_memory -=
             this->current.work.prompt_tokens + this->current.work.output_tokens;
     }
@@ -191,6 +195,10 @@
     this->current.possible_deliveries += 1;
     if (auto* const target = this->server())
     {
+        if (!this->relayed)
+        {
+            target->path = fleet::note_sent(target->path, now);
+        }
         target->own.open += 1;
         target->own.in_memory +=
             this->current.work.prompt_tokens + this->current.work.output_tokens;
@@ -222,6 +230,12 @@
 std::optional<attempt_outcome> server_call::parse_input()
 {
     auto& input = this->connection->input();
+    auto* const target = this->server();
+    if (input.size() > 0 && target != nullptr && !this->relayed)
+    {
+        target->path =
+            fleet::note_heard(target->path, this->current.shared.now.now());
+    }
     std::array<char, parse_buffer_size> buffer{};
     while (input.size() > 0 && !this->response->is_done())
     {
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -17,6 +17,7 @@
 
 /// Probes to start per call, to bound their traffic if many servers are down.
 constexpr std::size_t most_probes = 2;
+constexpr std::size_t most_suspects = 4;
 /// How long a connection of a probe that nobody uses is kept.
 constexpr duration unused_idle_time{3'000};
 
@@ -270,8 +271,13 @@
 
 void server_connector::probe_paths()
 {
-    for (auto const& server :
-         fleet::take_due_probes(this->servers, this->now.now(), most_probes))
+    auto const at = this->now.now();
+    auto due = fleet::take_due_probes(this->servers, at, most_probes);
+    for (auto& suspect : fleet::take_suspects(this->servers, at, most_suspects))
+    {
+        due.push_back(std::move(suspect));
+    }
+    for (auto const& server : due)
     {
         asio::co_spawn(this->executor, this->probe(server), asio::detached);
     }
--- a/src/gateway/server_connector.hpp
+++ b/src/gateway/server_connector.hpp
@@ -60,7 +60,8 @@
     asio::awaitable<bool> reaches_others(backend_server_id const& server,
                                          instant since);
 
-    /// Starts the probes of failed paths that are due.
+    /// Starts the probes that are due: of failed paths, and of paths on which
+    /// requests may be lost.
     void probe_paths();
 
     /// Number of direct connections made since the start.
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -42,6 +42,9 @@
 
     std::string address() const;
 
+    /// Resets all connections and accepts no more.
+    void crash();
+
     std::vector<request> requests; ///< in the order of arrival
     int connections{};
     int closed_by_router{};
@@ -49,7 +52,6 @@
 
 private:
     void accept();
-    void crash();
     boost::asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
 
     boost::asio::io_context& loop;
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -1,9 +1,14 @@
 #include "gateway/fleet_site.hpp"
 #include "gateway/silent_address.hpp"
+#include "soak/server_link.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace caperpath;
 using namespace caperpath::gateway;
@@ -13,25 +18,54 @@
     CPPUNIT_TEST_SUITE(partition_test);
     CPPUNIT_TEST(a_router_whose_servers_are_silent_serves_its_callers);
     CPPUNIT_TEST(a_router_whose_servers_refuse_serves_its_callers);
+    CPPUNIT_TEST(silent_idle_connections_are_noticed);
     CPPUNIT_TEST_SUITE_END();
 
     /// Two routers. Both list the server `i-1`, but only `reaching` has a path
     /// to it.
     struct scenario
     {
-        explicit scenario(std::string const& unreachable)
-            : server{&this->reaching.add_server(
-                  "i-1", "app",
-                  [](fake_server::request const& got)
-                  { return script{{complete_response(got, 200, "done")}}; })}
+        /// Without `unreachable` the path can be cut by `link`.
+        explicit scenario(std::string const& unreachable = "")
+            : server{&this->add_server("i-1")}
         {
-            this->cut_off.list_server("i-1", "app", unreachable);
+            // The other server proves that the path of `reaching` works.
+            this->add_server("i-2");
+            this->link = std::make_unique<soak::server_link>(
+                this->cut_off.loop, this->server->address());
+            this->cut_off.list_server(
+                "i-1", "app",
+                unreachable.empty() ? this->link->address() : unreachable);
             CPPUNIT_ASSERT(this->cut_off.run_until(
                 [&] { return this->cut_off.readiness() == 200; }));
             CPPUNIT_ASSERT(this->reaching.run_until(
                 [&] { return this->reaching.readiness() == 200; }));
         }
 
+        fake_server& add_server(std::string const& id)
+        {
+            return this->reaching.add_server(
+                id, "app",
+                [this](fake_server::request const& got) -> script
+                {
+                    if (this->silent)
+                    {
+                        return {{}, script::ending::silent};
+                    }
+                    return {{complete_response(got, 200, "done")}};
+                });
+        }
+
+        void run_both(std::function<bool()> const& done)
+        {
+            CPPUNIT_ASSERT(this->cut_off.run_until(
+                [&]
+                {
+                    this->reaching.loop.run_for(std::chrono::milliseconds{1});
+                    return done();
+                }));
+        }
+
         /// Sends a request to the router without a path, while both run.
         received_response send(std::string const& bytes)
         {
@@ -55,9 +89,11 @@
             return got;
         }
 
+        bool silent{false}; ///< servers do not respond
         fleet_site reaching;
         fleet_site cut_off{this->reaching};
         fake_server* server{};
+        std::unique_ptr<soak::server_link> link;
     };
 
     static std::string refusing_address()
@@ -91,6 +127,32 @@
         CPPUNIT_ASSERT_EQUAL(200, got.status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.server->requests.size());
     }
+
+    // Guards against requests that wait for their deadline on one idle
+    // connection after the other once their path is silent.
+    void silent_idle_connections_are_noticed()
+    {
+        scenario all;
+        std::vector<connection_ptr> callers;
+        constexpr std::size_t idle_connections = 8;
+        for (std::size_t i = 0; i < idle_connections; ++i)
+        {
+            callers.push_back(
+                all.cut_off.begin(fleet_site::request("GET", "/read/1")));
+        }
+        all.run_both(
+            [&]
+            {
+                return std::all_of(callers.begin(), callers.end(),
+                                   [](auto const& each)
+                                   { return each->has_input(); });
+            });
+        all.link->cut(soak::link_fault::silent);
+        all.send(fleet_site::request("GET", "/read/2"));
+        all.send(fleet_site::request("GET", "/read/3"));
+        CPPUNIT_ASSERT_EQUAL(
+            200, all.send(fleet_site::request("GET", "/read/4")).status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(partition_test);
