Confirm crashes of servers at other routers

One router alone cannot tell its link from a server. A refused connect now counts as a crash only if a router that has just reached another server of the service sees the same; without a reply that proves anything, only if this router has itself reached another server since. A router that knows no other decides alone, as before. A lost connection counts as a failure of the server only if the server runs and no relay was involved.

gateway.partition, a_partition_is_not_recorded_as_a_crash: 503 (all servers set aside) before, 200 and no crash row now; a crash that the other router confirms is recorded as before.

--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -54,7 +54,7 @@
                                                              this->uplink,
                                                              this->log},
       crashes{loop, store, fleet::stable_hash(settings.vm), this->log},
-      crash_checks{loop}
+      crash_checks{loop, this->connector}
 {
 }
 
--- a/src/gateway/crash_check.hpp
+++ b/src/gateway/crash_check.hpp
@@ -1,6 +1,8 @@
 #ifndef CAPERPATH_SRC_GATEWAY_CRASH_CHECK_HPP
 #define CAPERPATH_SRC_GATEWAY_CRASH_CHECK_HPP
 
+#include "gateway/server_connector.hpp"
+
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
 
@@ -11,25 +13,23 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
 
 namespace caperpath::gateway
 {
 
-/// Distinguishes a crashed server from a lost connection: the address of a
-/// process that has exited refuses connections. All requests of a server lose
-/// their connections at once and share one probe. Loop thread only; must
-/// outlive its calls.
+/// Distinguishes a crashed server from a lost connection. All requests of a
+/// server lose their connections at once and share one check. Loop thread only;
+/// must outlive its calls, and `connector` must outlive it.
 class crash_check
 {
 public:
-    explicit crash_check(boost::asio::any_io_executor executor);
+    crash_check(boost::asio::any_io_executor executor,
+                server_connector& connector);
 
-    /// True if no process listens at `address`, the address of `server`. False
-    /// also if this cannot be determined within a short timeout. Both arguments
-    /// must outlive the call. @pre `address` is "IP:port".
-    boost::asio::awaitable<bool> is_gone(backend_server_id const& server,
-                                         std::string const& address);
+    /// Whether the process of `server`, which must outlive the call, still
+    /// listens.
+    boost::asio::awaitable<server_presence>
+    check(backend_server_id const& server);
 
 private:
     /// One probe. Its result is valid for a short time only, since a server may
@@ -41,17 +41,17 @@
         {
         }
 
-        /// Never expires; cancelled when `gone` is set.
+        /// Never expires; cancelled when `result` is set.
         boost::asio::steady_timer finished;
-        std::optional<bool> gone;
+        std::optional<server_presence> result;
         instant started_at{};
     };
     using probe_ptr = std::shared_ptr<probe>;
 
-    boost::asio::awaitable<bool> is_refused(std::string const& address);
     probe_ptr recent_probe(backend_server_id const& server);
 
     boost::asio::any_io_executor executor;
+    server_connector& connector;
     std::map<backend_server_id, probe_ptr> probes;
     caperpath::clock now{caperpath::clock::monotonic()};
 };
--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -106,14 +106,16 @@
                                       backend_server_id const& server)
 {
     auto& shared = current.shared;
-    auto const found = shared.servers.servers.find(server);
-    if (found == shared.servers.servers.end())
+    auto const presence = co_await shared.crash_checks.check(server);
+    // A running server may have closed the connection, so its failures count,
+    // unless a relay lost it.
+    auto const running = shared.servers.servers.find(server);
+    if (presence == server_presence::running && current.relay.empty() &&
+        running != shared.servers.servers.end())
     {
-        co_return;
+        fleet::note_failure(running->second, false, shared.now.now());
     }
-    auto const address = found->second.entry.address;
-    auto const gone = co_await shared.crash_checks.is_gone(server, address);
-    if (!gone)
+    if (presence != server_presence::gone)
     {
         co_return;
     }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -129,7 +129,7 @@
 }
 
 void record_attempt(exchange& current, fleet::placement const& where,
-                    attempt_outcome end)
+                    attempt_outcome end, bool lost_connection)
 {
     auto& shared = current.shared;
     current.attempts.sends += 1;
@@ -141,8 +141,9 @@
         return;
     }
     auto const found = shared.servers.servers.find(where.server);
+    // Whether a lost connection is a failure of the server is found out later.
     if (found != shared.servers.servers.end() && counts_as_run(end) &&
-        end != attempt_outcome::expired)
+        end != attempt_outcome::expired && !lost_connection)
     {
         fleet::note_failure(found->second, false, shared.now.now());
     }
@@ -233,15 +234,16 @@
             suspect_guard const guard{current, where->server};
             server_call call{current, *where};
             end = co_await call.run();
-            lost_connection = call.lost_connection();
+            lost_connection =
+                end == attempt_outcome::in_doubt && call.lost_connection();
         }
-        record_attempt(current, *where, end);
+        record_attempt(current, *where, end, lost_connection);
         if (end == attempt_outcome::responded)
         {
             record_complete_response(current);
             co_return std::nullopt;
         }
-        if (end == attempt_outcome::in_doubt && lost_connection)
+        if (lost_connection)
         {
             co_await probe_for_crash(current, where->server);
         }
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -269,6 +269,47 @@
     co_return result.link != nullptr;
 }
 
+asio::awaitable<server_presence>
+server_connector::find_out(backend_server_id const& server)
+{
+    auto const* const target = this->find(server);
+    if (target == nullptr)
+    {
+        co_return server_presence::unknown;
+    }
+    auto const began = this->now.now();
+    auto refused = false;
+    if (!target->path.direct_failed)
+    {
+        auto const direct =
+            co_await this->connect_directly(server, connect_timeout);
+        if (direct.link)
+        {
+            this->pool.release(server, direct.link, unused_idle_time);
+            co_return server_presence::running;
+        }
+        refused = direct.outcome == fleet::connect_outcome::refused;
+    }
+    if (!this->relays.has_relays())
+    {
+        co_return refused ? server_presence::gone : server_presence::unknown;
+    }
+    auto const relayed = co_await this->relay(server, false);
+    if (relayed.link)
+    {
+        relayed.link->close();
+        co_return server_presence::running;
+    }
+    if (relayed.server_failure == relay_outcome::refused)
+    {
+        co_return server_presence::gone;
+    }
+    auto const inconclusive = !relayed.server_failure && refused;
+    auto const confirmed =
+        inconclusive && co_await this->reaches_others(server, began);
+    co_return confirmed ? server_presence::gone : server_presence::unknown;
+}
+
 void server_connector::probe_paths()
 {
     auto const at = this->now.now();
--- a/src/gateway/server_connector.hpp
+++ b/src/gateway/server_connector.hpp
@@ -32,6 +32,14 @@
     std::shared_ptr<void> relay_use; ///< keeps the use of the relay counted
 };
 
+/// Whether the process of a server still listens.
+enum class server_presence
+{
+    running,
+    gone,
+    unknown ///< nobody with a working path could tell
+};
+
 /// Connects to backend servers: over an idle connection, directly, or through
 /// another router while the direct path has failed. Keeps the paths in the
 /// server table up to date. Loop thread only; outlives its calls, and all
@@ -60,6 +68,12 @@
     asio::awaitable<bool> reaches_others(backend_server_id const& server,
                                          instant since);
 
+    /// Finds out whether `server` runs. That its address refuses connections
+    /// here proves nothing while other routers exist: this router's own link
+    /// may refuse them. Then a router whose other paths work has to see the
+    /// same.
+    asio::awaitable<server_presence> find_out(backend_server_id const& server);
+
     /// Starts the probes that are due: of failed paths, and of paths on which
     /// requests may be lost.
     void probe_paths();
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST_SUITE(partition_test);
     CPPUNIT_TEST(a_router_whose_servers_are_silent_serves_its_callers);
     CPPUNIT_TEST(a_router_whose_servers_refuse_serves_its_callers);
+    CPPUNIT_TEST(a_partition_is_not_recorded_as_a_crash);
+    CPPUNIT_TEST(a_crash_that_other_routers_confirm_is_recorded);
     CPPUNIT_TEST(silent_idle_connections_are_noticed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -128,6 +130,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.server->requests.size());
     }
 
+    // Guards against quarantining requests because the router's own link lost
+    // all connections.
+    void a_partition_is_not_recorded_as_a_crash()
+    {
+        scenario all;
+        all.silent = true;
+        auto const caller =
+            all.cut_off.begin(fleet_site::request("POST", "/order/1"));
+        all.run_both([&] { return all.server->requests.size() == 1; });
+        all.link->cut(soak::link_fault::reset);
+        all.run_both([&] { return caller->has_input(); });
+        all.silent = false;
+        CPPUNIT_ASSERT_EQUAL(
+            200, all.send(fleet_site::request("POST", "/order/2")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             all.cut_off.store.count_router_rows("crash/"));
+    }
+
+    // Guards against not recording requests that crash servers.
+    void a_crash_that_other_routers_confirm_is_recorded()
+    {
+        scenario all;
+        all.silent = true;
+        auto const caller =
+            all.cut_off.begin(fleet_site::request("POST", "/order/1"));
+        all.run_both([&] { return all.server->requests.size() == 1; });
+        all.server->crash();
+        all.link->cut(soak::link_fault::reset);
+        all.run_both([&] { return caller->has_input(); });
+        all.run_both(
+            [&] { return all.cut_off.store.count_router_rows("crash/") == 1; });
+    }
+
     // Guards against requests that wait for their deadline on one idle
     // connection after the other once their path is silent.
     void silent_idle_connections_are_noticed()
