Test relayed connections at their ends, and move the listeners to a file of their own

gateway.partition: a large response, a caller that leaves, and a router that reaches nobody. fleet.server_path: servers that wait on a silent path.

--- a/src/fleet/server_path.cpp
+++ b/src/fleet/server_path.cpp
@@ -179,9 +179,9 @@
     for (auto& [id, target] : table.servers)
     {
         auto& path = target.path;
-        auto const waits =
-            target.own.open > 0 && path.unanswered_since != instant{} &&
-            now - path.unanswered_since >= silence_to_probe;
+        auto const waits = target.own.open > 0 &&
+                           path.unanswered_since != instant{} &&
+                           now - path.unanswered_since >= silence_to_probe;
         if (suspects.size() < most && waits && !path.direct_failed &&
             now >= path.next_probe &&
             now - heard[target.entry.service] >= silence_to_probe)
--- /dev/null
+++ b/src/gateway/gateway_listeners.cpp
@@ -0,0 +1,186 @@
+#include "gateway/gateway.hpp"
+#include "gateway/http_client.hpp"
+#include "gateway/relay_session.hpp"
+#include "gateway/run_after.hpp"
+#include "gateway/session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+#include <variant>
+
+/// Accepts connections of callers, other routers, the balancer and metrics
+/// clients.
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+constexpr duration accept_pause{100};
+constexpr std::chrono::seconds status_timeout{5};
+constexpr int backlog = 1'024;
+
+} // namespace
+
+result<void> gateway_server::listen(tcp::acceptor& acceptor,
+                                    std::string const& address)
+{
+    boost::system::error_code fault;
+    auto const local = endpoint_of(address);
+    acceptor.open(local.protocol(), fault);
+    acceptor.set_option(tcp::acceptor::reuse_address{true}, fault);
+    acceptor.bind(local, fault);
+    if (!fault)
+    {
+        acceptor.listen(backlog, fault);
+    }
+    if (fault)
+    {
+        return fail(
+            {error_kind::unavailable, "listen", address, fault.message()});
+    }
+    return {};
+}
+
+void gateway_server::accept_callers()
+{
+    this->callers.async_accept(
+        [this](boost::system::error_code fault, tcp::socket socket)
+        {
+            if (fault == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!fault)
+            {
+                asio::co_spawn(this->loop,
+                               serve_caller(this->shared, std::move(socket)),
+                               asio::detached);
+            }
+            this->accept_after(fault, [this] { this->accept_callers(); });
+        });
+}
+
+void gateway_server::listen_to_routers()
+{
+    auto const& address = this->shared.peer_address;
+    auto const listening = value_or_error(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_CHECK(this->listen(this->routers, address));
+            return true;
+        });
+    if (auto const* fault = std::get_if<error>(&listening))
+    {
+        this->shared.log.write_error(*fault);
+        return;
+    }
+    this->accept_relayed();
+}
+
+void gateway_server::accept_relayed()
+{
+    this->routers.async_accept(
+        [this](boost::system::error_code fault, tcp::socket socket)
+        {
+            if (fault == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!fault)
+            {
+                asio::co_spawn(this->loop,
+                               serve_relay(this->shared, std::move(socket)),
+                               asio::detached);
+            }
+            this->accept_after(fault, [this] { this->accept_relayed(); });
+        });
+}
+
+/// Pauses after an error. Otherwise a process without free descriptors would
+/// retry in a busy loop, and requests whose end would free descriptors would
+/// not proceed.
+void gateway_server::accept_after(boost::system::error_code fault,
+                                  std::function<void()> accept)
+{
+    if (!fault)
+    {
+        accept();
+        return;
+    }
+    this->shared.log.write_error({error_kind::unavailable, "accept",
+                                  this->shared.settings.callers,
+                                  fault.message()});
+    auto const pause = std::make_shared<asio::steady_timer>(this->loop);
+    run_after(*pause, accept_pause,
+              [pause, accept = std::move(accept)] { accept(); });
+}
+
+void gateway_server::accept_status_clients(tcp::acceptor& acceptor)
+{
+    acceptor.async_accept(
+        [this, &acceptor](boost::system::error_code fault, tcp::socket socket)
+        {
+            if (fault == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!fault)
+            {
+                asio::co_spawn(this->loop,
+                               this->serve_status(std::move(socket)),
+                               asio::detached);
+            }
+            this->accept_after(fault, [this, &acceptor]
+                               { this->accept_status_clients(acceptor); });
+        });
+}
+
+/// Serves the readiness check of the balancer and the metrics page.
+asio::awaitable<void> gateway_server::serve_status(tcp::socket socket)
+{
+    auto const is_metrics =
+        socket.local_endpoint().port() == this->metrics.local_endpoint().port();
+    boost::beast::tcp_stream stream{std::move(socket)};
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code fault;
+    auto keep_open = true;
+    while (keep_open)
+    {
+        http::request<http::string_body> request;
+        stream.expires_after(status_timeout);
+        co_await http::async_read(
+            stream, buffer, request,
+            asio::redirect_error(asio::use_awaitable, fault));
+        if (fault)
+        {
+            co_return;
+        }
+        auto const status = is_metrics || this->ready()
+                                ? http::status::ok
+                                : http::status::service_unavailable;
+        http::response<http::string_body> response{status, request.version()};
+        response.set(http::field::content_type, "text/plain");
+        if (is_metrics)
+        {
+            response.body() = this->shared.metrics.render();
+        }
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        co_await http::async_write(
+            stream, response, asio::redirect_error(asio::use_awaitable, fault));
+        keep_open = !fault && response.keep_alive();
+    }
+}
+
+} // namespace caperpath::gateway
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -368,36 +368,4 @@
                                  shared.boot_time.now());
 }
 
-void server_call::record_first_part()
-{
-    if (this->first_part_at)
-    {
-        return;
-    }
-    auto& shared = this->current.shared;
-    auto const now = shared.now.now();
-    this->first_part_at = now;
-    shared.metrics.server_first_part((now - this->sent_at).ms);
-    if (!this->current.first_part)
-    {
-        this->current.first_part = now - this->current.arrived;
-        shared.metrics.first_part(this->current.first_part->ms);
-    }
-    auto* const target = this->server();
-    if (target == nullptr)
-    {
-        return;
-    }
-    // Over a relay the time says nothing about the server alone.
-    if (!this->relayed)
-    {
-        fleet::note_success(*target, now - this->sent_at, this->where.expected);
-    }
-    if (this->counted_unread)
-    {
-        target->own.unread -= this->current.work.prompt_tokens;
-        this->counted_unread = false;
-    }
-}
-
 } // namespace caperpath::gateway
--- a/tests/fleet/server_path_test.cpp
+++ b/tests/fleet/server_path_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(a_failure_older_than_a_connect_changes_nothing);
     CPPUNIT_TEST(a_failed_path_is_probed_at_intervals);
     CPPUNIT_TEST(many_failed_paths_share_the_probes);
+    CPPUNIT_TEST(requests_on_a_silent_path_make_its_servers_suspect);
+    CPPUNIT_TEST(one_slow_server_is_not_suspect);
     CPPUNIT_TEST(a_proof_needs_another_server_of_the_service);
     CPPUNIT_TEST(partitioned_routers_spread_over_the_others);
     CPPUNIT_TEST(a_router_that_cannot_relay_is_avoided_for_a_time);
@@ -129,6 +131,44 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, probed.size());
     }
 
+    /// A table whose servers all have a request that was sent at `start`.
+    static server_table waiting_table()
+    {
+        auto table = table_of({"a", "b", "c"});
+        for (auto& [id, target] : table.servers)
+        {
+            target.own.open = 1;
+            target.path = note_sent(target.path, start);
+        }
+        return table;
+    }
+
+    // Guards against a partition that is noticed only when requests time out.
+    void requests_on_a_silent_path_make_its_servers_suspect()
+    {
+        auto table = waiting_table();
+        auto const now = start + silence_to_probe;
+        CPPUNIT_ASSERT(take_suspects(table, now - duration{1}, 10).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             take_suspects(table, now, 2).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             take_suspects(table, now, 2).size());
+        CPPUNIT_ASSERT(take_suspects(table, now, 2).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{3},
+            take_suspects(table, now + longest_probe_interval, 10).size());
+    }
+
+    // Guards against connects to servers that are only slow to respond.
+    void one_slow_server_is_not_suspect()
+    {
+        auto table = waiting_table();
+        auto const now = start + silence_to_probe;
+        auto& heard = table.servers.at({"a"}).path;
+        heard = note_heard(heard, now);
+        CPPUNIT_ASSERT(take_suspects(table, now, 10).empty());
+    }
+
     // Guards against a router cut off from one service that takes its other
     // paths as proof that a server of this service is down.
     void a_proof_needs_another_server_of_the_service()
@@ -152,6 +192,7 @@
         relay_table table;
         std::vector<std::string> routers;
         constexpr int count = 295;
+        routers.reserve(count);
         for (int i = 0; i < count; ++i)
         {
             routers.push_back("10.0.0." + std::to_string(i) + ":7000");
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST_SUITE(partition_test);
     CPPUNIT_TEST(a_router_whose_servers_are_silent_serves_its_callers);
     CPPUNIT_TEST(a_router_whose_servers_refuse_serves_its_callers);
+    CPPUNIT_TEST(a_large_response_is_relayed_whole);
+    CPPUNIT_TEST(a_caller_that_leaves_ends_its_relayed_request);
+    CPPUNIT_TEST(a_router_that_reaches_nobody_rejects_at_once);
     CPPUNIT_TEST(a_partition_is_not_recorded_as_a_crash);
     CPPUNIT_TEST(a_crash_that_other_routers_confirm_is_recorded);
     CPPUNIT_TEST(silent_idle_connections_are_noticed);
@@ -54,7 +57,7 @@
                     {
                         return {{}, script::ending::silent};
                     }
-                    return {{complete_response(got, 200, "done")}};
+                    return {{complete_response(got, 200, this->body)}};
                 });
         }
 
@@ -84,6 +87,7 @@
                     auto& input = caller->input();
                     input.consume(
                         input.size() > 0 ? parser.put(input.data(), fault) : 0);
+                    caller->resume();
                     return parser.is_done() || caller->end() != peer_end::open;
                 });
             read_parsed(parser, got);
@@ -91,7 +95,8 @@
             return got;
         }
 
-        bool silent{false}; ///< servers do not respond
+        bool silent{false};       ///< servers do not respond
+        std::string body{"done"}; ///< of their responses
         fleet_site reaching;
         fleet_site cut_off{this->reaching};
         fake_server* server{};
@@ -130,6 +135,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.server->requests.size());
     }
 
+    // Guards against bytes that a relay loses or keeps back.
+    void a_large_response_is_relayed_whole()
+    {
+        scenario all{refusing_address()};
+        constexpr std::size_t size = 3'000'000;
+        all.body = std::string(size, 'b');
+        auto const got = all.send(fleet_site::request("GET", "/read/1"));
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT_EQUAL(size, got.body.size());
+    }
+
+    // Guards against servers that work on for a caller who has left.
+    void a_caller_that_leaves_ends_its_relayed_request()
+    {
+        scenario all{refusing_address()};
+        all.silent = true;
+        auto const caller =
+            all.cut_off.begin(fleet_site::request("POST", "/order/1"));
+        all.run_both([&] { return all.server->requests.size() == 1; });
+        caller->close();
+        all.run_both([&] { return all.server->closed_by_router == 1; });
+    }
+
+    // Guards against callers that wait although no router can reach a server.
+    void a_router_that_reaches_nobody_rejects_at_once()
+    {
+        scenario all{refusing_address()};
+        all.reaching.list_server("i-1", "app", refusing_address());
+        all.reaching.list_server("i-2", "app", refusing_address());
+        all.run_both(
+            [&]
+            {
+                return all.reaching.send(fleet_site::request("GET", "/read/1"))
+                           .status == 503;
+            });
+        all.send(fleet_site::request("GET", "/read/1"));
+        auto const got = all.send(fleet_site::request("GET", "/read/1"));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
+    }
+
     // Guards against quarantining requests because the router's own link lost
     // all connections.
     void a_partition_is_not_recorded_as_a_crash()
--- a/tests/soak/server_link.cpp
+++ b/tests/soak/server_link.cpp
@@ -131,7 +131,7 @@
         });
 }
 
-void server_link::begin(connection_ptr both)
+void server_link::begin(connection_ptr const& both)
 {
     std::erase_if(this->open, [](auto const& each) { return each.expired(); });
     this->open.push_back(both);
@@ -155,7 +155,7 @@
                              (this->fault == link_fault::one_way && responses));
 }
 
-void server_link::read(connection_ptr both, bool responses)
+void server_link::read(connection_ptr const& both, bool responses)
 {
     auto& from = responses ? both->responses : both->requests;
     from.socket.async_read_some(
@@ -165,7 +165,7 @@
         { this->deliver(both, responses, fault, size); });
 }
 
-void server_link::deliver(connection_ptr both, bool responses,
+void server_link::deliver(connection_ptr const& both, bool responses,
                           boost::system::error_code fault, std::size_t size)
 {
     auto& from = responses ? both->responses : both->requests;
--- a/tests/soak/server_link.hpp
+++ b/tests/soak/server_link.hpp
@@ -71,9 +71,9 @@
     void listen(int backlog);
     void fill_backlog();
     void accept();
-    void begin(connection_ptr both);
-    void read(connection_ptr both, bool responses);
-    void deliver(connection_ptr both, bool responses,
+    void begin(connection_ptr const& both);
+    void read(connection_ptr const& both, bool responses);
+    void deliver(connection_ptr const& both, bool responses,
                  boost::system::error_code fault, std::size_t size);
     bool blocks(bool responses) const;
 
