--- a/tests/soak/router_process.cpp
+++ b/tests/soak/router_process.cpp
@@ -1,6 +1,5 @@
 #include "soak/router_process.hpp"
 
-#include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
 #include <cerrno>
@@ -21,7 +20,8 @@
 {
 
 constexpr int callers_port = 0;
-constexpr int ports = 3;
+constexpr int peer_port = 3;
+constexpr int ports = 4;
 constexpr int exec_failed = 127;
 
 std::string local(std::uint16_t port)
@@ -80,9 +80,6 @@
 
 void router_process::write_settings() const
 {
-    using asio::ip::udp;
-    udp::socket const probe{this->loop,
-                            {asio::ip::make_address("127.0.0.1"), 0}};
     auto const at = [this](std::size_t index)
     {
         return local(this->reserved[index].local_endpoint().port());
@@ -94,7 +91,8 @@
         {"readiness", at(1)},
         {"metrics", at(2)},
         {"store_address", this->plan.store},
-        {"peer_ports", std::to_string(probe.local_endpoint().port())},
+        {"peer_ports",
+         std::to_string(this->reserved[peer_port].local_endpoint().port())},
         {"grace_s", this->plan.grace_s}};
 }
 
