Count uses of relays apart from the objects that may end before them

The address sanitizer found a use after free in gateway.partition at the end of a process: connections that are still open when the loop is destroyed counted themselves down in a relay client that had gone. The counts are now shared with their uses.

--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -68,7 +68,9 @@
     server_pool pool;
     relay_client relays;
     server_connector connector;
-    std::int64_t relayed{}; ///< connections that this router relays for others
+    /// Number of connections that this router relays for others. Shared with
+    /// their sessions, which may outlive this object.
+    std::shared_ptr<std::int64_t> relayed{std::make_shared<std::int64_t>(0)};
     crash_tracker crashes;
     crash_check crash_checks;
     std::set<fleet::fingerprint> on_probation; ///< requests on probation that
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -163,7 +163,7 @@
                           return !caller->has_input() && caller->unsent() == 0;
                       });
     fleet::shutdown_work left;
-    left.requests = std::ssize(shared.sessions) > idle || shared.relayed > 0;
+    left.requests = std::ssize(shared.sessions) > idle || *shared.relayed > 0;
     left.connections = !shared.sessions.empty();
     if (!shared.returning_since || !shared.budgets.closed())
     {
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -31,21 +31,21 @@
 {
     auto others = addresses;
     std::erase(others, this->self);
-    fleet::set_relays(this->table, others);
+    fleet::set_relays(*this->table, others);
 }
 
 bool relay_client::has_relays() const
 {
-    return !this->table.open.empty();
+    return !this->table->open.empty();
 }
 
 std::shared_ptr<void> relay_client::count_use(std::string const& address)
 {
-    this->table.open[address] += 1;
-    return {nullptr, [this, address](void*)
+    this->table->open[address] += 1;
+    return {nullptr, [counted = this->table, address](void*)
             {
-                auto const found = this->table.open.find(address);
-                if (found != this->table.open.end() && found->second > 0)
+                auto const found = counted->open.find(address);
+                if (found != counted->open.end() && found->second > 0)
                 {
                     found->second -= 1;
                 }
@@ -57,7 +57,7 @@
 {
     auto const all_services = !why || why->outcome == relay_outcome::busy ||
                               why->outcome == relay_outcome::stopping;
-    fleet::avoid_relay(this->table, address,
+    fleet::avoid_relay(*this->table, address,
                        all_services ? service_id{} : service, this->now.now());
     this->log.write(
         log_weight::routine, "relay_avoided",
@@ -76,7 +76,7 @@
     while (tried.size() < most_asked && this->now.now() < until)
     {
         auto const address = fleet::choose_relay(
-            this->table, service, this->self, tried, this->now.now());
+            *this->table, service, this->self, tried, this->now.now());
         if (!address)
         {
             break;
--- a/src/gateway/relay_client.hpp
+++ b/src/gateway/relay_client.hpp
@@ -73,7 +73,9 @@
     asio::any_io_executor executor;
     std::string self;
     decision_log& log;
-    fleet::relay_table table;
+    /// Shared with the uses, which may outlive this object.
+    std::shared_ptr<fleet::relay_table> table{
+        std::make_shared<fleet::relay_table>()};
     caperpath::clock now{caperpath::clock::monotonic()};
 };
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -43,18 +43,19 @@
 {
 public:
     relay_session(core& shared, tcp::socket socket)
-        : shared{shared}, wakeup{std::make_shared<waker>(shared.loop)},
+        : shared{shared}, open_sessions{shared.relayed},
+          wakeup{std::make_shared<waker>(shared.loop)},
           router{std::make_shared<connection>(std::move(socket),
                                               router_silence_timeout)}
     {
-        this->shared.relayed += 1;
+        *this->open_sessions += 1;
         this->router->set_waker(this->wakeup);
         this->router->start();
     }
 
     ~relay_session()
     {
-        this->shared.relayed -= 1;
+        *this->open_sessions -= 1;
     }
 
     relay_session(relay_session const&) = delete;
@@ -116,7 +117,7 @@
         {
             co_return relay_reply{relay_outcome::stopping};
         }
-        if (this->shared.relayed > most_relayed)
+        if (*this->open_sessions > most_relayed)
         {
             co_return relay_reply{relay_outcome::busy};
         }
@@ -216,13 +217,14 @@
              {"outcome", std::string{to_text(reply.outcome)}},
              {"proven", reply.proven ? "yes" : "no"},
              {"probe", request.probe_only ? "yes" : "no"},
-             {"open", std::to_string(this->shared.relayed)}});
+             {"open", std::to_string(*this->open_sessions)}});
     }
 
     /// Only a bound: the ends of both connections wake the session.
     static constexpr duration longest_wait{10'000};
 
     core& shared;
+    std::shared_ptr<std::int64_t> open_sessions;
     waker_ptr wakeup;
     connection_ptr router;
     connection_ptr server;
