Wait for all crash evidence before the store is copied in gateway.crash

a_router_is_not_ready_before_it_read_the_crash_evidence failed twice beside load (503 instead of 429), once more in 16 runs side by side. The row of the evidence is written first with two crashes; on a slow machine the test copied the store before the third was in it, so the next router did not quarantine the request and tried four servers of the first site, which are gone: 503. The test, and the one beside it, now wait for the row with all three crashes; what they check is the same.

--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -114,6 +114,20 @@
                 });
         }
 
+        /// Waits until the store has the evidence of all three crashes of
+        /// /read/fatal. The row is written first with fewer.
+        bool has_all_evidence()
+        {
+            auto const request = fleet::fingerprint_of(
+                {"taller", "GET", "site.example", "/read/fatal", ""});
+            return this->here->run_until(
+                [&]
+                {
+                    return this->here->store.router_row(crash_key(request)) ==
+                           encode_evidence({0, 3});
+                });
+        }
+
         std::unique_ptr<fleet_site> here;
         std::vector<fake_server*> servers;
         int added{};
@@ -154,7 +168,7 @@
         first.read("fatal");
         first.read("fatal");
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, first.crashed());
-        CPPUNIT_ASSERT(first.has_row(1));
+        CPPUNIT_ASSERT(first.has_all_evidence());
         scenario second{fleet_site::after_crash(std::move(first.here))};
         second.added = first.added;
         second.add_servers(crash_if_fatal);
@@ -170,7 +184,7 @@
         scenario first;
         first.read("fatal");
         first.read("fatal");
-        CPPUNIT_ASSERT(first.has_row(1));
+        CPPUNIT_ASSERT(first.has_all_evidence());
         first.here->store.silent_prefix = "crash/";
         auto const next = fleet_site::after_crash(std::move(first.here));
         next->add_server("app-next", "app", crash_if_fatal);
