--- a/tests/soak/server_link.cpp
+++ b/tests/soak/server_link.cpp
@@ -32,11 +32,13 @@
 } // namespace
 
 server_link::server_link(asio::io_context& loop, std::string const& server)
-    : loop{loop}, server{endpoint_of(server)},
-      local{asio::ip::make_address("127.0.0.1"), 0}, acceptor{loop}
+    : loop{loop}, server{endpoint_of(server)}, reserved{loop, tcp::v4()},
+      acceptor{loop}
 {
+    this->reserved.set_option(tcp::acceptor::reuse_address{true});
+    this->reserved.bind({asio::ip::make_address("127.0.0.1"), 0});
+    this->local = this->reserved.local_endpoint();
     this->listen(usual_backlog);
-    this->local = this->acceptor.local_endpoint();
     this->accept();
 }
 
@@ -55,10 +57,7 @@
     this->acceptor.open(tcp::v4());
     this->acceptor.set_option(tcp::acceptor::reuse_address{true});
     this->acceptor.bind(this->local);
-    if (backlog >= 0)
-    {
-        this->acceptor.listen(backlog);
-    }
+    this->acceptor.listen(backlog);
 }
 
 /// Further connects get no response, because the accept queue is full.
@@ -79,10 +78,9 @@
     this->generation += 1;
     this->acceptor.close();
     auto const refuses = how == link_fault::refuse || how == link_fault::reset;
-    constexpr int bound_only = -1;
-    this->listen(refuses ? bound_only : 0);
     if (!refuses)
     {
+        this->listen(0);
         this->fill_backlog();
     }
     for (auto const& each : std::exchange(this->open, {}))
--- a/tests/soak/server_link.hpp
+++ b/tests/soak/server_link.hpp
@@ -79,6 +79,9 @@
 
     asio::io_context& loop;
     tcp::endpoint server;
+    /// Bound but not listening, so that no other socket can take the port while
+    /// the link refuses connections.
+    tcp::acceptor reserved;
     tcp::endpoint local;
     tcp::acceptor acceptor;
     int generation{}; ///< of the acceptor
