Relay no connection to a server that is draining

A relay checked only that a server is listed, so a router that does not know of a server's draining, cut off from the store as well, could send it new work through one that does. gateway.partition, a_relay_connects_to_no_draining_server: 200 before, 503 and no request at the server now.

--- a/src/gateway/relay_message.hpp
+++ b/src/gateway/relay_message.hpp
@@ -30,10 +30,10 @@
 enum class relay_outcome : std::uint8_t
 {
     connected,
-    refused, ///< the server's address refused the connection
-    silent,  ///< no response from the server's address
-    unknown_server,
-    cut_off, ///< the relay reaches no server of the service
+    refused,        ///< the server's address refused the connection
+    silent,         ///< no response from the server's address
+    unknown_server, ///< also one that is draining
+    cut_off,        ///< the relay reaches no server of the service
     busy,
     stopping
 };
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -123,7 +123,9 @@
         }
         auto const& servers = this->shared.servers;
         auto const found = servers.servers.find(request.server);
-        if (found == servers.servers.end())
+        // The other router may not know yet that the server is draining.
+        if (found == servers.servers.end() ||
+            fleet::is_draining(found->second, now))
         {
             co_return relay_reply{relay_outcome::unknown_server};
         }
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(a_large_response_is_relayed_whole);
     CPPUNIT_TEST(a_caller_that_leaves_ends_its_relayed_request);
     CPPUNIT_TEST(a_router_that_reaches_nobody_rejects_at_once);
+    CPPUNIT_TEST(a_relay_connects_to_no_draining_server);
     CPPUNIT_TEST(a_partition_is_not_recorded_as_a_crash);
     CPPUNIT_TEST(a_crash_that_other_routers_confirm_is_recorded);
     CPPUNIT_TEST(silent_idle_connections_are_noticed);
@@ -176,6 +177,22 @@
         CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
     }
 
+    // Guards against new work for a server whose draining only the relay knows.
+    void a_relay_connects_to_no_draining_server()
+    {
+        scenario all{refusing_address()};
+        all.reaching.store.put(
+            "servers", "i-1",
+            R"({"backend":"app","address":")" + all.server->address() +
+                R"(","zone":"z","batch-slots":4,"state":"draining"})");
+        auto turns = 0;
+        constexpr int turns_to_read = 50;
+        all.run_both([&turns] { return ++turns == turns_to_read; });
+        auto const got = all.send(fleet_site::request("POST", "/order/1"));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(all.server->requests.empty());
+    }
+
     // Guards against quarantining requests because the router's own link lost
     // all connections.
     void a_partition_is_not_recorded_as_a_crash()
