--- a/include/caperpath/fleet/server_path.hpp
+++ b/include/caperpath/fleet/server_path.hpp
@@ -38,7 +38,6 @@
     bool direct_silent{false};        ///< it got no response
     bool relay_failed{false};         ///< no relay reached the server either
     instant connected_at{-1'000'000}; ///< latest direct connect
-    instant failed_since{};           ///< only if `direct_failed`
     instant next_probe{};
     std::int64_t failed_probes{};
     /// Oldest direct send since which no bytes came from the server; 0 if none.
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -12,9 +12,8 @@
 {
 
 /// After a restart of all n routers the store also has the rows of the n dead
-/// ones. Without this bound, reads would be 100 ms x n apart, which exceeds
-/// `view_lifetime(n)` for n > 240, and no router could use its part of the
-/// retry allowance.
+/// ones. Without this bound, reads of a large fleet would be further apart than
+/// `view_lifetime(n)`, and no router could use its part of the retry allowance.
 constexpr duration longest_read_interval{20'000};
 
 /// Half the time to the second read, which must show all routers that started
--- a/src/fleet/server_path.cpp
+++ b/src/fleet/server_path.cpp
@@ -69,7 +69,6 @@
     {
         path.direct_failed = true;
         path.relay_failed = false;
-        path.failed_since = now;
         path.failed_probes = 0;
         path.unanswered_since = {};
     }
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -177,7 +177,6 @@
     {
         this->record(server, result.outcome, began);
     }
-    this->connections_made += result.link ? 1 : 0;
     co_return result;
 }
 
@@ -349,9 +348,4 @@
                      {"state", std::string{state}}});
 }
 
-std::uint64_t server_connector::created() const
-{
-    return this->connections_made;
-}
-
 } // namespace caperpath::gateway
--- a/src/gateway/server_connector.hpp
+++ b/src/gateway/server_connector.hpp
@@ -14,7 +14,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -78,9 +77,6 @@
     /// requests may be lost.
     void probe_paths();
 
-    /// Number of direct connections made since the start.
-    std::uint64_t created() const;
-
 private:
     struct race;
 
@@ -103,7 +99,6 @@
     relay_client& relays;
     fleet::uplink& uplink;
     decision_log& log;
-    std::uint64_t connections_made{};
     caperpath::clock now{caperpath::clock::monotonic()};
 };
 
--- a/src/gateway/table_follower.hpp
+++ b/src/gateway/table_follower.hpp
@@ -14,8 +14,8 @@
 {
 
 /// A change must take effect within two seconds of its acknowledgement. A call
-/// on a silent connection ends after this time plus `poll_timeout`, 950 ms in
-/// all; about one second is left to read the change anew.
+/// on a silent connection ends after this time plus `poll_timeout`, which
+/// leaves time to read the change anew.
 inline constexpr duration default_hold{600};
 
 /// Callbacks and options of a `table_follower`.
