Log what delimited a response and whether it ended within an event

The lines of a request did not tell whether its response had a length, chunks or neither, nor whether it ended within an event, so the end of a connection could not be told from the end of a stream. No change of behaviour.

Fields framing= and open_event= of step=request.

--- a/include/caperpath/fleet/event_splitter.hpp
+++ b/include/caperpath/fleet/event_splitter.hpp
@@ -22,6 +22,9 @@
     /// Removes and returns the bytes of the incomplete event.
     std::string take_rest();
 
+    /// True if the latest event is incomplete.
+    bool in_event() const;
+
     /// The latest id in a complete event; empty if none had one.
     std::string const& last_id() const;
 
--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -58,6 +58,11 @@
     return std::exchange(this->pending, {});
 }
 
+bool event_splitter::in_event() const
+{
+    return !this->pending.empty();
+}
+
 std::string const& event_splitter::last_id() const
 {
     return this->id;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -157,6 +157,12 @@
             fields.push_back(std::move(field));
         }
     }
+    if (current.framing)
+    {
+        fields.push_back(
+            {"framing", std::string{fleet::to_text(*current.framing)}});
+        fields.push_back({"open_event", current.ended_in_event ? "yes" : "no"});
+    }
     add_stopping_field(fields, current);
     shared.log.write(weight, "request", fields);
 }
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -8,6 +8,7 @@
 #include <caperpath/fleet/crash_record.hpp>
 #include <caperpath/fleet/event_splitter.hpp>
 #include <caperpath/fleet/placement.hpp>
+#include <caperpath/fleet/response_end.hpp>
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -93,6 +94,8 @@
     std::string relay; ///< of the latest attempt; empty if it was direct
     duration expected{};
     std::optional<duration> first_part;
+    std::optional<fleet::body_framing> framing; ///< of the latest response
+    bool ended_in_event{false}; ///< the latest attempt ended within an event
 };
 
 /// Sends `why` to the caller, unless it has disconnected, and records its
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -32,6 +32,17 @@
 constexpr duration idle_margin{500};
 constexpr int first_final_status = 200;
 
+fleet::body_framing
+framing_of(http::response_parser<http::buffer_body> const& response)
+{
+    if (response.need_eof())
+    {
+        return fleet::body_framing::connection;
+    }
+    return response.chunked() ? fleet::body_framing::chunks
+                              : fleet::body_framing::length;
+}
+
 } // namespace
 
 server_call::server_call(exchange& current, fleet::placement const& where)
@@ -347,6 +358,7 @@
                                         : attempt_outcome::not_run;
     }
     this->current.prompt_started = true;
+    this->current.framing = framing_of(*this->response);
     if (status >= http_server_error && this->may_fail_over())
     {
         return attempt_outcome::failed;
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -46,6 +46,7 @@
     bool must_skip_response();
     void start_response(bool chunked);
     void relay_part(std::string const& part);
+    void drop_incomplete_event();
     bool may_fail_over();
     void record_first_part();
     void release_connection();
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -138,6 +138,12 @@
     this->current.caller->send(chunk(part));
 }
 
+void server_call::drop_incomplete_event()
+{
+    this->current.ended_in_event = this->current.events.in_event();
+    static_cast<void>(this->current.events.take_rest());
+}
+
 asio::awaitable<attempt_outcome> server_call::relay_events()
 {
     while (true)
@@ -157,18 +163,19 @@
         auto const end = fault || !may_read ? fault : this->early_end();
         if (end)
         {
-            static_cast<void>(this->current.events.take_rest());
+            this->drop_incomplete_event();
             co_return *end;
         }
         auto const in_time =
             co_await wait_until(this->current, this->current.deadline);
         if (!in_time || caller_disconnected(this->current))
         {
-            static_cast<void>(this->current.events.take_rest());
+            this->drop_incomplete_event();
             co_return in_time ? attempt_outcome::caller_gone
                               : attempt_outcome::expired;
         }
     }
+    this->current.ended_in_event = this->current.events.in_event();
     this->relay_part(this->current.events.take_rest());
     if (!this->current.response_started)
     {
