--- a/tests/gateway/fake_server.cpp
+++ b/tests/gateway/fake_server.cpp
@@ -54,7 +54,7 @@
         });
 }
 
-void fake_server::crash()
+void fake_server::crash(bool reset)
 {
     this->crashed = true;
     boost::system::error_code fault;
@@ -63,7 +63,7 @@
     {
         if (auto const socket = one.lock())
         {
-            socket->set_option(asio::socket_base::linger{true, 0}, fault);
+            socket->set_option(asio::socket_base::linger{reset, 0}, fault);
             socket->close(fault);
         }
     }
@@ -106,6 +106,10 @@
         {
             this->crash();
         }
+        if (reply.after == script::ending::exit)
+        {
+            this->crash(false);
+        }
         if (reply.after == script::ending::silent)
         {
             char byte{};
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -25,7 +25,8 @@
         close,  ///< close the connection
         reset,  ///< reset the connection
         silent, ///< send no more and keep the connection open
-        crash   ///< reset all connections and accept no more
+        crash,  ///< reset all connections and accept no more
+        exit    ///< close all connections in order and accept no more
     };
     ending after{ending::keep};
 };
@@ -42,8 +43,10 @@
 
     std::string address() const;
 
-    /// Resets all connections and accepts no more.
-    void crash();
+    /// Ends all connections and accepts no more, as a process that crashes or
+    /// exits. Without `reset` they are closed in order, as the kernel does
+    /// unless there are unread bytes.
+    void crash(bool reset = true);
 
     std::vector<request> requests; ///< in the order of arrival
     int connections{};
