Do not frame a stream as complete that ends within an event

Callers got half an event in a response with complete framing. A stream with neither a length nor chunks ends with its connection; a crashed server's connections are closed in order by its kernel, so the parser reported the response as done, the bytes of the incomplete event were forwarded, and the last chunk followed. All other ends already dropped these bytes.

A stream that ends within an event counts as broken off, whatever its framing says: the incomplete event is dropped, a resumable stream goes on at another server after the last whole event, another one ends without its last chunk, and the server is probed for a crash.

--- a/include/caperpath/fleet/event_splitter.hpp
+++ b/include/caperpath/fleet/event_splitter.hpp
@@ -19,12 +19,13 @@
     /// unchanged and in order.
     std::string feed(std::string_view bytes);
 
-    /// Removes and returns the bytes of the incomplete event.
-    std::string take_rest();
-
-    /// True if the latest event is incomplete.
+    /// True if the latest event is incomplete. A stream that ends here was
+    /// broken off, whatever its framing says.
     bool in_event() const;
 
+    /// Discards the incomplete event.
+    void drop_event();
+
     /// The latest id in a complete event; empty if none had one.
     std::string const& last_id() const;
 
--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -1,7 +1,6 @@
 #include <caperpath/fleet/event_splitter.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace caperpath::fleet
 {
@@ -53,9 +52,9 @@
     return events;
 }
 
-std::string event_splitter::take_rest()
+void event_splitter::drop_event()
 {
-    return std::exchange(this->pending, {});
+    this->pending.clear();
 }
 
 bool event_splitter::in_event() const
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -141,7 +141,7 @@
 void server_call::drop_incomplete_event()
 {
     this->current.ended_in_event = this->current.events.in_event();
-    static_cast<void>(this->current.events.take_rest());
+    this->current.events.drop_event();
 }
 
 asio::awaitable<attempt_outcome> server_call::relay_events()
@@ -175,8 +175,11 @@
                               : attempt_outcome::expired;
         }
     }
-    this->current.ended_in_event = this->current.events.in_event();
-    this->relay_part(this->current.events.take_rest());
+    if (this->current.events.in_event())
+    {
+        this->drop_incomplete_event();
+        co_return attempt_outcome::in_doubt;
+    }
     if (!this->current.response_started)
     {
         this->start_response(true);
