Probe the server of a response that ends with its connection

Callers got the first part of a response as the whole one when a server crashed between two events, or within a response of a plain service without a length: its kernel closes the connections in order, which looks like their end.

Where neither a length nor chunks prove the end, the server is probed before the response is framed as complete; the events themselves are not delayed. If it is gone without draining, the response counts as broken off. A result is waited for 250 ms at most, and without one the response counts as complete, since its server closed it in order.

The crash check reused a result for half a second, also one from before the crash; a result 'running' now has to be newer than the end it is asked about.

--- a/include/caperpath/fleet/event_splitter.hpp
+++ b/include/caperpath/fleet/event_splitter.hpp
@@ -19,12 +19,11 @@
     /// unchanged and in order.
     std::string feed(std::string_view bytes);
 
-    /// True if the latest event is incomplete. A stream that ends here was
-    /// broken off, whatever its framing says.
+    /// True if the latest event is incomplete.
     bool in_event() const;
 
-    /// Discards the incomplete event.
-    void drop_event();
+    /// Removes and returns the bytes of the incomplete event.
+    std::string take_rest();
 
     /// The latest id in a complete event; empty if none had one.
     std::string const& last_id() const;
--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include <caperpath/fleet/event_splitter.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace caperpath::fleet
 {
@@ -52,9 +53,9 @@
     return events;
 }
 
-void event_splitter::drop_event()
+std::string event_splitter::take_rest()
 {
-    this->pending.clear();
+    return std::exchange(this->pending, {});
 }
 
 bool event_splitter::in_event() const
--- a/src/gateway/crash_check.cpp
+++ b/src/gateway/crash_check.cpp
@@ -38,9 +38,9 @@
 }
 
 asio::awaitable<server_presence>
-crash_check::check(backend_server_id const& server)
+crash_check::check(backend_server_id const& server, instant since)
 {
-    if (auto const existing = this->recent_probe(server))
+    while (auto const existing = this->recent_probe(server))
     {
         boost::system::error_code cancelled;
         while (!existing->result)
@@ -48,8 +48,23 @@
             co_await existing->finished.async_wait(
                 asio::redirect_error(asio::use_awaitable, cancelled));
         }
-        co_return *existing->result;
+        auto const still_valid = existing->started_at >= since ||
+                                 *existing->result == server_presence::gone;
+        if (still_valid)
+        {
+            co_return *existing->result;
+        }
+        if (this->recent_probe(server) == existing)
+        {
+            break;
+        }
     }
+    co_return co_await this->start_probe(server);
+}
+
+asio::awaitable<server_presence>
+crash_check::start_probe(backend_server_id const& server)
+{
     auto const new_probe = std::make_shared<probe>(this->executor);
     new_probe->finished.expires_at(asio::steady_timer::time_point::max());
     new_probe->started_at = this->now.now();
--- a/src/gateway/crash_check.hpp
+++ b/src/gateway/crash_check.hpp
@@ -27,9 +27,10 @@
                 server_connector& connector);
 
     /// Whether the process of `server`, which must outlive the call, still
-    /// listens.
+    /// listened at `since` or later. A probe from before may have reached a
+    /// server that has crashed meanwhile.
     boost::asio::awaitable<server_presence>
-    check(backend_server_id const& server);
+    check(backend_server_id const& server, instant since);
 
 private:
     /// One probe. Its result is valid for a short time only, since a server may
@@ -49,6 +50,8 @@
     using probe_ptr = std::shared_ptr<probe>;
 
     probe_ptr recent_probe(backend_server_id const& server);
+    boost::asio::awaitable<server_presence>
+    start_probe(backend_server_id const& server);
 
     boost::asio::any_io_executor executor;
     server_connector& connector;
--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -106,7 +106,8 @@
                                       backend_server_id const& server)
 {
     auto& shared = current.shared;
-    auto const presence = co_await shared.crash_checks.check(server);
+    auto const presence =
+        co_await shared.crash_checks.check(server, shared.now.now());
     // A running server may have closed the connection, so its failures count,
     // unless a relay lost it.
     auto const running = shared.servers.servers.find(server);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -162,6 +162,11 @@
         fields.push_back(
             {"framing", std::string{fleet::to_text(*current.framing)}});
         fields.push_back({"open_event", current.ended_in_event ? "yes" : "no"});
+        if (current.server_after_end)
+        {
+            fields.push_back({"server_after_end",
+                              std::string{to_text(*current.server_after_end)}});
+        }
     }
     add_stopping_field(fields, current);
     shared.log.write(weight, "request", fields);
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -96,6 +96,8 @@
     std::optional<duration> first_part;
     std::optional<fleet::body_framing> framing; ///< of the latest response
     bool ended_in_event{false}; ///< the latest attempt ended within an event
+    /// The server of a response without a length, after the response's end.
+    std::optional<server_presence> server_after_end;
 };
 
 /// Sends `why` to the caller, unless it has disconnected, and records its
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -278,6 +278,10 @@
     {
         boost::system::error_code fault;
         this->response->put_eof(fault);
+        if (fault)
+        {
+            return attempt_outcome::in_doubt;
+        }
     }
     return std::nullopt;
 }
@@ -359,6 +363,8 @@
     }
     this->current.prompt_started = true;
     this->current.framing = framing_of(*this->response);
+    this->current.ended_in_event = false;
+    this->current.server_after_end.reset();
     if (status >= http_server_error && this->may_fail_over())
     {
         return attempt_outcome::failed;
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -47,6 +47,7 @@
     void start_response(bool chunked);
     void relay_part(std::string const& part);
     void drop_incomplete_event();
+    asio::awaitable<bool> broken_off();
     bool may_fail_over();
     void record_first_part();
     void release_connection();
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -2,10 +2,15 @@
 
 #include "gateway/head_text.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <utility>
 
 /// Relays the response of a server to the caller.
@@ -27,11 +32,36 @@
         http::make_chunk(asio::buffer(bytes)));
 }
 
+bool is_event_stream(http::response_parser<http::buffer_body> const& response)
+{
+    auto const type = response.get()[http::field::content_type];
+    return boost::beast::iequals(type.substr(0, type.find(';')),
+                                 "text/event-stream");
+}
+
 std::string last_chunk()
 {
     return boost::beast::buffers_to_string(http::make_chunk_last());
 }
 
+/// A running server accepts a connection within milliseconds. Without a result
+/// a response is taken for complete, since its server closed it in order.
+constexpr duration max_presence_wait{250};
+
+struct presence_result
+{
+    std::optional<server_presence> presence;
+    waker_ptr wakeup;
+};
+
+asio::awaitable<void> find_presence(core& shared, backend_server_id server,
+                                    std::shared_ptr<presence_result> result)
+{
+    result->presence =
+        co_await shared.crash_checks.check(server, shared.now.now());
+    result->wakeup->raise();
+}
+
 } // namespace
 
 void server_call::record_first_part()
@@ -85,6 +115,10 @@
         static_cast<void>(
             co_await wait_until(this->current, this->current.deadline));
     }
+    if (co_await this->broken_off())
+    {
+        co_return attempt_outcome::in_doubt;
+    }
     if (caller_disconnected(this->current))
     {
         co_return attempt_outcome::caller_gone;
@@ -141,7 +175,41 @@
 void server_call::drop_incomplete_event()
 {
     this->current.ended_in_event = this->current.events.in_event();
-    this->current.events.drop_event();
+    static_cast<void>(this->current.events.take_rest());
+}
+
+/// True if the server broke off the response, which has ended by its framing.
+/// The kernel of a crashed server closes connections in order, so without a
+/// length or chunks only the server's presence tells.
+asio::awaitable<bool> server_call::broken_off()
+{
+    auto const end = fleet::judge_end(
+        *this->current.framing,
+        {is_event_stream(*this->response), this->current.events.in_event()});
+    if (end != fleet::body_end::unproven)
+    {
+        co_return end == fleet::body_end::truncated;
+    }
+    auto& shared = this->current.shared;
+    auto const result = std::make_shared<presence_result>();
+    result->wakeup = this->current.wakeup;
+    asio::co_spawn(shared.loop,
+                   find_presence(shared, this->where.server, result),
+                   asio::detached);
+    auto const until =
+        std::min(this->current.deadline, shared.now.now() + max_presence_wait);
+    while (!result->presence && shared.now.now() < until &&
+           !caller_disconnected(this->current))
+    {
+        static_cast<void>(co_await wait_until(this->current, until));
+    }
+    this->current.server_after_end =
+        result->presence.value_or(server_presence::unknown);
+    auto const* const target = this->server();
+    // A draining server may exit after its last response.
+    co_return this->current.server_after_end ==
+            server_presence::gone&& target != nullptr &&
+        !fleet::is_draining(*target, shared.now.now());
 }
 
 asio::awaitable<attempt_outcome> server_call::relay_events()
@@ -175,11 +243,16 @@
                               : attempt_outcome::expired;
         }
     }
-    if (this->current.events.in_event())
+    if (co_await this->broken_off())
     {
         this->drop_incomplete_event();
         co_return attempt_outcome::in_doubt;
     }
+    if (caller_disconnected(this->current))
+    {
+        co_return attempt_outcome::caller_gone;
+    }
+    this->relay_part(this->current.events.take_rest());
     if (!this->current.response_started)
     {
         this->start_response(true);
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -23,6 +23,20 @@
 
 } // namespace
 
+std::string_view to_text(server_presence presence)
+{
+    switch (presence)
+    {
+    case server_presence::running:
+        return "running";
+    case server_presence::gone:
+        return "gone";
+    case server_presence::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 /// The attempts to reach one server. They outlive the call that started them:
 /// the result of the slower one still tells about its path.
 struct server_connector::race
--- a/src/gateway/server_connector.hpp
+++ b/src/gateway/server_connector.hpp
@@ -39,6 +39,9 @@
     unknown ///< nobody with a working path could tell
 };
 
+/// A single word, for logs. Thread safe.
+std::string_view to_text(server_presence presence);
+
 /// Connects to backend servers: over an idle connection, directly, or through
 /// another router while the direct path has failed. Keeps the paths in the
 /// server table up to date. Loop thread only; outlives its calls, and all
--- a/tests/fleet/rules_test.cpp
+++ b/tests/fleet/rules_test.cpp
@@ -148,7 +148,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"},
                              scan.feed("id: 1\ndata: a\n\nid: 2\ndata: b"));
         CPPUNIT_ASSERT(scan.in_event());
-        scan.drop_event();
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b"}, scan.take_rest());
         CPPUNIT_ASSERT(!scan.in_event());
         CPPUNIT_ASSERT_EQUAL(std::string{"1"}, scan.last_id());
         CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: c\n\n"},
