Make the end of a relay differ from the end of what it relays

A router that uses a relay took the end of the relay's process for the end of the server's response: the kernel closes the sockets of a process in order. A response without a length that was cut there reached its caller as complete.

The relay's connection is now reset by any end but one: after the server has closed in order and all bytes were passed on, the relay shuts down its side and waits for the other router to close. The other direction needs nothing: a server that loses a request's connection cancels it.

gateway.partition, the_end_of_a_relay_is_not_the_end_of_a_response: 200 before, 502 now; a response that its server ends in order is relayed whole, before and after.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -76,6 +76,15 @@
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+void connection::reset_unless_shut_down()
+{
+    // Asio's own option would be taken back when the socket is destroyed.
+    linger const immediate{1, 0};
+    // If it cannot be set, the peer sees an orderly end as before.
+    static_cast<void>(setsockopt(this->socket.native_handle(), SOL_SOCKET,
+                                 SO_LINGER, &immediate, sizeof immediate));
+}
+
 bool connection::has_input() const
 {
     return this->input_buffer.size() > 0;
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -54,6 +54,11 @@
     /// lost.
     void shutdown_output();
 
+    /// Makes any end of the connection a reset, also that of this process,
+    /// unless `shutdown_output` was called and the peer has closed it since.
+    /// For bytes whose end the peer takes from the connection.
+    void reset_unless_shut_down();
+
     /// True if unconsumed input is left.
     bool has_input() const;
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -169,6 +169,8 @@
 
     asio::awaitable<void> forward()
     {
+        // A relay that fails must not look like a server that has finished.
+        this->router->reset_unless_shut_down();
         while (true)
         {
             move_bytes(*this->router, *this->server);
@@ -188,12 +190,29 @@
                                   this->router->unsent() == 0;
             if (this->server->end() == peer_end::finished && all_sent)
             {
-                break;
+                co_await this->finish_forwarding();
+                co_return;
             }
             co_await this->wait(longest_wait);
         }
-        this->router->close(this->server->end() == peer_end::broken);
+        this->router->close(true);
+        this->server->close();
+    }
+
+    /// Passes on the orderly end of the server. The other router closes its
+    /// connection once it has read the whole response.
+    asio::awaitable<void> finish_forwarding()
+    {
+        this->router->shutdown_output();
         this->server->close();
+        auto const until = this->shared.now.now() + longest_wait;
+        for (auto left = longest_wait;
+             left > duration{0} && this->router->end() == peer_end::open;
+             left = until - this->shared.now.now())
+        {
+            co_await this->wait(left);
+        }
+        this->router->close();
     }
 
     /// Closes the connection once the reply was sent.
--- a/tests/gateway/partition_test.cpp
+++ b/tests/gateway/partition_test.cpp
@@ -2,6 +2,8 @@
 #include "gateway/silent_address.hpp"
 #include "soak/server_link.hpp"
 
+#include <boost/beast/core/buffers_to_string.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -19,6 +21,8 @@
     CPPUNIT_TEST(a_router_whose_servers_are_silent_serves_its_callers);
     CPPUNIT_TEST(a_router_whose_servers_refuse_serves_its_callers);
     CPPUNIT_TEST(a_large_response_is_relayed_whole);
+    CPPUNIT_TEST(a_response_without_a_length_is_relayed_whole);
+    CPPUNIT_TEST(the_end_of_a_relay_is_not_the_end_of_a_response);
     CPPUNIT_TEST(a_caller_that_leaves_ends_its_relayed_request);
     CPPUNIT_TEST(a_router_that_reaches_nobody_rejects_at_once);
     CPPUNIT_TEST(a_relay_connects_to_no_draining_server);
@@ -54,6 +58,10 @@
                 id, "app",
                 [this](fake_server::request const& got) -> script
                 {
+                    if (this->respond)
+                    {
+                        return this->respond(got);
+                    }
                     if (this->silent)
                     {
                         return {{}, script::ending::silent};
@@ -96,8 +104,9 @@
             return got;
         }
 
-        bool silent{false};       ///< servers do not respond
-        std::string body{"done"}; ///< of their responses
+        fake_server::responder respond; ///< instead of the default, if set
+        bool silent{false};             ///< servers do not respond
+        std::string body{"done"};       ///< of their responses
         fleet_site reaching;
         fleet_site cut_off{this->reaching};
         fake_server* server{};
@@ -147,6 +156,64 @@
         CPPUNIT_ASSERT_EQUAL(size, got.body.size());
     }
 
+    /// The first part of a response that ends with its connection.
+    static std::string first_part(fake_server::request const& got)
+    {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+               std::string{got["Request-Id"]} +
+               "\r\nUpstream-Signature: s1\r\n\r\ndo";
+    }
+
+    // Guards against an error for a response that its server ends in order.
+    void a_response_without_a_length_is_relayed_whole()
+    {
+        scenario all{refusing_address()};
+        all.respond = [](fake_server::request const& got)
+        {
+            return script{{first_part(got), "ne"}, script::ending::close};
+        };
+        auto const got = all.send(fleet_site::request("POST", "/order/1"));
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, got.body);
+    }
+
+    // The process of a relay ends, and its kernel closes its connections in
+    // order. Guards against forwarding the first part of a response as the
+    // whole one.
+    void the_end_of_a_relay_is_not_the_end_of_a_response()
+    {
+        auto relay = std::make_unique<fleet_site>();
+        fleet_site site{*relay};
+        auto& server = site.add_server(
+            "i-1", "app",
+            [](fake_server::request const& got) {
+                return script{{first_part(got)}, script::ending::silent};
+            });
+        relay->list_server("i-1", "app", server.address());
+        site.list_server("i-1", "app", refusing_address());
+        auto const run_relay = [&relay]
+        {
+            relay->loop.run_for(std::chrono::milliseconds{1});
+        };
+        CPPUNIT_ASSERT(
+            relay->run_until([&] { return relay->readiness() == 200; }));
+        CPPUNIT_ASSERT(site.run_until([&] { return site.readiness() == 200; }));
+        auto const caller = site.begin(fleet_site::request("POST", "/order/1"));
+        auto turns_left = 50;
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                run_relay();
+                turns_left -= server.requests.empty() ? 0 : 1;
+                return turns_left == 0;
+            }));
+        relay.reset();
+        CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        auto const head =
+            boost::beast::buffers_to_string(caller->input().data());
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 502"}, head.substr(0, 12));
+    }
+
     // Guards against servers that work on for a caller who has left.
     void a_caller_that_leaves_ends_its_relayed_request()
     {
