Split event streams at every line end, and after a byte order mark

The splitter knew LF and CR LF only. Events whose lines end with CR were held back to the end of their stream, a first id behind a byte order mark was not seen, so that a resumed stream began anew, and blank lines or comments after the last event looked like an incomplete event, which now counts as broken off. Fields whose names begin with 'data' counted as output.

--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -9,58 +9,107 @@
 namespace
 {
 
-constexpr std::string_view id_field = "id:";
+constexpr std::string_view id_field = "id";
 constexpr std::string_view data_field = "data";
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
 
-/// The end of the first event in `text`, or npos; the search begins at `from`.
-/// An event ends with an empty line, and lines end with LF or CR LF.
-std::size_t event_end(std::string_view text, std::size_t from)
+} // namespace
+
+std::string event_splitter::feed(std::string_view bytes)
 {
-    for (auto at = text.find('\n', from); at != std::string_view::npos;
-         at = text.find('\n', at + 1))
+    this->pending += bytes;
+    this->skip_byte_order_mark();
+    std::size_t complete = 0;
+    while (true)
     {
-        if (text.substr(at + 1).starts_with('\n'))
+        this->skip_line_feed();
+        auto const from = std::max(this->searched, this->line_start);
+        auto const end = this->pending.find_first_of("\r\n", from);
+        this->searched = std::min(end, this->pending.size());
+        auto const line = std::string_view{this->pending}.substr(
+            this->line_start, this->searched - this->line_start);
+        auto const ends_event = line.empty() && this->open;
+        if (end == std::string::npos || (ends_event && this->awaits_lf(end)))
+        {
+            break;
+        }
+        this->after_cr = this->pending[end] == '\r';
+        this->line_start = end + 1;
+        if (!line.empty())
         {
-            return at + 2;
+            this->add_field(line);
         }
-        if (text.substr(at + 1).starts_with("\r\n"))
+        if (ends_event)
         {
-            return at + 3;
+            this->end_event();
+            this->skip_line_feed();
+            complete = this->line_start;
         }
     }
-    return std::string_view::npos;
+    auto events = this->pending.substr(0, complete);
+    this->pending.erase(0, complete);
+    this->line_start -= complete;
+    this->searched -= complete;
+    return events;
 }
 
-} // namespace
-
-std::string event_splitter::feed(std::string_view bytes)
+/// A CR or a CR LF ends a line, and the two may arrive apart.
+void event_splitter::skip_line_feed()
 {
-    // The end of an event may begin in the last three old bytes.
-    constexpr std::size_t max_end_overlap = 3;
-    auto const seen = this->pending.size();
-    auto from = seen - std::min(seen, max_end_overlap);
-    this->pending += bytes;
-    std::size_t complete = 0;
-    for (auto end = event_end(this->pending, from);
-         end != std::string_view::npos; end = event_end(this->pending, end))
+    if (this->after_cr && this->line_start < this->pending.size())
     {
-        this->parse_event(
-            std::string_view{this->pending}.substr(complete, end - complete));
-        complete = end;
+        this->uses_crlf = this->pending[this->line_start] == '\n';
+        this->line_start += this->uses_crlf ? 1 : 0;
+        this->after_cr = false;
     }
-    auto events = this->pending.substr(0, complete);
-    this->pending.erase(0, complete);
-    return events;
 }
 
-std::string event_splitter::take_rest()
+/// True if the CR at `end` is the last byte so far, in lines that end with CR
+/// LF.
+bool event_splitter::awaits_lf(std::size_t end) const
 {
-    return std::exchange(this->pending, {});
+    return this->uses_crlf && this->pending[end] == '\r' &&
+           end + 1 == this->pending.size();
+}
+
+/// A response may begin with a byte order mark, which belongs to no line.
+/// Within a stream that another response began it would be part of an event.
+void event_splitter::skip_byte_order_mark()
+{
+    if (!this->at_start || this->pending.size() < byte_order_mark.size())
+    {
+        return;
+    }
+    this->at_start = false;
+    if (!this->pending.starts_with(byte_order_mark))
+    {
+        return;
+    }
+    if (this->data_events > 0)
+    {
+        this->pending.erase(0, byte_order_mark.size());
+        this->searched = 0;
+        return;
+    }
+    this->line_start = byte_order_mark.size();
 }
 
 bool event_splitter::in_event() const
 {
-    return !this->pending.empty();
+    return this->open || this->line_start < this->pending.size();
+}
+
+std::string event_splitter::take_rest()
+{
+    this->line_start = 0;
+    this->searched = 0;
+    this->after_cr = false;
+    this->uses_crlf = false;
+    this->at_start = true;
+    this->open = false;
+    this->has_data = false;
+    this->new_id.reset();
+    return std::exchange(this->pending, {});
 }
 
 std::string const& event_splitter::last_id() const
@@ -73,26 +122,33 @@
     return this->data_events;
 }
 
-void event_splitter::parse_event(std::string_view event)
+void event_splitter::add_field(std::string_view line)
 {
-    auto has_data = false;
-    while (!event.empty())
+    if (line.starts_with(':'))
     {
-        auto const end = std::min(event.find('\n'), event.size());
-        auto line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (line.ends_with('\r'))
-        {
-            line.remove_suffix(1);
-        }
-        has_data = has_data || line.starts_with(data_field);
-        if (line.starts_with(id_field))
-        {
-            line.remove_prefix(id_field.size());
-            this->id = line.starts_with(' ') ? line.substr(1) : line;
-        }
+        return; // a comment
+    }
+    this->open = true;
+    auto const name = line.substr(0, line.find(':'));
+    auto value = line.substr(std::min(name.size() + 1, line.size()));
+    value.remove_prefix(value.starts_with(' ') ? 1 : 0);
+    this->has_data = this->has_data || name == data_field;
+    if (name == id_field)
+    {
+        this->new_id = value;
+    }
+}
+
+void event_splitter::end_event()
+{
+    this->data_events += this->has_data ? 1 : 0;
+    if (this->new_id)
+    {
+        this->id = std::move(*this->new_id);
     }
-    this->data_events += has_data ? 1 : 0;
+    this->open = false;
+    this->has_data = false;
+    this->new_id.reset();
 }
 
 } // namespace caperpath::fleet
