Let the soak's servers end streams in order, and kill them

Servers of the soak ended with complete chunks and stayed up for good, so that no run could show the end of a connection taken for the end of a stream. Of the streams four in ten now have neither a length nor chunks, a fifth of these are closed in order within an event, and in soak.planned_stops servers are killed and restarted in turn.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -53,6 +53,10 @@
     };
     spawn(watch(site));
     spawn(interrupt_store(site));
+    if (!site.options.partitions)
+    {
+        spawn(restart_servers(site));
+    }
     constexpr int series = 2;
     for (int i = 0; site.options.partitions && i < series; ++i)
     {
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <sstream>
 #include <string_view>
 #include <utility>
@@ -24,6 +25,10 @@
 
 constexpr int silent_percent = 1;
 constexpr int slow_percent = 5;
+/// Of the streams: without a length or chunks; and of those, closed in order
+/// within an event.
+constexpr int unframed_percent = 40;
+constexpr int truncated_percent = 20;
 
 int number_in(std::string_view text)
 {
@@ -83,30 +88,61 @@
 }
 
 soak_server::soak_server(asio::io_context& loop, soak_record& record)
-    : record{record}, acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}}
+    : record{record}, loop{loop}, reserved{loop, tcp::v4()}, acceptor{loop}
 {
-    asio::co_spawn(loop, this->accept(), asio::detached);
+    this->reserved.set_option(tcp::acceptor::reuse_address{true});
+    this->reserved.bind({asio::ip::make_address("127.0.0.1"), 0});
+    this->start();
 }
 
+soak_server::~soak_server() = default;
+
 std::string soak_server::address() const
 {
     return "127.0.0.1:" +
-           std::to_string(this->acceptor.local_endpoint().port());
+           std::to_string(this->reserved.local_endpoint().port());
+}
+
+void soak_server::start()
+{
+    this->acceptor = tcp::acceptor{this->loop, this->reserved.local_endpoint()};
+    asio::co_spawn(this->loop, this->accept(), asio::detached);
+}
+
+void soak_server::kill()
+{
+    boost::system::error_code ignored; // the acceptor is closed in any case
+    this->acceptor.close(ignored);
+    for (auto* const stream : this->open)
+    {
+        stream->close();
+    }
 }
 
 asio::awaitable<void> soak_server::accept()
 {
     while (true)
     {
-        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(this->acceptor.get_executor(),
-                       this->serve(std::move(socket)), asio::detached);
+        boost::system::error_code fault;
+        auto socket = co_await this->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, fault));
+        if (fault)
+        {
+            co_return;
+        }
+        asio::co_spawn(this->loop, this->serve(std::move(socket)),
+                       asio::detached);
     }
 }
 
 asio::awaitable<void> soak_server::serve(tcp::socket socket)
 {
     boost::beast::tcp_stream stream{std::move(socket)};
+    this->open.insert(&stream);
+    std::shared_ptr<void> const registered{nullptr, [this, &stream](void*)
+                                           {
+                                               this->open.erase(&stream);
+                                           }};
     boost::beast::flat_buffer buffer;
     while (true)
     {
@@ -138,7 +174,7 @@
         co_return co_await this->send_events(stream, got);
     }
     auto const slow = draw.chance(slow_percent);
-    co_await pause(this->acceptor.get_executor(),
+    co_await pause(this->loop.get_executor(),
                    slow ? draw.ms(500, 2'500) : draw.ms(2, 60));
     auto const body = body_of(id);
     auto const size = "Content-Length: " + std::to_string(body.size());
@@ -149,21 +185,35 @@
                                                request const& got)
 {
     std::string const id{got["Request-Id"]};
-    dice draw{seed_of(id)};
+    std::string const last{got["Last-Event-Id"]};
+    dice draw{seed_of(id + "/" + last)};
     auto const events = events_of(got);
     auto const gap = draw.ms(5, 80);
-    auto const last = got["Last-Event-Id"];
-    auto next = number_in({last.data(), last.size()}) + 1;
-    auto open =
-        co_await send(stream, head_of(id, "Content-Type: text/event-stream\r\n"
-                                          "Transfer-Encoding: chunked"));
-    for (; open && next <= events; ++next)
+    auto const unframed = draw.chance(unframed_percent);
+    auto const truncated = unframed && draw.chance(truncated_percent);
+    auto next = number_in(last) + 1;
+    auto const end = truncated ? draw.between(next, events) : events;
+    std::string const framing =
+        unframed ? "" : "\r\nTransfer-Encoding: chunked";
+    auto const head = head_of(id, "Content-Type: text/event-stream" + framing);
+    auto open = co_await send(stream, head);
+    for (; open && next <= end; ++next)
     {
-        co_await pause(this->acceptor.get_executor(), gap);
-        auto const event = "id: " + std::to_string(next) + "\ndata: t\n\n";
+        co_await pause(this->loop.get_executor(), gap);
+        auto event = "id: " + std::to_string(next) + "\ndata: t\n\n";
+        if (truncated && next == end)
+        {
+            event.resize(static_cast<std::size_t>(
+                draw.between(1, static_cast<int>(event.size()) - 1)));
+        }
         std::ostringstream chunk;
         chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-        open = co_await send(stream, chunk.str());
+        auto const bytes = unframed ? event : chunk.str();
+        open = co_await send(stream, bytes);
+    }
+    if (unframed)
+    {
+        co_return false;
     }
     co_return open&& co_await send(stream, "0\r\n\r\n");
 }
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <set>
 #include <string>
 
 namespace caperpath::soak
@@ -26,9 +27,18 @@
 {
 public:
     soak_server(asio::io_context& loop, soak_record& record);
+    ~soak_server();
+
+    soak_server(soak_server const&) = delete;
+    soak_server& operator=(soak_server const&) = delete;
 
     std::string address() const;
 
+    /// Ends all connections and accepts none until `start`, as a process that
+    /// is killed: its kernel closes them in order.
+    void kill();
+    void start();
+
 private:
     using request = http::request<http::string_body>;
 
@@ -40,7 +50,11 @@
                                       request const& got);
 
     soak_record& record;
+    asio::io_context& loop;
+    /// Bound but not listening, so that no other process can take the port.
+    tcp::acceptor reserved;
     tcp::acceptor acceptor;
+    std::set<boost::beast::tcp_stream*> open;
 };
 
 /// Total number of events in the stream that responds to `got`.
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -236,6 +236,21 @@
     site.series_left -= 1;
 }
 
+asio::awaitable<void> restart_servers(soak_site& site)
+{
+    dice draw{site.options.seed * 1'000 + 998};
+    while (!site.over())
+    {
+        auto& killed = site.servers[static_cast<std::size_t>(
+            draw.between(0, app_servers + engines - 1))];
+        co_await pause(site.loop.get_executor(), draw.ms(1'000, 4'000));
+        killed.kill();
+        co_await pause(site.loop.get_executor(), draw.ms(100, 1'500));
+        killed.start();
+        site.record.count("restarts of servers");
+    }
+}
+
 asio::awaitable<void> interrupt_store(soak_site& site)
 {
     dice draw{site.options.seed * 1'000 + 999};
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -92,6 +92,9 @@
 /// Makes the store unreachable for random periods.
 asio::awaitable<void> interrupt_store(soak_site& site);
 
+/// Kills and restarts servers one after the other until the soak is over.
+asio::awaitable<void> restart_servers(soak_site& site);
+
 /// Sends requests until the soak is over.
 asio::awaitable<void> call_routers(soak_site& site, int number);
 
