Keep the soak's open connections apart from its servers

The coroutines of connections end with the loop, after the servers, and removed themselves from a set that had gone (segmentation fault at the end of a failed run).

--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -113,7 +113,7 @@
 {
     boost::system::error_code ignored; // the acceptor is closed in any case
     this->acceptor.close(ignored);
-    for (auto* const stream : this->open)
+    for (auto* const stream : *this->open)
     {
         stream->close();
     }
@@ -138,10 +138,11 @@
 asio::awaitable<void> soak_server::serve(tcp::socket socket)
 {
     boost::beast::tcp_stream stream{std::move(socket)};
-    this->open.insert(&stream);
-    std::shared_ptr<void> const registered{nullptr, [this, &stream](void*)
+    this->open->insert(&stream);
+    std::shared_ptr<void> const registered{nullptr,
+                                           [all = this->open, &stream](void*)
                                            {
-                                               this->open.erase(&stream);
+                                               all->erase(&stream);
                                            }};
     boost::beast::flat_buffer buffer;
     while (true)
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <memory>
 #include <set>
 #include <string>
 
@@ -54,7 +55,9 @@
     /// Bound but not listening, so that no other process can take the port.
     tcp::acceptor reserved;
     tcp::acceptor acceptor;
-    std::set<boost::beast::tcp_stream*> open;
+    /// Shared with the connections' coroutines, which may outlive this object.
+    std::shared_ptr<std::set<boost::beast::tcp_stream*>> open{
+        std::make_shared<std::set<boost::beast::tcp_stream*>>()};
 };
 
 /// Total number of events in the stream that responds to `got`.
