Log the version of servers and attempts, and what a resumed request names

The logs told neither at which software version an attempt ran nor that a request takes up a stream, so a stream that went on at another version could not be told from any other repeat. Entries of servers carry their version now. No change of behaviour.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -24,6 +24,9 @@
     service_id service;
     std::string address; ///< "IP:port"
     failure_domain_id failure_domain;
+    /// Of its software; empty if unknown. A stream that one version began
+    /// cannot go on at another.
+    std::string version;
     std::int64_t slots{1};
     bool draining{false};
     std::int64_t born_ms{}; ///< Unix time of its start; 0 if unknown
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -150,6 +150,7 @@
     shared.log.write(log_weight::notable, "attempt",
                      {{"request", current.facts.id},
                       {"server", where.server.value},
+                      {"version", current.server_version},
                       {"outcome", std::string{name_of(end)}},
                       {"expected_ms", std::to_string(where.expected.ms)},
                       {"sends", std::to_string(current.attempts.sends)}});
@@ -229,6 +230,7 @@
         }
         current.expected = where->expected;
         current.server = where->server.value;
+        current.server_version.clear();
         auto lost_connection = false;
         {
             suspect_guard const guard{current, where->server};
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -132,6 +132,15 @@
     {
         fields.push_back({"relay", current.relay});
     }
+    if (!current.server_version.empty())
+    {
+        fields.push_back({"version", current.server_version});
+    }
+    if (!current.facts.last_event_id.empty())
+    {
+        fields.push_back({"resumes", current.facts.resumes});
+        fields.push_back({"after_event", current.facts.last_event_id});
+    }
     if (current.customer != nullptr)
     {
         fields.push_back({"customer", current.customer->id.value});
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -92,6 +92,7 @@
     std::string_view reason{"served"};
     std::string server;
     std::string relay; ///< of the latest attempt; empty if it was direct
+    std::string server_version; ///< at the latest send
     duration expected{};
     std::optional<duration> first_part;
     std::optional<fleet::body_framing> framing; ///< of the latest response
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -128,7 +128,8 @@
             log_weight::notable, "server",
             {{"server", entry.id.value},
              {"state", entry.draining ? "leaving" : "listed"},
-             {"service", entry.service.value}});
+             {"service", entry.service.value},
+             {"version", entry.version}});
     }
 }
 
--- a/src/gateway/protocol_adapter.hpp
+++ b/src/gateway/protocol_adapter.hpp
@@ -34,6 +34,9 @@
     std::uint64_t shared_part{}; ///< 0 if the prompt shares nothing
     token_count shared_tokens{}; ///< tokens up to the end of that part
     std::string last_event_id;   ///< last event that the caller received
+    /// The caller's attempt that brought the first event of the stream that
+    /// this request resumes; empty if not stated.
+    std::string resumes;
 
     friend bool operator==(request_facts const&,
                            request_facts const&) = default;
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -206,6 +206,7 @@
     this->current.possible_deliveries += 1;
     if (auto* const target = this->server())
     {
+        this->current.server_version = target->entry.version;
         if (!this->relayed)
         {
             target->path = fleet::note_sent(target->path, now);
