--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -80,12 +80,17 @@
 
 fleet_site::fleet_site(fleet_site const& peer)
     : fleet_site{without_router{peer.retries, peer.grace}}
+{
+    this->add_peer(peer);
+    this->put_configuration(1);
+    this->start_router();
+}
+
+void fleet_site::add_peer(fleet_site const& peer)
 {
     store::transaction txn;
     txn.writes.push_back({"router/vm-2-1/fleet", peer.peer_address()});
     this->store.port().commit(txn, [](store::commit_result const&) {});
-    this->put_configuration(1);
-    this->start_router();
 }
 
 fleet_site::~fleet_site()
@@ -134,27 +139,32 @@
          << R"({"batch-slots":8,"kv-capacity":444000,"stride":2}}],)"
          << R"("limits":{"max-body-bytes":2000},)"
          << R"("tenants":[{"name":"taller","api-keys":["key"],"reserved":)"
+         << paid << R"(},{"name":"otro","api-keys":["other"],"reserved":)"
          << paid << "}]}";
     this->store.put("op", "config", text.str());
 }
 
 fake_server& fleet_site::add_server(std::string const& id,
                                     std::string const& service,
-                                    fake_server::responder respond)
+                                    fake_server::responder respond,
+                                    std::string const& version)
 {
     auto one = std::make_unique<fake_server>(this->loop, std::move(respond));
-    this->list_server(id, service, one->address());
+    this->list_server(id, service, one->address(), version);
     auto& added = *one;
     this->servers[id] = std::move(one);
     return added;
 }
 
 void fleet_site::list_server(std::string const& id, std::string const& service,
-                             std::string const& address)
+                             std::string const& address,
+                             std::string const& version)
 {
     this->store.put("servers", id,
                     R"({"backend":")" + service + R"(","address":")" + address +
-                        R"(","zone":"z","batch-slots":4,"state":"healthy"})");
+                        R"(","zone":"z","batch-slots":4,"state":"healthy",)"
+                        R"("version":")" +
+                        version + R"("})");
 }
 
 std::string fleet_site::peer_address() const
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -37,7 +37,7 @@
 ///     /order/   non-idempotent      /read/    idempotent, two servers
 ///     /chat/    streaming           /resume/  streaming, resumable
 ///
-/// and a customer with key `key` and 100,000 tokens.
+/// and customers with the keys `key` and `other` and 100,000 tokens each.
 class fleet_site
 {
 public:
@@ -53,7 +53,11 @@
 
     /// Adds a server of `service` ("app" or "llm") that responds by `respond`.
     fake_server& add_server(std::string const& id, std::string const& service,
-                            fake_server::responder respond);
+                            fake_server::responder respond,
+                            std::string const& version = "v1");
+
+    /// Adds the heartbeat row of another site's router.
+    void add_peer(fleet_site const& peer);
 
     void put_configuration(std::int64_t version, std::int64_t paid = 100'000);
 
@@ -99,7 +103,8 @@
 
     /// Lists a server at an address that no fake server listens at.
     void list_server(std::string const& id, std::string const& service,
-                     std::string const& address);
+                     std::string const& address,
+                     std::string const& version = "v1");
 
 private:
     struct without_router
