Let a stream go on only at the software version that began it

Callers got streams that held events of two software versions of a service. Nothing knew of versions: placement took any server, also after events were forwarded, and the attempt that a caller names when it takes a stream up was ignored.

Within one response a stream goes on only at the version of the server whose events were forwarded; without such a server it ends visibly incomplete. A caller's resumption goes on only at the version recorded for its customer and the attempt that it names. Each router records the streams it serves for 60 s; while a service has had several versions, or the router has not seen it for long enough to know, three other routers chosen by a hash of the stream keep the record as well, sent in datagrams 20 ms after the first event. A router that does not know a stream asks up to twelve others, 60 ms at most. Only if nobody knows it, and all versions seen in the last 60 s are one, does it go on there; otherwise it is rejected before it runs, with the rest of its time as Retry-After.

--- a/include/caperpath/fleet/placement.hpp
+++ b/include/caperpath/fleet/placement.hpp
@@ -25,6 +25,8 @@
     token_count shared_tokens{}; ///< length of that prefix
     token_count prompt_tokens{}; ///< the whole prompt
     token_count output_tokens{}; ///< at most
+    /// Only servers of this software version fit; an empty one fits none.
+    std::optional<std::string> version{};
 
     friend bool operator==(placement_request const&,
                            placement_request const&) = default;
--- /dev/null
+++ b/include/caperpath/fleet/stream_version.hpp
@@ -0,0 +1,121 @@
+#ifndef CAPERPATH_FLEET_STREAM_VERSION_HPP
+#define CAPERPATH_FLEET_STREAM_VERSION_HPP
+
+#include <caperpath/base/clock.hpp>
+#include <caperpath/base/id.hpp>
+#include <caperpath/fleet/server_table.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// Which software version of a service began a stream. What two versions
+/// generate does not fit together, and servers do not check it, so a stream may
+/// go on only at the version that began it. Plain values; functions that depend
+/// on time take it as an argument.
+namespace caperpath::fleet
+{
+
+/// Identifies a stream: a hash of its customer and of the caller's attempt that
+/// brought its first event.
+using stream_key = std::uint64_t;
+
+/// Thread safe.
+stream_key stream_key_of(customer_id const& customer,
+                         std::string_view first_attempt);
+
+/// Longer than a stream and its caller's further attempts last.
+inline constexpr duration stream_lifetime{60'000};
+/// Bounds the memory; the oldest streams are forgotten first.
+inline constexpr std::size_t max_known_streams = 100'000;
+
+/// The versions of recent streams. Not thread safe.
+class stream_versions
+{
+public:
+    /// Records that `version` began or continued the stream. Conflicting
+    /// records make the version unknown.
+    void note(stream_key stream, std::string const& version, instant now);
+
+    /// The version of the stream; empty if it is not known.
+    std::optional<std::string> find(stream_key stream, instant now) const;
+
+    /// The streams with a known version.
+    std::map<std::string, std::vector<stream_key>> all(instant now) const;
+
+private:
+    struct record
+    {
+        std::string version; ///< empty after conflicting records
+        instant noted_at;
+    };
+
+    struct note_time
+    {
+        stream_key stream;
+        instant at;
+    };
+
+    void forget_old(instant now);
+
+    std::unordered_map<stream_key, record> records;
+    std::deque<note_time> order; ///< oldest first; may name forgotten streams
+};
+
+/// The software versions of each service that this router has seen. Value type.
+struct version_history
+{
+    /// From here on, the list of servers has been up to date.
+    std::optional<instant> current_since;
+    std::map<service_id, std::map<std::string, instant>> last_seen;
+
+    friend bool operator==(version_history const&,
+                           version_history const&) = default;
+};
+
+/// Records the versions of all servers in `table`. While the list cannot be
+/// read the history starts anew. Thread safe.
+version_history note_versions(version_history history,
+                              server_table const& table, instant now);
+
+/// Records the version of one server. Thread safe.
+version_history note_version(version_history history, server_entry const& entry,
+                             instant now);
+
+/// The version of all servers that the service has had for `stream_lifetime`;
+/// empty if there were several, or if the history is shorter. A stream that can
+/// still be resumed began at this version. Thread safe.
+std::optional<std::string> only_version(version_history const& history,
+                                        service_id const& service, instant now);
+
+/// What another router knows of a stream. Immutable value.
+struct stream_report
+{
+    std::string version;      ///< of the stream; empty if unknown
+    std::string only_version; ///< of the service; empty if there are several
+
+    friend bool operator==(stream_report const&,
+                           stream_report const&) = default;
+};
+
+/// The version at which a stream must go on, from the reports of routers; empty
+/// if it is not known. Reports of the stream itself come first; reports that
+/// contradict each other prove nothing. Thread safe.
+std::optional<std::string>
+version_to_resume(std::vector<stream_report> const& reports);
+
+/// At most `most` of `routers` that keep the versions of `stream`, the same at
+/// each router that knows the same others. Thread safe.
+std::vector<std::string> keepers_of(stream_key stream,
+                                    std::vector<std::string> const& routers,
+                                    std::size_t most);
+
+} // namespace caperpath::fleet
+
+#endif
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -94,6 +94,12 @@
     return std::find(all.begin(), all.end(), id) != all.end();
 }
 
+bool fits_version(server const& target, placement_request const& item)
+{
+    return !item.version ||
+           (!item.version->empty() && target.entry.version == *item.version);
+}
+
 struct candidate
 {
     server const* target{};
@@ -109,7 +115,7 @@
     for (auto const& [id, target] : table.servers)
     {
         if (target.entry.service != of.id || !usable(target, now) ||
-            contains(avoid, id))
+            contains(avoid, id) || !fits_version(target, item))
         {
             continue;
         }
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -14,6 +14,7 @@
 #include "gateway/server_connector.hpp"
 #include "gateway/server_pool.hpp"
 #include "gateway/settings.hpp"
+#include "gateway/stream_version_exchange.hpp"
 #include "gateway/waker.hpp"
 
 #include <caperpath/base/clock.hpp>
@@ -73,6 +74,7 @@
     std::shared_ptr<std::int64_t> relayed{std::make_shared<std::int64_t>(0)};
     crash_tracker crashes;
     crash_check crash_checks;
+    stream_version_exchange streams;
     std::set<fleet::fingerprint> on_probation; ///< requests on probation that
                                                ///< this router runs now
     /// By server: open sends of requests that were running on a server when it
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -29,6 +29,27 @@
     return least + duration{static_cast<std::int64_t>(jitter)};
 }
 
+/// How long callers wait who cannot be served: a server of the version may be
+/// set aside for a moment, or there is none any more.
+duration retry_after_no_server(exchange const& current)
+{
+    auto const& version = current.work.version;
+    auto const& servers = current.shared.servers.servers;
+    auto const now = current.shared.now.now();
+    auto const comes_back = [&](auto const& entry)
+    {
+        auto const& target = entry.second;
+        return target.entry.service == current.work.service &&
+               target.entry.version == *version &&
+               !fleet::is_draining(target, now);
+    };
+    if (!version || std::any_of(servers.begin(), servers.end(), comes_back))
+    {
+        return with_jitter(current, no_server_retry_after);
+    }
+    return current.deadline - now;
+}
+
 std::optional<fleet::placement> choose_server(exchange& current)
 {
     auto& shared = current.shared;
@@ -214,8 +235,10 @@
             {
                 co_return give_up(current, end);
             }
-            co_return rejection{http_unavailable, "no_server",
-                                with_jitter(current, no_server_retry_after)};
+            co_return rejection{http_unavailable,
+                                current.work.version ? "no_server_of_version"
+                                                     : "no_server",
+                                retry_after_no_server(current)};
         }
         // Rejects now what cannot start in time, instead of at its deadline.
         if (now + where->expected >= current.deadline &&
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -353,14 +353,15 @@
                         (*reply)->retry_after};
 }
 
-std::array<named_filter, 7> const& request_filters()
+std::array<named_filter, 8> const& request_filters()
 {
-    static constexpr std::array<named_filter, 7> all{
+    static constexpr std::array<named_filter, 8> all{
         {{"find_route", find_route},
          {"identify", identify},
          {"measure", set_service_and_limits},
          {"admit", check_stopping},
          {"quarantine", quarantine},
+         {"resume", resume},
          {"reserve", reserve},
          {"dispatch", dispatch}}};
     return all;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -124,6 +124,7 @@
 set_service_and_limits(exchange& current);
 asio::awaitable<std::optional<rejection>> check_stopping(exchange& current);
 asio::awaitable<std::optional<rejection>> quarantine(exchange& current);
+asio::awaitable<std::optional<rejection>> resume(exchange& current);
 asio::awaitable<std::optional<rejection>> reserve(exchange& current);
 asio::awaitable<std::optional<rejection>> dispatch(exchange& current);
 
@@ -134,12 +135,16 @@
 };
 
 /// The filters in the order in which they run.
-std::array<named_filter, 7> const& request_filters();
+std::array<named_filter, 8> const& request_filters();
 
 /// Runs the filters, sends a rejection if one returns it, releases what is left
 /// of the reservation and writes the log line of the request.
 asio::awaitable<void> serve(exchange& current);
 
+/// Records the version of the server whose events are forwarded: the stream may
+/// go on only there.
+void note_stream_version(exchange& current);
+
 /// Records for how long the process had been stopping when the request arrived.
 /// No effect if it is not stopping.
 void record_stopping(exchange& current);
--- /dev/null
+++ b/src/gateway/exchange_resume.cpp
@@ -0,0 +1,77 @@
+#include "gateway/exchange.hpp"
+
+#include <caperpath/base/http_status.hpp>
+#include <caperpath/fleet/stream_version.hpp>
+
+#include <algorithm>
+#include <string>
+
+/// Keeps a stream at the software version that began it.
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+/// Other routers reply within a round trip.
+constexpr duration max_version_wait{60};
+
+bool resumes_stream(exchange const& current)
+{
+    return current.route->kind == fleet::request_kind::streaming &&
+           !current.facts.last_event_id.empty();
+}
+
+fleet::stream_key key_of(exchange const& current)
+{
+    auto const customer =
+        current.customer != nullptr ? current.customer->id : customer_id{};
+    return fleet::stream_key_of(customer, resumes_stream(current)
+                                              ? current.facts.resumes
+                                              : current.facts.id);
+}
+
+} // namespace
+
+asio::awaitable<std::optional<rejection>> resume(exchange& current)
+{
+    if (!resumes_stream(current))
+    {
+        co_return std::nullopt;
+    }
+    auto& shared = current.shared;
+    auto const began = shared.now.now();
+    auto const version = co_await shared.streams.find(
+        key_of(current), current.work.service,
+        std::min(max_version_wait, current.deadline - began));
+    shared.log.write(log_weight::notable, "resume",
+                     {{"request", current.facts.id},
+                      {"resumes", current.facts.resumes},
+                      {"version", version.value_or("unknown")},
+                      {"ms", std::to_string((shared.now.now() - began).ms)}});
+    shared.metrics.stream_resumed(version.has_value());
+    current.work.version = version;
+    if (!version)
+    {
+        // No router will know it later, so the caller need not come back soon.
+        co_return rejection{http_unavailable, "version_unknown",
+                            current.deadline - shared.now.now()};
+    }
+    co_return std::nullopt;
+}
+
+void note_stream_version(exchange& current)
+{
+    if (current.route->kind != fleet::request_kind::streaming)
+    {
+        return;
+    }
+    current.work.version = current.server_version;
+    if (current.route->resumable && !current.server_version.empty())
+    {
+        current.shared.streams.note_stream(
+            key_of(current), current.work.service, current.server_version);
+    }
+}
+
+} // namespace caperpath::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 
 constexpr duration tick_interval{100};
 constexpr duration retry_report_interval{2'000};
+constexpr duration version_interval{1'000};
 /// Kept short, so that the process is not killed while it writes its log.
 constexpr duration max_log_wait{100};
 /// The responses only have to be handed to the kernel.
@@ -50,7 +51,14 @@
         {{"callers", settings.callers}, {"store", settings.store_address}});
     this->shared.peers.start(
         [this](std::string const& from, std::string const& bytes)
-        { this->shared.budgets.receive_datagram(from, bytes); });
+        {
+            if (is_stream_packet(bytes))
+            {
+                this->shared.streams.receive(from, bytes);
+                return;
+            }
+            this->shared.budgets.receive_datagram(from, bytes);
+        });
     this->listen_to_routers();
     this->accept_callers();
     this->accept_status_clients(this->readiness);
@@ -212,6 +220,17 @@
     }
 }
 
+void gateway_server::note_versions()
+{
+    auto const now = this->shared.now.now();
+    if (this->shared.servers_listed &&
+        now - this->versions_noted_at >= version_interval)
+    {
+        this->versions_noted_at = now;
+        this->shared.streams.note_servers(this->shared.servers);
+    }
+}
+
 void gateway_server::tick()
 {
     auto const now = this->shared.now.now();
@@ -225,6 +244,7 @@
     this->shared.connector.probe_paths();
     this->report_retries();
     this->report_reach();
+    this->note_versions();
     this->shared.uplink = fleet::advance_time(this->shared.uplink, now);
     this->shared.budgets.set_router_count(this->shared.membership.alive_vms());
     if (this->shared.membership.completed_reads() != this->membership_reads)
@@ -236,9 +256,13 @@
         addresses.reserve(routers.size());
         for (auto const& [address, incarnation] : routers)
         {
-            addresses.push_back(address);
+            if (address != this->shared.peer_address)
+            {
+                addresses.push_back(address);
+            }
         }
         this->shared.relays.set_routers(addresses);
+        this->shared.streams.set_routers(std::move(addresses));
     }
     this->shared.metrics.lines_dropped(this->shared.log.dropped());
     if (this->ready() != this->was_ready)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -81,6 +81,7 @@
     void tick();
     /// Logs services whose servers become reachable or unreachable.
     void report_reach();
+    void note_versions();
     /// Logs how this router uses its part of the retry limit.
     void report_retries();
     bool ready() const;
@@ -98,6 +99,7 @@
     std::unique_ptr<table_follower> server_follower;
     instant configuration_known_at{};
     instant retries_reported_at{};
+    instant versions_noted_at{};
     instant reach_reported_at{};
     /// Services without a direct path, with the time since then.
     std::map<service_id, instant> cut_off_since;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -47,6 +47,12 @@
             .Name("caperpath_sends_total")
             .Help("Requests sent to servers, by whether it was a repeat.")
             .Register(this->registry)};
+    prometheus::Family<prometheus::Counter>& resumed{
+        BuildCounter()
+            .Name("caperpath_streams_resumed_total")
+            .Help("Requests that resume a stream, by whether its version is "
+                  "known.")
+            .Register(this->registry)};
     prometheus::Family<prometheus::Counter>& calls{
         BuildCounter()
             .Name("caperpath_store_calls_total")
@@ -120,6 +126,12 @@
     }
 }
 
+void gateway_metrics::stream_resumed(bool version_known)
+{
+    this->self->resumed.Add({{"version", version_known ? "known" : "unknown"}})
+        .Increment();
+}
+
 void gateway_metrics::site_version(std::uint64_t version)
 {
     this->self->version.Set(static_cast<double>(version));
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -36,6 +36,10 @@
     /// `relayed` if another router relays it.
     void sent(bool retry, bool relayed);
 
+    /// Counts a request that resumes a stream, by whether the stream's version
+    /// is known.
+    void stream_resumed(bool version_known);
+
     /// The configuration in use and the number of listed servers.
     void site_version(std::uint64_t version);
     void servers_listed(std::size_t count);
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -119,6 +119,7 @@
 {
     if (is_new)
     {
+        this->shared.streams.note_server(entry);
         this->shared.pool.drop(entry.id);
         this->shared.prompts.forget(entry.id);
     }
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -61,6 +61,7 @@
     std::string body; ///< parsed and not relayed yet
     instant sent_at{};
     std::optional<instant> first_part_at;
+    bool version_noted{false};
     bool counted_unread{false};
     bool counted_open{false};
     bool reusable{false}; ///< the connection can carry another request
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -165,6 +165,11 @@
         return;
     }
     this->record_first_part();
+    if (!this->version_noted)
+    {
+        this->version_noted = true;
+        note_stream_version(this->current);
+    }
     if (!this->current.response_started)
     {
         this->start_response(true);
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -139,7 +139,7 @@
          << R"({"batch-slots":8,"kv-capacity":444000,"stride":2}}],)"
          << R"("limits":{"max-body-bytes":2000},)"
          << R"("tenants":[{"name":"taller","api-keys":["key"],"reserved":)"
-         << paid << R"(},{"name":"otro","api-keys":["other"],"reserved":)"
+         << paid << R"(},{"name":"otro","api-keys":["second"],"reserved":)"
          << paid << "}]}";
     this->store.put("op", "config", text.str());
 }
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -37,7 +37,7 @@
 ///     /order/   non-idempotent      /read/    idempotent, two servers
 ///     /chat/    streaming           /resume/  streaming, resumable
 ///
-/// and customers with the keys `key` and `other` and 100,000 tokens each.
+/// and customers with the keys `key` and `second` and 100,000 tokens each.
 class fleet_site
 {
 public:
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -228,7 +228,7 @@
         add(site, "i-2", "v2", next);
         run_for(site, std::chrono::milliseconds{200});
         auto other = prompt("r2", "r1");
-        other.replace(other.find("Bearer key"), 10, "Bearer other");
+        other.replace(other.find("Bearer key"), 10, "Bearer second");
         CPPUNIT_ASSERT_EQUAL(503, site.send(other).status);
         CPPUNIT_ASSERT_EQUAL(0, old.resumed + next.resumed);
     }
