--- a/tests/fleet/event_splitter_test.cpp
+++ b/tests/fleet/event_splitter_test.cpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace caperpath::fleet;
 
@@ -20,6 +21,18 @@
     CPPUNIT_TEST(fields_are_compared_whole);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Each of `texts` with `end` behind it.
+    static std::string lines(std::vector<std::string> const& texts,
+                             std::string const& end)
+    {
+        std::string all;
+        for (auto const& text : texts)
+        {
+            all.append(text).append(end);
+        }
+        return all;
+    }
+
     static bool ends_within_event(std::string_view bytes)
     {
         event_splitter splitter;
@@ -34,12 +47,13 @@
         for (std::string const end : {"\n", "\r\n", "\r"})
         {
             event_splitter splitter;
-            auto const event = "id: 1" + end + "data: a" + end + end;
-            auto const next = "id: 2" + end + "data: b";
+            auto const event = lines({"id: 1", "data: a", ""}, end);
+            auto const next = lines({"id: 2"}, end).append("data: b");
+            auto const rest = lines({"", ""}, end);
             CPPUNIT_ASSERT_EQUAL(event, splitter.feed(event + next));
             CPPUNIT_ASSERT_EQUAL(std::string{"1"}, splitter.last_id());
             CPPUNIT_ASSERT(splitter.in_event());
-            CPPUNIT_ASSERT_EQUAL(next + end + end, splitter.feed(end + end));
+            CPPUNIT_ASSERT_EQUAL(next + rest, splitter.feed(rest));
             CPPUNIT_ASSERT_EQUAL(std::string{"2"}, splitter.last_id());
             CPPUNIT_ASSERT(!splitter.in_event());
             CPPUNIT_ASSERT(splitter.events() == 2);
@@ -60,10 +74,10 @@
                 {
                     auto const end =
                         *rc::gen::element<std::string>("\n", "\r\n", "\r");
-                    all +=
-                        "id: " + std::to_string(i) + end + "data: " +
-                        std::string(*rc::gen::inRange<std::size_t>(0, 9), 'x') +
-                        end + end;
+                    std::string const data(*rc::gen::inRange<std::size_t>(0, 9),
+                                           'x');
+                    all += lines(
+                        {"id: " + std::to_string(i), "data: " + data, ""}, end);
                 }
                 event_splitter splitter;
                 std::string forwarded;
