--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -187,9 +187,10 @@
                 turn();
                 return std::chrono::steady_clock::now() >= known;
             }));
-        auto const caller = first->begin(prompt("r1"));
+        auto caller = first->begin(prompt("r1"));
         CPPUNIT_ASSERT(first->run_until([&] { return caller->has_input(); }));
         run_for(*first, std::chrono::milliseconds{100});
+        caller.reset(); // belongs to the loop of the first site
         first.reset();
         for (auto const* const id : {"i-3", "i-4", "i-5", "i-6"})
         {
