Rank the keepers of a stream with one hash each, and encode a query once

Each comparison of the sort hashed two addresses again: at 390 routers some thousand hashes for each stream that begins while several versions serve. The chosen routers are the same. Another router's query was encoded once for each router asked. fleet.stream_version 11 of 11, gateway.stream_version 6 of 6.

A comment of the chat interface's splitter names its bound.

--- a/include/caperpath/request/sse.hpp
+++ b/include/caperpath/request/sse.hpp
@@ -20,7 +20,8 @@
     /// Returns the data of the events that `piece` completes, in order.
     std::vector<std::string> feed(std::string_view piece);
 
-    /// True once an event was too long; `feed` then returns nothing.
+    /// True once an event exceeded `max_event_bytes`; `feed` then returns
+    /// nothing.
     bool broken() const;
 
 private:
--- a/src/fleet/stream_version.cpp
+++ b/src/fleet/stream_version.cpp
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace caperpath::fleet
@@ -143,16 +145,21 @@
                                     std::vector<std::string> const& routers,
                                     std::size_t most)
 {
-    auto const rank = [stream](std::string const& router)
+    std::vector<std::pair<std::uint64_t, std::string const*>> ranked;
+    ranked.reserve(routers.size());
+    for (auto const& router : routers)
     {
-        return XXH64(router.data(), router.size(), stream);
-    };
-    auto ranked = routers;
-    std::sort(ranked.begin(), ranked.end(),
-              [&rank](auto const& a, auto const& b)
-              { return rank(a) > rank(b); });
-    ranked.resize(std::min(ranked.size(), most));
-    return ranked;
+        ranked.emplace_back(XXH64(router.data(), router.size(), stream),
+                            &router);
+    }
+    auto const count = std::min(ranked.size(), most);
+    auto const end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(ranked.begin(), end, ranked.end(), std::greater<>{});
+    std::vector<std::string> chosen;
+    chosen.reserve(count);
+    std::transform(ranked.begin(), end, std::back_inserter(chosen),
+                   [](auto const& entry) { return *entry.second; });
+    return chosen;
 }
 
 } // namespace caperpath::fleet
--- a/src/gateway/stream_version_exchange.cpp
+++ b/src/gateway/stream_version_exchange.cpp
@@ -139,9 +139,10 @@
     auto const asked = fleet::keepers_of(stream, this->routers, most_asked);
     stream_packet packet;
     packet.queries.push_back({number, stream, service});
+    auto const bytes = encode(packet);
     for (auto const& router : asked)
     {
-        this->send(router, encode(packet));
+        this->send(router, bytes);
     }
     auto const until = this->now.now() + longest;
     while (!is_conclusive() && query->reports.size() <= asked.size() &&
