Log the request, route, version and prompt parts of each crash

The shared parts of a prompt are now decoded one by one (the chain of their ids stays for placement) and logged with each request that was at a crash, so that one part at all crashes can be told from one request at all crashes.

--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -45,6 +45,20 @@
                                   : fleet::crash_evidence{};
 }
 
+/// The ids of the shared parts of the prompt, for the log.
+std::string parts_text(exchange const& current)
+{
+    constexpr std::size_t max_logged_parts = 16;
+    auto const& parts = current.facts.shared_parts;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(parts.size(), max_logged_parts); ++i)
+    {
+        text += text.empty() ? "" : ",";
+        text += to_string(parts[i]);
+    }
+    return text;
+}
+
 } // namespace
 
 std::optional<rejection> check_crash_evidence(exchange& current)
@@ -122,7 +136,11 @@
     }
     current.server_crashed = true;
     current.evidence = shared.crashes.record_crash(
-        fingerprint_of(current), current.evidence, server.value);
+        fingerprint_of(current), current.evidence, server.value,
+        {{"request", current.facts.id},
+         {"route", current.route->name},
+         {"version", current.server_version},
+         {"parts", parts_text(current)}});
     auto const after = shared.servers.servers.find(server);
     if (after != shared.servers.servers.end())
     {
--- a/src/gateway/crash_tracker.cpp
+++ b/src/gateway/crash_tracker.cpp
@@ -6,6 +6,7 @@
 #include <caperpath/base/follow_backoff.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -100,14 +101,13 @@
     return fleet::quarantine_left(this->record, request, this->now.now());
 }
 
-fleet::crash_evidence
-crash_tracker::record_crash(fleet::fingerprint const& request,
-                            fleet::crash_evidence const& known,
-                            std::string const& server)
+fleet::crash_evidence crash_tracker::record_crash(
+    fleet::fingerprint const& request, fleet::crash_evidence const& known,
+    std::string const& server, std::vector<log_field> details)
 {
     auto const found =
         fleet::note_crash(this->record, request, known, this->now.now());
-    this->log_evidence("crash", request, server);
+    this->log_evidence("crash", request, server, std::move(details));
     // Evidence of a single crash stays local: a retry may still succeed.
     if (fleet::judge(found) != fleet::crash_verdict::suspected)
     {
@@ -139,15 +139,18 @@
 
 void crash_tracker::log_evidence(std::string const& step,
                                  fleet::fingerprint const& request,
-                                 std::string const& source)
+                                 std::string const& source,
+                                 std::vector<log_field> details)
 {
     auto const known = this->evidence(request);
-    this->log.write(log_weight::notable, step,
-                    {{"hash", to_string(request)},
-                     {"verdict", std::string{name_of(fleet::judge(known))}},
-                     {"crashes", std::to_string(known.crashes)},
-                     {"cleared", std::to_string(known.cleared)},
-                     {"by", source}});
+    std::vector<log_field> fields{
+        {"hash", to_string(request)},
+        {"verdict", std::string{name_of(fleet::judge(known))}},
+        {"crashes", std::to_string(known.crashes)},
+        {"cleared", std::to_string(known.cleared)},
+        {"by", source}};
+    std::move(details.begin(), details.end(), std::back_inserter(fields));
+    this->log.write(log_weight::notable, step, fields);
 }
 
 void crash_tracker::read_rows()
--- a/src/gateway/crash_tracker.hpp
+++ b/src/gateway/crash_tracker.hpp
@@ -51,10 +51,12 @@
     duration quarantine_left(fleet::fingerprint const& request) const;
 
     /// Records that `server` crashed while it processed `request`, which was
-    /// sent when `known` was the evidence. Returns the updated evidence.
+    /// sent when `known` was the evidence. `details` describe the request in
+    /// the log. Returns the updated evidence.
     fleet::crash_evidence record_crash(fleet::fingerprint const& request,
                                        fleet::crash_evidence const& known,
-                                       std::string const& server);
+                                       std::string const& server,
+                                       std::vector<log_field> details);
 
     /// Records that `request` got a complete response.
     void record_response(fleet::fingerprint const& request);
@@ -79,7 +81,8 @@
     void remove_old_rows();
     void log_evidence(std::string const& step,
                       fleet::fingerprint const& request,
-                      std::string const& source);
+                      std::string const& source,
+                      std::vector<log_field> details = {});
 
     boost::asio::steady_timer read_timer;
     boost::asio::steady_timer write_timer;
--- a/src/gateway/protocol_adapter.hpp
+++ b/src/gateway/protocol_adapter.hpp
@@ -4,6 +4,7 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/error.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/fleet/prompt_part.hpp>
 #include <caperpath/fleet/server_table.hpp>
 #include <caperpath/fleet/site.hpp>
 
@@ -31,6 +32,8 @@
     std::string key;                 ///< API key; empty if not sent
     token_count prompt_tokens{};
     token_count output_tokens{}; ///< upper bound
+    /// The parts of the prompt that it may share with other requests, in order.
+    std::vector<fleet::prompt_part> shared_parts;
     std::uint64_t shared_part{}; ///< 0 if the prompt shares nothing
     token_count shared_tokens{}; ///< tokens up to the end of that part
     std::string last_event_id;   ///< last event that the caller received
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -38,6 +38,9 @@
         CPPUNIT_ASSERT_EQUAL(token_count{80}, facts.output_tokens);
         CPPUNIT_ASSERT_EQUAL(token_count{1'210}, facts.shared_tokens);
         CPPUNIT_ASSERT(facts.shared_part != 0);
+        CPPUNIT_ASSERT(
+            (facts.shared_parts ==
+             std::vector{fleet::prompt_part{0x5c}, fleet::prompt_part{0x91}}));
         CPPUNIT_ASSERT_EQUAL(std::string{"4"}, facts.last_event_id);
         // The same shared parts, followed by a different own part.
         head.set("Prefix-Hash", "5c:800,91:410,ff:9");
