Add failing tests for prompt parts that crash servers

One router and 60 servers that crash on any prompt with one part: first, in the middle, beside rare parts of sound prompts, on a route whose requests are sent once, and after a restart of the router.

--- /dev/null
+++ b/tests/gateway/crash_part_test.cpp
@@ -0,0 +1,192 @@
+#include "gateway/fleet_site.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace caperpath;
+using namespace caperpath::gateway;
+
+class crash_part_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crash_part_test);
+    CPPUNIT_TEST(a_first_part_that_crashes_servers_is_quarantined);
+    CPPUNIT_TEST(a_middle_part_that_crashes_servers_is_quarantined);
+    CPPUNIT_TEST(a_part_beside_rare_parts_is_quarantined);
+    CPPUNIT_TEST(a_part_of_requests_that_are_sent_once_is_quarantined);
+    CPPUNIT_TEST(a_restarted_router_knows_a_part_that_crashes_servers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int fleet_size = 60;
+    /// The most servers that one part may crash, and the requests with it that
+    /// may reach servers afterwards.
+    static constexpr std::ptrdiff_t max_crashes = 5;
+
+    static bool has_fatal_part(fake_server::request const& got)
+    {
+        return got["Prefix-Hash"].find("bad:") != std::string::npos;
+    }
+
+    /// A server that crashes as it begins to respond to a prompt with the part
+    /// "bad", whatever else the prompt holds.
+    static script crash_on_part(fake_server::request const& got)
+    {
+        if (has_fatal_part(got))
+        {
+            return {{stream_head(got)}, script::ending::crash};
+        }
+        return {
+            {stream_head(got) + chunk_of("id: 1\ndata: x\n\n") + chunk_of("")}};
+    }
+
+    struct scenario
+    {
+        explicit scenario(std::unique_ptr<fleet_site> site)
+            : here{std::move(site)}
+        {
+            this->add_servers();
+        }
+
+        scenario() : scenario{std::make_unique<fleet_site>()}
+        {
+        }
+
+        void add_servers()
+        {
+            static int added = 0;
+            for (int i = 0; i < fleet_size; ++i)
+            {
+                auto const id = "llm-" + std::to_string(added++);
+                this->servers.push_back(
+                    &this->here->add_server(id, "llm", crash_on_part));
+            }
+            CPPUNIT_ASSERT(this->here->run_until(
+                [&] { return this->here->readiness() == 200; }));
+        }
+
+        std::ptrdiff_t crashed() const
+        {
+            return std::count_if(this->servers.begin(), this->servers.end(),
+                                 [](auto const* one) { return one->crashed; });
+        }
+
+        std::size_t fatal_sends() const
+        {
+            std::size_t count = 0;
+            for (auto const* one : this->servers)
+            {
+                count += static_cast<std::size_t>(
+                    std::count_if(one->requests.begin(), one->requests.end(),
+                                  has_fatal_part));
+            }
+            return count;
+        }
+
+        /// Sends a prompt whose path, body and last part are its own.
+        received_response ask(std::string const& route,
+                              std::string const& shared_parts)
+        {
+            auto const own = std::to_string(this->sent++);
+            return this->here->send(fleet_site::request(
+                "POST", "/" + route + "/" + own,
+                "Model-Name: m\r\nToken-Count: 400,10\r\nPrefix-Hash: " +
+                    shared_parts + ",e" + own + ":50\r\n",
+                "question " + own));
+        }
+
+        std::unique_ptr<fleet_site> here;
+        std::vector<fake_server*> servers;
+        int sent{};
+    };
+
+    /// Sends fatal and sound prompts in turn. All but a few of the fatal ones
+    /// must be rejected before they reach a server, and all sound ones served
+    /// after that.
+    static void check_quarantine(scenario& all, std::string const& route,
+                                 std::string const& fatal_parts,
+                                 std::vector<std::string> const& sound_parts)
+    {
+        constexpr std::size_t rounds = 30;
+        constexpr std::size_t rounds_to_verdict = 10;
+        for (std::size_t i = 0; i < rounds; ++i)
+        {
+            auto const sends = all.fatal_sends();
+            auto const fatal = all.ask(route, fatal_parts);
+            auto const sound =
+                all.ask(route, sound_parts[i % sound_parts.size()]);
+            if (i < rounds_to_verdict)
+            {
+                continue;
+            }
+            CPPUNIT_ASSERT_EQUAL(429, fatal.status);
+            CPPUNIT_ASSERT(fatal.head.find("Retry-After") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(sends, all.fatal_sends());
+            CPPUNIT_ASSERT_EQUAL(200, sound.status);
+        }
+        CPPUNIT_ASSERT(all.crashed() <= max_crashes);
+    }
+
+    // Guards against one server crashed after the other by requests that share
+    // nothing but the first part of their prompts.
+    void a_first_part_that_crashes_servers_is_quarantined()
+    {
+        scenario all;
+        check_quarantine(all, "resume", "bad:100,aa:100,bb:50",
+                         {"aa:100,bb:50", "aa:100"});
+    }
+
+    // The same where the part follows and precedes parts of sound requests.
+    void a_middle_part_that_crashes_servers_is_quarantined()
+    {
+        scenario all;
+        check_quarantine(all, "resume", "aa:100,bad:50,bb:50",
+                         {"aa:100,bb:50"});
+    }
+
+    // Guards against rejecting parts of sound requests that no response has
+    // cleared yet.
+    void a_part_beside_rare_parts_is_quarantined()
+    {
+        scenario all;
+        std::vector<std::string> rare;
+        for (int i = 0; i < 30; ++i)
+        {
+            rare.push_back("aa:100,c" + std::to_string(i) + ":50");
+        }
+        check_quarantine(all, "resume", "aa:100,bad:50", rare);
+    }
+
+    // The same for requests that a router may send only once.
+    void a_part_of_requests_that_are_sent_once_is_quarantined()
+    {
+        scenario all;
+        check_quarantine(all, "chat", "aa:100,bad:50", {"aa:100,bb:50"});
+    }
+
+    // Guards against a router that crashes servers anew after its restart.
+    void a_restarted_router_knows_a_part_that_crashes_servers()
+    {
+        scenario first;
+        for (int i = 0; i < 10; ++i)
+        {
+            first.ask("resume", "aa:100,bad:50");
+            first.ask("resume", "aa:100,bb:50");
+        }
+        CPPUNIT_ASSERT(first.here->run_until(
+            [&] { return first.here->store.count_router_rows("crash/") > 0; }));
+        scenario second{fleet_site::after_crash(std::move(first.here))};
+        for (int i = 0; i < 10; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(429,
+                                 second.ask("resume", "aa:100,bad:50").status);
+            CPPUNIT_ASSERT_EQUAL(200,
+                                 second.ask("resume", "aa:100,bb:50").status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, second.crashed());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_part_test);
