--- /dev/null
+++ b/src/fleet/crash_cause.cpp
@@ -0,0 +1,578 @@
+#include <caperpath/fleet/crash_cause.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+/// The customer of a property must differ from "any customer".
+std::uint64_t hash_of(customer_id const& customer)
+{
+    return XXH64(customer.value.data(), customer.value.size(), 0) | 1;
+}
+
+std::uint64_t key_of(service_id const& service, std::string const& version,
+                     crash_trait const& trait)
+{
+    std::uint64_t const numbers[] = {static_cast<std::uint64_t>(trait.part),
+                                     trait.customer, service.value.size()};
+    return XXH64(version.data(), version.size(),
+                 XXH64(service.value.data(), service.value.size(),
+                       XXH64(numbers, sizeof numbers, 0)));
+}
+
+/// A crash of the service under investigation.
+struct considered_crash
+{
+    server_crash const* crash{};
+    /// Rejected causes that it has.
+    std::vector<crash_cause const*> causes;
+};
+
+/// The crashes for which a property may be responsible.
+struct suspect
+{
+    std::vector<std::size_t> crashes; ///< indices, in the order of time
+    std::int64_t score{};
+
+    friend bool operator==(suspect const&, suspect const&) = default;
+};
+
+using suspects = std::map<crash_trait, suspect>;
+
+bool includes(crash_traits const& all, crash_traits const& some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+/// The crashes noticed until `until`.
+std::vector<considered_crash> crashes_of(crash_investigation const& all,
+                                         service_id const& service,
+                                         instant until)
+{
+    std::vector<considered_crash> found;
+    for (auto const& [server, crash] : all.crashes)
+    {
+        if (crash.service != service || crash.noticed_at > until)
+        {
+            continue;
+        }
+        found.push_back({&crash, {}});
+        for (auto const& [cause, entry] : all.causes)
+        {
+            if (entry.state.rejected && cause.service == service &&
+                includes(crash.suspects, cause.traits))
+            {
+                found.back().causes.push_back(&cause);
+            }
+        }
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](auto const& a, auto const& b)
+                     { return a.crash->noticed_at < b.crash->noticed_at; });
+    return found;
+}
+
+/// True if another property is the cause of the crash.
+bool is_explained(considered_crash const& crash, crash_trait const& trait)
+{
+    return std::any_of(crash.causes.begin(), crash.causes.end(),
+                       [&trait](crash_cause const* cause)
+                       { return !cause->traits.contains(trait); });
+}
+
+std::int64_t count_moments(std::vector<considered_crash> const& crashes,
+                           std::vector<std::size_t> const& which)
+{
+    std::int64_t moments = 0;
+    std::optional<instant> previous;
+    for (auto const index : which)
+    {
+        auto const at = crashes[index].crash->noticed_at;
+        if (!previous || at - *previous >= same_moment)
+        {
+            moments += 1;
+            previous = at;
+        }
+    }
+    return moments;
+}
+
+suspects find_suspects(crash_investigation const& all,
+                       std::vector<considered_crash> const& crashes)
+{
+    suspects found;
+    std::set<crash_trait> known_sound;
+    for (std::size_t i = 0; i < crashes.size(); ++i)
+    {
+        auto const& crash = *crashes[i].crash;
+        for (auto const& trait : crash.suspects)
+        {
+            auto const success = all.sound.last(crash.service, crash.version,
+                                                trait, crash.noticed_at);
+            if (success)
+            {
+                known_sound.insert(trait);
+            }
+            auto const survived = success && *success >= crash.noticed_at;
+            if (!survived && !is_explained(crashes[i], trait))
+            {
+                found[trait].crashes.push_back(i);
+            }
+        }
+    }
+    for (auto& [trait, each] : found)
+    {
+        // A part that others use is most likely sound for this customer too.
+        auto const is_sound = known_sound.contains(trait) ||
+                              known_sound.contains({trait.part, 0});
+        each.score = count_moments(crashes, each.crashes) -
+                     (is_sound ? extra_crashes_if_sound : 0);
+    }
+    return found;
+}
+
+bool overlap(std::vector<std::size_t> const& a,
+             std::vector<std::size_t> const& b)
+{
+    return std::any_of(a.begin(), a.end(),
+                       [&b](std::size_t index) {
+                           return std::binary_search(b.begin(), b.end(), index);
+                       });
+}
+
+/// The properties that share all crashes with `leader`; empty if a property of
+/// some of these crashes is as suspect.
+crash_traits inseparable_from(suspects const& all, suspect const& leader)
+{
+    crash_traits found;
+    for (auto const& [trait, each] : all)
+    {
+        if (each == leader)
+        {
+            found.insert(trait);
+        }
+        else if (each.score >= leader.score &&
+                 overlap(each.crashes, leader.crashes))
+        {
+            return {};
+        }
+    }
+    return found;
+}
+
+bool is_rejected(crash_investigation const& all, crash_cause const& cause)
+{
+    auto const found = all.causes.find(cause);
+    return found != all.causes.end() && found->second.state.rejected;
+}
+
+std::optional<crash_cause> find_cause(crash_investigation const& all,
+                                      service_id const& service,
+                                      suspects const& among)
+{
+    for (auto const& [trait, each] : among)
+    {
+        if (each.score < crashes_to_reject)
+        {
+            continue;
+        }
+        crash_cause cause{service, inseparable_from(among, each)};
+        if (!cause.traits.empty() && !is_rejected(all, cause))
+        {
+            return cause;
+        }
+    }
+    return std::nullopt;
+}
+
+/// The crashes so far count no longer against the properties of `cause`.
+void clear_crashes(crash_investigation& all, crash_cause const& cause,
+                   instant now)
+{
+    for (auto const& [server, crash] : all.crashes)
+    {
+        if (crash.service != cause.service)
+        {
+            continue;
+        }
+        for (auto const& trait : cause.traits)
+        {
+            all.sound.note(cause.service, crash.version, trait, now);
+        }
+    }
+}
+
+/// True if this router knows that servers of each version that crashed under
+/// `cause` completed requests with its properties, and the crashes since do not
+/// outweigh that.
+bool is_refuted(crash_investigation const& all, crash_cause const& cause,
+                instant now)
+{
+    auto const crashes = crashes_of(all, cause.service, now);
+    auto const among = find_suspects(all, crashes);
+    return std::all_of(
+        cause.traits.begin(), cause.traits.end(),
+        [&](crash_trait const& trait)
+        {
+            auto const found = among.find(trait);
+            auto const score = found == among.end() ? 0 : found->second.score;
+            return score < crashes_to_reject &&
+                   std::any_of(
+                       crashes.begin(), crashes.end(),
+                       [&](considered_crash const& each)
+                       {
+                           return each.crash->suspects.contains(trait) &&
+                                  all.sound.last(cause.service,
+                                                 each.crash->version, trait,
+                                                 each.crash->noticed_at);
+                       });
+        });
+}
+
+/// Lifts the rejected causes all of whose crashes `cause` explains, if it
+/// explains more: they were found while it was at fewer crashes than they were.
+void lift_superseded(crash_investigation& all, crash_cause const& cause,
+                     std::vector<crash_cause>& changed, instant now)
+{
+    auto const crashes = crashes_of(all, cause.service, now);
+    auto const having = [&crashes](crash_cause const& what)
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t i = 0; i < crashes.size(); ++i)
+        {
+            if (includes(crashes[i].crash->suspects, what.traits))
+            {
+                found.push_back(i);
+            }
+        }
+        return found;
+    };
+    auto const own = having(cause);
+    for (auto& [other, entry] : all.causes)
+    {
+        if (!entry.state.rejected || other.service != cause.service ||
+            other == cause)
+        {
+            continue;
+        }
+        auto const theirs = having(other);
+        if (!theirs.empty() &&
+            std::includes(own.begin(), own.end(), theirs.begin(),
+                          theirs.end()) &&
+            count_moments(crashes, own) >=
+                count_moments(crashes, theirs) + crashes_to_reject)
+        {
+            entry = {{entry.state.lifted + 1, false}, now};
+            clear_crashes(all, other, now);
+            changed.push_back(other);
+        }
+    }
+}
+
+/// If there are too many, evicts the oldest of those that are not rejected, or
+/// the oldest of all.
+void make_room(std::map<crash_cause, cause_entry>& causes)
+{
+    if (causes.size() < most_causes)
+    {
+        return;
+    }
+    auto const less = [](auto const& a, auto const& b)
+    {
+        return std::pair{a.second.state.rejected, a.second.noted_at} <
+               std::pair{b.second.state.rejected, b.second.noted_at};
+    };
+    causes.erase(std::min_element(causes.begin(), causes.end(), less));
+}
+
+void make_room(std::map<backend_server_id, server_crash>& crashes)
+{
+    if (crashes.size() < most_crashes)
+    {
+        return;
+    }
+    auto const less = [](auto const& a, auto const& b)
+    {
+        return a.second.noticed_at < b.second.noticed_at;
+    };
+    crashes.erase(std::min_element(crashes.begin(), crashes.end(), less));
+}
+
+} // namespace
+
+crash_traits traits_of(std::vector<prompt_part> const& parts,
+                       customer_id const& customer)
+{
+    crash_traits found;
+    for (auto const part : parts)
+    {
+        found.insert({part, 0});
+        found.insert({part, hash_of(customer)});
+    }
+    return found;
+}
+
+void sound_traits::note(service_id const& service, std::string const& version,
+                        crash_trait const& trait, instant now)
+{
+    auto const key = key_of(service, version, trait);
+    if (!this->responses.contains(key))
+    {
+        this->make_room(now);
+    }
+    this->responses[key] = now;
+}
+
+std::optional<instant> sound_traits::last(service_id const& service,
+                                          std::string const& version,
+                                          crash_trait const& trait,
+                                          instant now) const
+{
+    auto const found = this->responses.find(key_of(service, version, trait));
+    return found == this->responses.end() ||
+                   now - found->second >= crash_lifetime
+               ? std::nullopt
+               : std::optional{found->second};
+}
+
+void sound_traits::make_room(instant now)
+{
+    if (this->responses.size() < most_sound_traits)
+    {
+        return;
+    }
+    // Halves the age limit until a good part is forgotten, so that this is
+    // rare.
+    for (auto age = crash_lifetime;
+         this->responses.size() > most_sound_traits / 2 && age.ms > 0;
+         age = {age.ms / 2})
+    {
+        std::erase_if(this->responses, [&](auto const& entry)
+                      { return now - entry.second >= age; });
+    }
+    if (this->responses.size() >= most_sound_traits)
+    {
+        this->responses.clear();
+    }
+}
+
+bool note_crash(crash_investigation& all, backend_server_id const& server,
+                server_crash const& shared)
+{
+    auto const known = all.crashes.find(server);
+    if (known == all.crashes.end())
+    {
+        make_room(all.crashes);
+        all.crashes.emplace(server, shared);
+        return true;
+    }
+    auto& suspects = known->second.suspects;
+    auto const before = suspects.size();
+    for (auto const& trait : shared.suspects)
+    {
+        if (suspects.size() < most_suspects)
+        {
+            suspects.insert(trait);
+        }
+    }
+    return suspects.size() > before;
+}
+
+std::vector<crash_cause> note_success(crash_investigation& all,
+                                      service_id const& service,
+                                      std::string const& version,
+                                      crash_traits const& traits, instant now)
+{
+    for (auto const& trait : traits)
+    {
+        all.sound.note(service, version, trait, now);
+        all.suspicion.erase({service, trait});
+    }
+    std::vector<crash_cause> refuted;
+    for (auto& [cause, entry] : all.causes)
+    {
+        if (entry.state.rejected && cause.service == service &&
+            includes(traits, cause.traits))
+        {
+            entry = {{entry.state.lifted + 1, false}, now};
+            refuted.push_back(cause);
+        }
+    }
+    return refuted;
+}
+
+std::vector<crash_cause> find_causes(crash_investigation& all, instant now)
+{
+    std::set<service_id> services;
+    for (auto const& [server, crash] : all.crashes)
+    {
+        services.insert(crash.service);
+    }
+    all.suspicion.clear();
+    std::vector<crash_cause> changed;
+    for (auto const& service : services)
+    {
+        auto const reported = now - report_time;
+        while (auto const cause = find_cause(
+                   all, service,
+                   find_suspects(all, crashes_of(all, service, reported))))
+        {
+            make_room(all.causes);
+            auto& entry = all.causes[*cause];
+            entry = {{entry.state.lifted, true}, now};
+            changed.push_back(*cause);
+            lift_superseded(all, *cause, changed, now);
+        }
+        for (auto const& [trait, each] :
+             find_suspects(all, crashes_of(all, service, now)))
+        {
+            if (each.score > 0)
+            {
+                all.suspicion[{service, trait}] = each.score;
+            }
+        }
+    }
+    return changed;
+}
+
+std::optional<instant> next_decision(crash_investigation const& all,
+                                     instant now)
+{
+    std::optional<instant> next;
+    for (auto const& [server, crash] : all.crashes)
+    {
+        auto const at = crash.noticed_at + report_time;
+        if (at > now)
+        {
+            next = std::min(next.value_or(at), at);
+        }
+    }
+    return next;
+}
+
+merge_result merge_cause(crash_investigation& all, crash_cause const& cause,
+                         cause_state const& state, instant now)
+{
+    auto const known = all.causes.find(cause);
+    if (known != all.causes.end() && state <= known->second.state)
+    {
+        return merge_result::known;
+    }
+    if (known == all.causes.end())
+    {
+        make_room(all.causes);
+    }
+    if (!state.rejected)
+    {
+        clear_crashes(all, cause, now);
+    }
+    else if (is_refuted(all, cause, now))
+    {
+        all.causes[cause] = {{state.lifted + 1, false}, now};
+        return merge_result::refuted;
+    }
+    all.causes[cause] = {state, now};
+    return merge_result::accepted;
+}
+
+void dismiss_cause(crash_investigation& all, crash_cause const& cause,
+                   instant now)
+{
+    clear_crashes(all, cause, now);
+    all.causes.erase(cause);
+}
+
+crash_cause const* cause_of(crash_investigation const& all,
+                            service_id const& service,
+                            crash_traits const& traits)
+{
+    for (auto const& [cause, entry] : all.causes)
+    {
+        if (entry.state.rejected && cause.service == service &&
+            includes(traits, cause.traits))
+        {
+            return &cause;
+        }
+    }
+    return nullptr;
+}
+
+crash_verdict judge(crash_investigation const& all, service_id const& service,
+                    crash_traits const& traits)
+{
+    if (cause_of(all, service, traits) != nullptr)
+    {
+        return crash_verdict::quarantined;
+    }
+    if (!traits_on_probation(all, service, traits).empty())
+    {
+        return crash_verdict::on_probation;
+    }
+    auto const is_suspected =
+        std::any_of(traits.begin(), traits.end(),
+                    [&](auto const& trait) {
+                        return all.suspicion.contains({service, trait});
+                    });
+    return is_suspected ? crash_verdict::suspected : crash_verdict::clear;
+}
+
+crash_traits traits_on_probation(crash_investigation const& all,
+                                 service_id const& service,
+                                 crash_traits const& traits)
+{
+    crash_traits found;
+    for (auto const& trait : traits)
+    {
+        auto const known = all.suspicion.find({service, trait});
+        if (known != all.suspicion.end() &&
+            known->second >= crashes_to_probation)
+        {
+            found.insert(trait);
+        }
+    }
+    return found;
+}
+
+std::vector<backend_server_id> explained_crashes(crash_investigation const& all,
+                                                 crash_cause const& cause)
+{
+    std::vector<backend_server_id> found;
+    for (auto const& [server, crash] : all.crashes)
+    {
+        if (crash.service == cause.service &&
+            includes(crash.suspects, cause.traits))
+        {
+            found.push_back(server);
+        }
+    }
+    return found;
+}
+
+std::vector<crash_cause> forget_old(crash_investigation& all, instant now)
+{
+    std::erase_if(all.crashes, [now](auto const& entry)
+                  { return now - entry.second.noticed_at >= crash_lifetime; });
+    std::vector<crash_cause> expired;
+    for (auto const& [cause, entry] : all.causes)
+    {
+        auto const lifetime =
+            entry.state.rejected ? cause_lifetime : crash_lifetime;
+        if (now - entry.noted_at >= lifetime)
+        {
+            expired.push_back(cause);
+        }
+    }
+    for (auto const& cause : expired)
+    {
+        all.causes.erase(cause);
+    }
+    return expired;
+}
+
+} // namespace caperpath::fleet
--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -59,11 +59,80 @@
     return text;
 }
 
+crash_verdict verdict_on_traits(exchange const& current)
+{
+    auto const& causes = current.shared.crashes.causes();
+    return causes.has_evidence() && !current.traits.empty()
+               ? causes.verdict(current.work.service, current.traits)
+               : crash_verdict::clear;
+}
+
+/// True if another request with a property on probation is at a server.
+bool waits_for_probation(exchange const& current)
+{
+    auto const& shared = current.shared;
+    auto const held = shared.crashes.causes().traits_on_probation(
+        current.work.service, current.traits);
+    auto const runs_with_one = [&](exchange const* other)
+    {
+        return other != &current && !other->running_at.value.empty() &&
+               other->work.service == current.work.service &&
+               std::any_of(held.begin(), held.end(),
+                           [other](fleet::crash_trait const& trait)
+                           { return other->traits.contains(trait); });
+    };
+    return std::any_of(shared.open_requests.begin(), shared.open_requests.end(),
+                       runs_with_one);
+}
+
+std::optional<rejection> check_traits(exchange& current)
+{
+    auto const verdict = verdict_on_traits(current);
+    if (verdict == crash_verdict::on_probation && waits_for_probation(current))
+    {
+        return rejection{http_unavailable, "crash_probation",
+                         probation_retry_after};
+    }
+    if (verdict != crash_verdict::quarantined)
+    {
+        return std::nullopt;
+    }
+    auto const cause = current.shared.crashes.causes().cause_of(
+        current.work.service, current.traits);
+    current.crash_cause = cause->id;
+    return cause->is_final
+               ? rejection{http_too_many, "crashes_servers", cause->left}
+               : rejection{http_unavailable, "crash_probation", cause->left};
+}
+
+/// Records a crash with the suspects of all requests that were at the server.
+void record_server_crash(core& shared, backend_server_id const& server)
+{
+    fleet::server_crash crash;
+    crash.noticed_at = shared.now.now();
+    std::size_t requests = 0;
+    for (auto const* open : shared.open_requests)
+    {
+        if (open->running_at == server)
+        {
+            requests += 1;
+            crash.service = open->work.service;
+            crash.version = open->server_version;
+            crash.suspects.insert(open->traits.begin(), open->traits.end());
+        }
+    }
+    shared.crashes.causes().record_crash(server, crash, requests);
+}
+
 } // namespace
 
 std::optional<rejection> check_crash_evidence(exchange& current)
 {
     auto& shared = current.shared;
+    if (auto const rejected = check_traits(current))
+    {
+        return rejected;
+    }
     switch (fleet::judge(known_evidence(current)))
     {
     case crash_verdict::clear:
@@ -135,6 +204,10 @@
         co_return;
     }
     current.server_crashed = true;
+    if (!shared.crashes.causes().has_recorded(server))
+    {
+        record_server_crash(shared, server);
+    }
     current.evidence = shared.crashes.record_crash(
         fingerprint_of(current), current.evidence, server.value,
         {{"request", current.facts.id},
@@ -151,15 +224,32 @@
 
 void record_complete_response(exchange& current)
 {
-    if (is_success(current.status) && current.shared.crashes.has_evidence())
+    if (!is_success(current.status))
+    {
+        return;
+    }
+    auto& crashes = current.shared.crashes;
+    if (crashes.has_evidence())
+    {
+        crashes.record_response(fingerprint_of(current));
+    }
+    if (!current.traits.empty())
     {
-        current.shared.crashes.record_response(fingerprint_of(current));
+        crashes.causes().record_response(
+            current.work.service, current.server_version, current.traits);
     }
 }
 
+bool is_suspect(exchange const& current)
+{
+    return current.evidence.crashes > 0 ||
+           verdict_on_traits(current) != crash_verdict::clear;
+}
+
 bool forbids_retry(exchange const& current)
 {
-    return fleet::judge(current.evidence) >= crash_verdict::on_probation;
+    return fleet::judge(current.evidence) >= crash_verdict::on_probation ||
+           verdict_on_traits(current) >= crash_verdict::on_probation;
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/crash_handling.hpp
+++ b/src/gateway/crash_handling.hpp
@@ -15,6 +15,9 @@
 /// fingerprint may be sent.
 void end_probation(exchange& current);
 
+/// True if the request may have crashed a server, by the current evidence.
+bool is_suspect(exchange const& current);
+
 /// Records the current evidence. Call before each send.
 void record_evidence_at_send(exchange& current);
 
--- a/src/gateway/crash_tracker.cpp
+++ b/src/gateway/crash_tracker.cpp
@@ -3,8 +3,6 @@
 #include "gateway/crash_rows.hpp"
 #include "gateway/run_after.hpp"
 
-#include <caperpath/base/follow_backoff.hpp>
-
 #include <algorithm>
 #include <iterator>
 #include <optional>
@@ -22,14 +20,11 @@
 /// that, and another lost store call makes the follower replace its own.
 constexpr duration poll_hold{2'000};
 constexpr duration max_poll_hold{15'000};
-/// Batches the requests that one crash ended into one write.
-constexpr duration batch_delay{10};
 constexpr duration read_retry_delay{500};
 constexpr duration sweep_interval{10'000};
 /// Each router adds its own delay to the age at which it removes rows, so that
 /// usually only one of them tries to remove a row.
 constexpr std::size_t sweep_jitter_ms = 60'000;
-constexpr std::size_t max_rows_per_write = 50;
 
 std::string_view name_of(fleet::crash_verdict verdict)
 {
@@ -50,12 +45,25 @@
 } // namespace
 
 crash_tracker::crash_tracker(boost::asio::any_io_executor const& executor,
-                             store::async_port port, std::size_t salt,
+                             store::async_port const& port, std::size_t salt,
                              decision_log& log)
-    : read_timer{executor}, write_timer{executor},
-      sweep_timer{executor}, port{std::move(port)}, log{log}, salt{salt},
+    : read_timer{executor}, sweep_timer{executor}, port{port}, log{log},
+      salt{salt}, writer{executor,
+                         port,
+                         salt,
+                         {[this](std::string const& key)
+                          { return this->row_value(key); },
+                          [this](store::row const& row)
+                          {
+                              this->merge(row);
+                          }},
+                         log},
+      cause_tracker{executor, port, salt,
+                    [this](backend_server_id const& server)
+                    { this->clear_requests(server); },
+                    log},
       follower{executor,
-               this->port,
+               port,
                store::table_for_kind(crash_table),
                {[this](store::feed_page const&) { this->read_rows(); },
                 [this](store::feed_page const& page)
@@ -69,6 +77,16 @@
 {
 }
 
+crash_cause_tracker& crash_tracker::causes()
+{
+    return this->cause_tracker;
+}
+
+crash_cause_tracker const& crash_tracker::causes() const
+{
+    return this->cause_tracker;
+}
+
 void crash_tracker::start()
 {
     this->follower.start();
@@ -107,6 +125,7 @@
 {
     auto const found =
         fleet::note_crash(this->record, request, known, this->now.now());
+    this->crashed[{server}].insert(request);
     this->log_evidence("crash", request, server, std::move(details));
     // Evidence of a single crash stays local: a retry may still succeed.
     if (fleet::judge(found) != fleet::crash_verdict::suspected)
@@ -123,15 +142,37 @@
         return;
     }
     this->log_evidence("crash_cleared", request, "answer");
-    if (this->rows.contains(request) || this->unwritten.contains(request))
+    if (this->writer.contains(crash_key(request)))
     {
         this->schedule_write(request);
     }
 }
 
+/// The crash has another cause than these requests.
+void crash_tracker::clear_requests(backend_server_id const& server)
+{
+    auto const found = this->crashed.extract(server);
+    if (found.empty())
+    {
+        return;
+    }
+    for (auto const& request : found.mapped())
+    {
+        if (fleet::note_response(this->record, request, this->now.now()))
+        {
+            this->log_evidence("crash_cleared", request, "cause");
+            if (this->writer.contains(crash_key(request)))
+            {
+                this->schedule_write(request);
+            }
+        }
+    }
+}
+
 void crash_tracker::publish_evidence(fleet::fingerprint const& request)
 {
-    if (this->evidence(request).crashes > 0 && !this->rows.contains(request))
+    if (this->evidence(request).crashes > 0 &&
+        !this->writer.contains(crash_key(request)))
     {
         this->schedule_write(request);
     }
@@ -155,9 +196,12 @@
 
 void crash_tracker::read_rows()
 {
+    auto const before = this->writer.stored_keys();
+    auto const causes_before = this->cause_tracker.stored_keys();
     this->port.scan(
         crash_range_begin, crash_range_end,
-        [this](std::variant<std::vector<store::row>, error> const& reply)
+        [this, before, causes_before](
+            std::variant<std::vector<store::row>, error> const& reply)
         {
             if (auto const* fault = std::get_if<error>(&reply))
             {
@@ -166,40 +210,60 @@
                           [this] { this->read_rows(); });
                 return;
             }
+            std::set<std::string> found;
             for (auto const& row : std::get<std::vector<store::row>>(reply))
             {
+                found.insert(row.key);
                 this->merge(row);
             }
+            this->remove_missing(before, found);
+            this->remove_missing(causes_before, found);
             this->rows_read = true;
         });
 }
 
-void crash_tracker::merge(std::vector<store::feed_row> const& rows)
+/// Rows may be removed while the changes of the table cannot be followed.
+void crash_tracker::remove_missing(std::vector<std::string> const& before,
+                                   std::set<std::string> const& found)
 {
-    for (auto const& row : rows)
+    for (auto const& key : before)
     {
-        auto const request = crash_request(row.key);
-        if (request && row.deleted)
+        if (!found.contains(key))
         {
-            this->rows.erase(*request);
+            this->writer.note_removed(key);
+            this->cause_tracker.remove(key);
         }
-        else if (request)
+    }
+}
+
+void crash_tracker::merge(std::vector<store::feed_row> const& rows)
+{
+    for (auto const& row : rows)
+    {
+        if (row.deleted)
         {
-            this->merge(store::row{row.key, row.version, row.value});
+            this->writer.note_removed(row.key);
+            this->cause_tracker.remove(row.key);
+            continue;
         }
+        this->merge(store::row{row.key, row.version, row.value});
     }
 }
 
 void crash_tracker::merge(store::row const& row)
 {
     auto const request = crash_request(row.key);
+    if (!request)
+    {
+        this->cause_tracker.merge(row);
+        return;
+    }
     auto const received = decode_evidence(row.value);
-    if (!request || !received)
+    if (!received)
     {
         return;
     }
-    auto& version = this->rows[*request];
-    version = std::max(version, row.version);
+    this->writer.note_row(row);
     if (fleet::merge_evidence(this->record, *request, *received,
                               this->now.now()))
     {
@@ -209,126 +273,37 @@
 
 void crash_tracker::schedule_write(fleet::fingerprint const& request)
 {
-    this->unwritten.insert(request);
-    if (!this->writing)
-    {
-        this->write_after(batch_delay);
-    }
-}
-
-void crash_tracker::write_after(duration pause)
-{
-    this->writing = true;
-    run_after(this->write_timer, pause, [this] { this->write(); });
+    this->writer.schedule(crash_key(request));
 }
 
-void crash_tracker::write()
+/// The record is bounded and may have evicted the request.
+std::optional<std::string>
+crash_tracker::row_value(std::string const& key) const
 {
-    // The record is bounded and may have evicted some of them.
-    std::erase_if(this->unwritten, [this](fleet::fingerprint const& request)
-                  { return !this->record.entries.contains(request); });
-    store::transaction txn;
-    evidence_map sent;
-    for (auto const& request : this->unwritten)
-    {
-        if (sent.size() == max_rows_per_write)
-        {
-            break;
-        }
-        auto const key = crash_key(request);
-        auto const found = this->rows.find(request);
-        auto const known = this->evidence(request);
-        txn.conditions.push_back(
-            {key, found == this->rows.end() ? 0 : found->second});
-        txn.writes.push_back({key, encode_evidence(known)});
-        sent[request] = known;
-    }
-    if (sent.empty())
-    {
-        this->writing = false;
-        return;
-    }
-    this->port.commit(txn, [this, sent](store::commit_result const& result)
-                      { this->handle_write_result(sent, result); });
-}
-
-/// Merges rows that another router wrote in the meantime, and writes them again
-/// if this router still knows more. This also repairs a write whose response
-/// was lost.
-void crash_tracker::handle_write_result(evidence_map const& sent,
-                                        store::commit_result const& result)
-{
-    if (result.outcome == store::commit_outcome::applied)
-    {
-        this->failures = 0;
-        for (auto const& [request, written] : sent)
-        {
-            auto& version = this->rows[request];
-            version = std::max(version, result.version);
-            // Write again if the evidence has changed since.
-            if (this->evidence(request) == written)
-            {
-                this->unwritten.erase(request);
-            }
-        }
-        this->write();
-        return;
-    }
-    this->failures += 1;
-    for (auto const& row : result.failed)
-    {
-        auto const request = crash_request(row.key);
-        if (request && row.version == 0)
-        {
-            this->rows.erase(*request);
-        }
-        this->merge(row);
-    }
-    if (result.failed.empty() && this->failures == 1)
-    {
-        this->log.write_error(result.fault);
-    }
-    this->write_after(retry_backoff(this->failures, this->salt));
+    auto const request = crash_request(key);
+    return request && this->record.entries.contains(*request)
+               ? std::optional{encode_evidence(this->evidence(*request))}
+               : std::nullopt;
 }
 
 void crash_tracker::sweep()
 {
     auto const jitter =
         duration{static_cast<std::int64_t>(this->salt % sweep_jitter_ms)};
-    for (auto const& request :
-         fleet::forget_old(this->record, this->now.now() - jitter))
-    {
-        this->unwritten.erase(request);
-    }
-    this->remove_old_rows();
+    auto const at = this->now.now() - jitter;
+    static_cast<void>(fleet::forget_old(this->record, at));
+    std::erase_if(this->crashed,
+                  [this](auto const& entry)
+                  {
+                      return std::none_of(
+                          entry.second.begin(), entry.second.end(),
+                          [this](fleet::fingerprint const& request)
+                          { return this->record.entries.contains(request); });
+                  });
+    this->writer.remove_rows([this](std::string const& key)
+                             { return this->row_value(key).has_value(); });
+    this->cause_tracker.forget_old(at);
     run_after(this->sweep_timer, sweep_interval, [this] { this->sweep(); });
 }
 
-/// Removes the rows of requests that the record no longer holds.
-void crash_tracker::remove_old_rows()
-{
-    store::transaction txn;
-    for (auto const& [request, version] : this->rows)
-    {
-        if (txn.writes.size() < max_rows_per_write &&
-            !this->record.entries.contains(request))
-        {
-            auto const key = crash_key(request);
-            txn.conditions.push_back({key, version});
-            txn.writes.push_back({key, std::nullopt});
-        }
-    }
-    for (auto const& condition : txn.conditions)
-    {
-        this->rows.erase(*crash_request(condition.key));
-    }
-    if (!txn.writes.empty())
-    {
-        // On a conflict another router removed one of them; the feed reports
-        // that one. The other rows of a failed write stay in the store, and
-        // this router forgets them until it reads all rows again.
-        this->port.commit(txn, [](store::commit_result const&) {});
-    }
-}
-
 } // namespace caperpath::gateway
--- a/src/gateway/crash_tracker.hpp
+++ b/src/gateway/crash_tracker.hpp
@@ -1,7 +1,9 @@
 #ifndef CAPERPATH_SRC_GATEWAY_CRASH_TRACKER_HPP
 #define CAPERPATH_SRC_GATEWAY_CRASH_TRACKER_HPP
 
+#include "gateway/crash_cause_tracker.hpp"
 #include "gateway/decision_log.hpp"
+#include "gateway/merged_row_writer.hpp"
 #include "gateway/table_follower.hpp"
 
 #include <caperpath/base/clock.hpp>
@@ -13,6 +15,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,7 +32,8 @@
 public:
     /// `salt` differs between routers.
     crash_tracker(boost::asio::any_io_executor const& executor,
-                  store::async_port port, std::size_t salt, decision_log& log);
+                  store::async_port const& port, std::size_t salt,
+                  decision_log& log);
 
     /// Starts to read the evidence of other routers; call once.
     void start();
@@ -66,37 +70,37 @@
     /// caller may retry the request at any router.
     void publish_evidence(fleet::fingerprint const& request);
 
-private:
-    using evidence_map = std::map<fleet::fingerprint, fleet::crash_evidence>;
+    /// The properties of requests that crash servers. Their rows are in the
+    /// same table.
+    crash_cause_tracker& causes();
+    crash_cause_tracker const& causes() const;
 
+private:
     void read_rows();
+    void remove_missing(std::vector<std::string> const& before,
+                        std::set<std::string> const& found);
     void merge(std::vector<store::feed_row> const& rows);
     void merge(store::row const& row);
     void schedule_write(fleet::fingerprint const& request);
-    void write_after(duration pause);
-    void write();
-    void handle_write_result(evidence_map const& sent,
-                             store::commit_result const& result);
+    std::optional<std::string> row_value(std::string const& key) const;
+    void clear_requests(backend_server_id const& server);
     void sweep();
-    void remove_old_rows();
     void log_evidence(std::string const& step,
                       fleet::fingerprint const& request,
                       std::string const& source,
                       std::vector<log_field> details = {});
 
     boost::asio::steady_timer read_timer;
-    boost::asio::steady_timer write_timer;
     boost::asio::steady_timer sweep_timer;
     store::async_port port;
     decision_log& log;
     std::size_t salt;
     fleet::crash_record record;
-    /// Versions of the rows that are in the store.
-    std::map<fleet::fingerprint, std::uint64_t> rows;
-    std::set<fleet::fingerprint> unwritten;
+    /// Requests of this router that were at a crash, by server.
+    std::map<backend_server_id, std::set<fleet::fingerprint>> crashed;
+    merged_row_writer writer;
+    crash_cause_tracker cause_tracker;
     bool rows_read{false};
-    bool writing{false};
-    int failures{}; ///< consecutive writes that were not applied
     table_follower follower;
     caperpath::clock now{caperpath::clock::monotonic()};
 };
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -59,7 +59,7 @@
                                        current.work, shared.prompts, avoided,
                                        shared.speed, shared.now.now());
     };
-    if (current.evidence.crashes > 0)
+    if (is_suspect(current))
     {
         if (auto exclusive = place(servers_to_avoid(current)))
         {
@@ -74,8 +74,8 @@
 {
 public:
     suspect_guard(exchange& current, backend_server_id server)
-        : shared{current.shared}, server{std::move(server)},
-          counts{current.evidence.crashes > 0}
+        : shared{current.shared}, server{std::move(server)}, counts{is_suspect(
+                                                                 current)}
     {
         if (this->counts)
         {
@@ -265,6 +265,7 @@
         record_attempt(current, *where, end, lost_connection);
         if (end == attempt_outcome::responded)
         {
+            current.running_at = {};
             record_complete_response(current);
             co_return std::nullopt;
         }
@@ -272,6 +273,7 @@
         {
             co_await probe_for_crash(current, where->server);
         }
+        current.running_at = {};
         auto const forbidden = counts_as_run(end) && forbids_retry(current);
         if (forbidden || !fleet::may_try_another_server(current.attempts, end))
         {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -155,6 +155,10 @@
             {"budget_ms", std::to_string(current.reserve_wait.ms)});
         fields.push_back({"expected_ms", std::to_string(current.expected.ms)});
     }
+    if (!current.crash_cause.empty())
+    {
+        fields.push_back({"cause", current.crash_cause});
+    }
     if (current.first_part)
     {
         fields.push_back({"first_ms", std::to_string(current.first_part->ms)});
@@ -264,6 +268,9 @@
                             not_ready_retry_after};
     }
     current.work.service = name;
+    current.traits = fleet::traits_of(
+        current.facts.shared_parts,
+        current.customer != nullptr ? current.customer->id : customer_id{});
     if (route.has_prompt)
     {
         current.work.shared_part = current.facts.shared_part;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -5,6 +5,7 @@
 #include "gateway/core.hpp"
 
 #include <caperpath/fleet/attempt.hpp>
+#include <caperpath/fleet/crash_cause.hpp>
 #include <caperpath/fleet/crash_record.hpp>
 #include <caperpath/fleet/event_splitter.hpp>
 #include <caperpath/fleet/placement.hpp>
@@ -77,6 +78,10 @@
     fleet::crash_evidence evidence; ///< as known at the latest send
     bool on_probation{false}; ///< holds the probation slot of its fingerprint
     bool server_crashed{false};
+    fleet::crash_traits traits; ///< of its prompt
+    /// Where the latest send was not completed yet; empty if there is none.
+    backend_server_id running_at;
+    std::string crash_cause; ///< why it was not sent; empty if there is none
     std::int64_t possible_deliveries{}; ///< sends that may have arrived
     fleet::event_splitter events;
     bool response_started{false};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -265,6 +265,8 @@
         this->shared.streams.set_routers(std::move(addresses));
     }
     this->shared.metrics.lines_dropped(this->shared.log.dropped());
+    this->shared.metrics.crash_causes(
+        this->shared.crashes.causes().rejected_causes());
     if (this->ready() != this->was_ready)
     {
         this->was_ready = this->ready();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -82,6 +82,7 @@
     prometheus::Gauge& version{
         this->gauges.Add({{"name", "configuration_version"}})};
     prometheus::Gauge& servers{this->gauges.Add({{"name", "servers_listed"}})};
+    prometheus::Gauge& causes{this->gauges.Add({{"name", "crash_causes"}})};
     prometheus::Gauge& cut_off{
         this->gauges.Add({{"name", "services_cut_off"}})};
     prometheus::Gauge& dropped{
@@ -142,6 +143,11 @@
     this->self->servers.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::crash_causes(std::size_t count)
+{
+    this->self->causes.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::services_cut_off(std::size_t count)
 {
     this->self->cut_off.Set(static_cast<double>(count));
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -47,6 +47,9 @@
     /// Services of which this router reaches no server itself.
     void services_cut_off(std::size_t count);
 
+    /// Causes of crashes whose requests are rejected.
+    void crash_causes(std::size_t count);
+
     /// Counts a store call by whether the store responded.
     void store_call(bool reached);
 
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -204,6 +204,7 @@
     this->connection->send(head_text(head) + content);
     shared.metrics.sent(this->current.possible_deliveries > 0, this->relayed);
     this->current.possible_deliveries += 1;
+    this->current.running_at = this->where.server;
     if (auto* const target = this->server())
     {
         this->current.server_version = target->entry.version;
--- /dev/null
+++ b/tests/fleet/crash_cause_test.cpp
@@ -0,0 +1,409 @@
+#include "fleet/crash_part_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+using namespace caperpath;
+using namespace caperpath::fleet;
+
+class crash_cause_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crash_cause_test);
+    CPPUNIT_TEST(the_part_at_most_crashes_is_the_cause);
+    CPPUNIT_TEST(parts_that_always_come_together_are_rejected_together);
+    CPPUNIT_TEST(simultaneous_crashes_are_one);
+    CPPUNIT_TEST(a_decision_waits_for_the_reports_of_other_routers);
+    CPPUNIT_TEST(a_response_clears_a_part);
+    CPPUNIT_TEST(a_sound_part_that_begins_to_crash_servers_is_found);
+    CPPUNIT_TEST(a_new_version_may_crash_on_a_sound_part);
+    CPPUNIT_TEST(an_explained_crash_counts_against_no_other_part);
+    CPPUNIT_TEST(a_customer_does_not_cause_rejections_of_another);
+    CPPUNIT_TEST(a_wrong_cause_is_lifted);
+    CPPUNIT_TEST(a_router_that_knows_better_refutes_a_cause);
+    CPPUNIT_TEST(a_dismissed_cause_needs_new_crashes);
+    CPPUNIT_TEST(the_order_of_reports_does_not_matter);
+    CPPUNIT_TEST(the_evidence_is_bounded_and_expires);
+    CPPUNIT_TEST(a_fatal_part_is_rejected_soon);
+    CPPUNIT_TEST(a_lost_domain_rejects_nothing);
+    CPPUNIT_TEST(servers_that_end_by_themselves_reject_few_prompts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr prompt_part fatal{0xbad};
+    static constexpr prompt_part common{0xaa};
+    static constexpr prompt_part rare{0xcc};
+    static constexpr duration between_crashes{1'000};
+    inline static service_id const llm{"llm"};
+    inline static customer_id const taller{"taller"};
+    inline static customer_id const otro{"otro"};
+
+    /// The evidence of a router that learns of one crash after the other.
+    struct scenario
+    {
+        /// A server that was running prompts with `suspects` crashes. Returns
+        /// the causes whose state changes.
+        std::vector<crash_cause> crash(crash_traits const& suspects,
+                                       std::string const& version = "v1")
+        {
+            this->at = this->at + between_crashes;
+            note_crash(this->all, {"s" + std::to_string(this->servers++)},
+                       {llm, version, this->at, suspects});
+            return find_causes(this->all, this->at + report_time);
+        }
+
+        void complete(crash_traits const& traits,
+                      std::string const& version = "v1")
+        {
+            this->at = this->at + duration{1};
+            note_success(this->all, llm, version, traits, this->at);
+        }
+
+        crash_verdict verdict(std::vector<prompt_part> const& parts,
+                              customer_id const& customer = taller) const
+        {
+            return judge(this->all, llm, traits_of(parts, customer));
+        }
+
+        bool rejects(std::vector<prompt_part> const& parts,
+                     customer_id const& customer = taller) const
+        {
+            return this->verdict(parts, customer) == crash_verdict::quarantined;
+        }
+
+        crash_investigation all;
+        instant at{1'000};
+        int servers{};
+    };
+
+    static crash_traits of(std::vector<prompt_part> const& parts,
+                           customer_id const& customer = taller)
+    {
+        return traits_of(parts, customer);
+    }
+
+    static crash_traits both(crash_traits a, crash_traits b)
+    {
+        a.merge(b);
+        return a;
+    }
+
+    // Guards against one crash after the other by different prompts with one
+    // part.
+    void the_part_at_most_crashes_is_the_cause()
+    {
+        scenario here;
+        CPPUNIT_ASSERT(here.verdict({fatal}) == crash_verdict::clear);
+        here.crash(of({common, fatal}));
+        CPPUNIT_ASSERT(here.verdict({fatal}) == crash_verdict::suspected);
+        here.crash(of({prompt_part{1}, fatal}));
+        CPPUNIT_ASSERT(here.verdict({fatal}) == crash_verdict::on_probation);
+        here.crash(both(of({common, fatal}), of({rare})));
+        CPPUNIT_ASSERT(here.rejects({rare, fatal}));
+        CPPUNIT_ASSERT(!here.rejects({common, rare}));
+    }
+
+    // Guards against rejecting a sound part because it only came with a fatal
+    // one so far.
+    void parts_that_always_come_together_are_rejected_together()
+    {
+        scenario here;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({common, fatal}));
+        }
+        CPPUNIT_ASSERT(here.rejects({common, fatal}));
+        CPPUNIT_ASSERT(!here.rejects({common}));
+        CPPUNIT_ASSERT(!here.rejects({fatal}));
+        here.crash(of({fatal}));
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+        CPPUNIT_ASSERT(!here.rejects({common}));
+    }
+
+    // Guards against rejecting a part because a failure domain lost power.
+    void simultaneous_crashes_are_one()
+    {
+        scenario here;
+        for (int i = 0; i < 10; ++i)
+        {
+            note_crash(here.all, {std::to_string(i)},
+                       {llm, "v1", here.at, of({common})});
+        }
+        CPPUNIT_ASSERT(find_causes(here.all, here.at + report_time).empty());
+        CPPUNIT_ASSERT(here.verdict({common}) == crash_verdict::suspected);
+    }
+
+    // Guards against rejecting a part that was beside the fatal one at each
+    // crash, before the routers that sent the fatal one have reported.
+    void a_decision_waits_for_the_reports_of_other_routers()
+    {
+        scenario here;
+        here.crash(both(of({rare}), of({fatal})));
+        here.crash(both(of({rare}), of({common, fatal})));
+        here.at = here.at + between_crashes;
+        backend_server_id const server{"last"};
+        note_crash(here.all, server, {llm, "v1", here.at, of({rare})});
+        CPPUNIT_ASSERT(find_causes(here.all, here.at).empty());
+        auto const next = next_decision(here.all, here.at);
+        CPPUNIT_ASSERT(next == here.at + report_time);
+        note_crash(here.all, server, {llm, "v1", here.at, of({fatal})});
+        here.crash(of({fatal}));
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+        CPPUNIT_ASSERT(!here.rejects({rare}));
+    }
+
+    // Guards against rejecting a popular part that is open at each server.
+    void a_response_clears_a_part()
+    {
+        scenario here;
+        for (int i = 0; i < 2 * crashes_to_reject; ++i)
+        {
+            here.crash(both(of({common}), of({fatal})));
+            here.complete(of({common}));
+        }
+        CPPUNIT_ASSERT(here.verdict({common}) == crash_verdict::clear);
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+    }
+
+    // Guards against a part that is never rejected because it was sound once.
+    void a_sound_part_that_begins_to_crash_servers_is_found()
+    {
+        scenario here;
+        here.complete(of({fatal}));
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({fatal}));
+        }
+        CPPUNIT_ASSERT(!here.rejects({fatal}));
+        for (int i = 0; i < extra_crashes_if_sound; ++i)
+        {
+            here.crash(of({fatal}));
+        }
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+    }
+
+    // The same at once if the software of the servers is new.
+    void a_new_version_may_crash_on_a_sound_part()
+    {
+        scenario here;
+        here.complete(of({fatal}), "v1");
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({fatal}), "v2");
+            here.complete(of({common}), "v2");
+        }
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+    }
+
+    // Guards against missing a second fatal part, and against rejecting parts
+    // that were beside one that is rejected already.
+    void an_explained_crash_counts_against_no_other_part()
+    {
+        constexpr prompt_part second{0xbae};
+        scenario here;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(both(of({fatal}), of({prompt_part(i)})));
+            here.crash(both(of({second}), of({prompt_part(100 + i)})));
+        }
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+        CPPUNIT_ASSERT(here.rejects({second}));
+        // Prompts that were sent before still crash servers.
+        for (int i = 0; i < 2 * crashes_to_reject; ++i)
+        {
+            here.crash(both(of({fatal}), of({common})));
+        }
+        CPPUNIT_ASSERT(here.verdict({common}) == crash_verdict::clear);
+    }
+
+    // Guards against a customer that states the ids of another's parts with
+    // prompts that crash servers.
+    void a_customer_does_not_cause_rejections_of_another()
+    {
+        scenario here;
+        here.complete(of({common}, taller));
+        for (int i = 0; i < crashes_to_reject + extra_crashes_if_sound; ++i)
+        {
+            here.crash(of({common}, otro));
+        }
+        CPPUNIT_ASSERT(here.rejects({common}, otro));
+        CPPUNIT_ASSERT(!here.rejects({common}, taller));
+        // One crash with another customer shows that it is the part.
+        here.crash(of({common}, taller));
+        CPPUNIT_ASSERT(here.rejects({common}, taller));
+    }
+
+    // Guards against a sound part that stays rejected because it was found
+    // while the evidence was incomplete.
+    void a_wrong_cause_is_lifted()
+    {
+        scenario here;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({rare}));
+        }
+        CPPUNIT_ASSERT(here.rejects({rare}));
+        for (int i = 0; i < here.servers; ++i)
+        {
+            note_crash(here.all, {"s" + std::to_string(i)},
+                       {llm, "v1", here.at, of({fatal}, otro)});
+        }
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({fatal}, otro));
+        }
+        CPPUNIT_ASSERT(here.rejects({fatal}, otro));
+        CPPUNIT_ASSERT(!here.rejects({rare}));
+    }
+
+    void a_router_that_knows_better_refutes_a_cause()
+    {
+        scenario here;
+        here.complete(of({common}));
+        scenario other;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({common}));
+            other.crash(of({common}));
+        }
+        auto const& [cause, entry] = *other.all.causes.begin();
+        CPPUNIT_ASSERT(merge_cause(here.all, cause, entry.state, here.at) ==
+                       merge_result::refuted);
+        CPPUNIT_ASSERT(!here.rejects({common}));
+        auto const state = here.all.causes.at(cause).state;
+        CPPUNIT_ASSERT(merge_cause(other.all, cause, state, other.at) ==
+                       merge_result::accepted);
+        CPPUNIT_ASSERT(!other.rejects({common}));
+        CPPUNIT_ASSERT(find_causes(other.all, other.at).empty());
+    }
+
+    // Guards against a cause that comes back after an operator removed it.
+    void a_dismissed_cause_needs_new_crashes()
+    {
+        scenario here;
+        std::vector<crash_cause> found;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            found = here.crash(of({fatal}));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        dismiss_cause(here.all, found.front(), here.at);
+        CPPUNIT_ASSERT(find_causes(here.all, here.at + report_time).empty());
+        CPPUNIT_ASSERT(here.verdict({fatal}) == crash_verdict::clear);
+    }
+
+    void the_order_of_reports_does_not_matter()
+    {
+        crash_cause const cause{llm, of({fatal})};
+        cause_state const reports[] = {
+            {0, true}, {1, false}, {1, true}, {2, false}};
+        scenario forward;
+        scenario backward;
+        for (std::size_t i = 0; i < std::size(reports); ++i)
+        {
+            merge_cause(forward.all, cause, reports[i], forward.at);
+            merge_cause(backward.all, cause,
+                        reports[std::size(reports) - 1 - i], backward.at);
+        }
+        CPPUNIT_ASSERT(forward.all.causes == backward.all.causes);
+        CPPUNIT_ASSERT(!forward.rejects({fatal}));
+    }
+
+    void the_evidence_is_bounded_and_expires()
+    {
+        scenario here;
+        for (std::size_t i = 0; i < 2 * most_crashes; ++i)
+        {
+            here.crash(of({prompt_part{i}}));
+        }
+        CPPUNIT_ASSERT_EQUAL(most_crashes, here.all.crashes.size());
+        for (std::uint64_t i = 0; i < 2 * most_causes; ++i)
+        {
+            merge_cause(here.all, {llm, of({prompt_part{i}})}, {0, true},
+                        here.at);
+        }
+        CPPUNIT_ASSERT_EQUAL(most_causes, here.all.causes.size());
+        CPPUNIT_ASSERT(forget_old(here.all, here.at).empty());
+        CPPUNIT_ASSERT(forget_old(here.all, here.at + crash_lifetime).empty());
+        CPPUNIT_ASSERT(here.all.crashes.empty());
+        CPPUNIT_ASSERT_EQUAL(
+            most_causes, forget_old(here.all, here.at + cause_lifetime).size());
+    }
+
+    static std::string description(crash_part_result const& of)
+    {
+        return "crashes " + std::to_string(of.fatal_crashes) + ", late sends " +
+               std::to_string(of.late_fatal_sends) + ", sound " +
+               std::to_string(of.sound) + ", rejected " +
+               std::to_string(of.rejected) + ", failed " +
+               std::to_string(of.failed) + ", late sound " +
+               std::to_string(of.late_sound) + ", served at once " +
+               std::to_string(of.late_sound_served) + ", wrong causes " +
+               std::to_string(of.wrong_causes);
+    }
+
+    static crash_part_shape shape_of(std::uint64_t seed)
+    {
+        crash_part_shape shape;
+        shape.seed = seed;
+        shape.until = {30'000};
+        return shape;
+    }
+
+    // Guards against prompts with a fatal part that crash servers of many
+    // routers before these know of each other's crashes, and against sound
+    // prompts that are rejected or wait with them.
+    void a_fatal_part_is_rejected_soon()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            auto shape = shape_of(seed);
+            double const rates[] = {1, 5, 20};
+            shape.fatal_per_s = rates[seed % 3];
+            shape.customers = seed % 2 == 0 ? 1 : 10;
+            shape.has_companion = seed % 4 == 0;
+            crash_part_fleet all{shape};
+            auto const got = all.run();
+            CPPUNIT_ASSERT_MESSAGE(description(got), got.late_fatal_sends <= 3);
+            CPPUNIT_ASSERT_MESSAGE(description(got), got.rejected == 0);
+            CPPUNIT_ASSERT_MESSAGE(description(got),
+                                   2 * got.late_sound_served > got.late_sound);
+        }
+    }
+
+    void a_lost_domain_rejects_nothing()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            auto shape = shape_of(seed);
+            shape.fatal_per_s = 0;
+            crash_part_fleet all{shape};
+            all.lose_domain_at(instant{15'000});
+            auto const got = all.run();
+            CPPUNIT_ASSERT_MESSAGE(description(got), got.rejected == 0);
+            CPPUNIT_ASSERT_MESSAGE(description(got), got.wrong_causes == 0);
+        }
+    }
+
+    // Guards against rejecting parts that are often present while servers end
+    // for other reasons.
+    void servers_that_end_by_themselves_reject_few_prompts()
+    {
+        crash_part_result sum;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            auto shape = shape_of(seed);
+            shape.fatal_per_s = 0;
+            shape.failures_per_s = 1;
+            crash_part_fleet all{shape};
+            auto const got = all.run();
+            sum.sound += got.sound;
+            sum.rejected += got.rejected;
+        }
+        constexpr std::int64_t per_rejected = 500;
+        CPPUNIT_ASSERT_MESSAGE(description(sum),
+                               sum.rejected * per_rejected <= sum.sound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_cause_test);
--- /dev/null
+++ b/tests/fleet/crash_part_fleet.cpp
@@ -0,0 +1,445 @@
+#include "fleet/crash_part_fleet.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+constexpr std::uint64_t first_fatal = 1;
+constexpr std::uint64_t companion = 99;
+constexpr std::uint64_t first_of_first_parts = 1'000;
+constexpr std::uint64_t first_of_second_parts = 1'000'000;
+constexpr std::int64_t shortest_run_ms = 300;
+constexpr std::uint64_t run_spread_ms = 2'500;
+constexpr std::int64_t shortest_fatal_run_ms = 60;
+constexpr std::uint64_t fatal_run_spread_ms = 400;
+constexpr duration down_time{3'500};
+constexpr duration report_delay{40};
+constexpr duration caller_retry_delay{100};
+constexpr duration grace{3'000};
+constexpr duration late_from{6'000};
+constexpr std::int64_t max_sends = 2;
+constexpr std::int64_t crashes_in_bound = 5;
+constexpr std::size_t domains = 3;
+char const service[] = "llm";
+char const version[] = "v1";
+
+} // namespace
+
+crash_part_fleet::crash_part_fleet(crash_part_shape const& shape)
+    : shape{shape}, random{shape.seed}, routers(shape.routers),
+      servers(shape.servers)
+{
+    for (auto& each : this->servers)
+    {
+        each.id.value = "s" + std::to_string(this->starts++);
+    }
+}
+
+void crash_part_fleet::schedule(instant when, std::function<void()> what)
+{
+    this->events.emplace(when, std::move(what));
+}
+
+std::uint64_t crash_part_fleet::random_below(std::uint64_t end)
+{
+    return std::uniform_int_distribution<std::uint64_t>{0,
+                                                        end - 1}(this->random);
+}
+
+duration crash_part_fleet::random_delay(double per_second)
+{
+    constexpr double ms_per_second = 1'000;
+    std::exponential_distribution<double> gap{per_second / ms_per_second};
+    return {1 + static_cast<std::int64_t>(gap(this->random))};
+}
+
+void crash_part_fleet::lose_domain_at(instant when)
+{
+    this->schedule(when,
+                   [this]
+                   {
+                       for (std::size_t i = 0; i < this->servers.size();
+                            i += domains)
+                       {
+                           this->crash(i);
+                       }
+                   });
+}
+
+void crash_part_fleet::lose_store_until(instant when)
+{
+    this->store_back_at = when;
+}
+
+crash_part_result crash_part_fleet::run()
+{
+    this->schedule(instant{1}, [this] { this->arrive_sound(); });
+    if (this->shape.fatal_per_s > 0)
+    {
+        this->schedule(this->shape.fatal_from,
+                       [this] { this->arrive_fatal(); });
+    }
+    if (this->shape.failures_per_s > 0)
+    {
+        this->schedule(instant{1}, [this] { this->crash_random_server(); });
+    }
+    while (!this->events.empty() &&
+           this->events.begin()->first < instant{this->shape.until.ms})
+    {
+        auto next = this->events.extract(this->events.begin());
+        this->now = next.key();
+        next.mapped()();
+    }
+    this->result.wrong_causes = this->wrong.size();
+    return this->result;
+}
+
+void crash_part_fleet::arrive_sound()
+{
+    auto const first = this->random_below(this->shape.first_parts);
+    auto const second = this->random_below(this->shape.second_parts);
+    this->result.sound += 1;
+    attempt one;
+    one.router = this->random_below(this->shape.routers);
+    one.customer.value =
+        std::to_string(this->random_below(this->shape.customers));
+    one.parts = {prompt_part{first_of_first_parts + first},
+                 prompt_part{first_of_second_parts + second}};
+    one.arrived = this->now;
+    this->result.late_sound += this->count_late(one);
+    this->begin(std::move(one));
+    this->schedule(this->now + this->random_delay(this->shape.sound_per_s),
+                   [this] { this->arrive_sound(); });
+}
+
+void crash_part_fleet::arrive_fatal()
+{
+    attempt one;
+    one.router = this->random_below(this->shape.routers);
+    one.customer.value =
+        std::to_string(this->random_below(this->shape.customers));
+    one.parts = {
+        prompt_part{first_of_first_parts +
+                    this->random_below(this->shape.first_parts)},
+        prompt_part{first_fatal + this->random_below(this->shape.fatal_parts)},
+        prompt_part{first_of_second_parts +
+                    this->random_below(this->shape.second_parts)}};
+    if (this->shape.has_companion)
+    {
+        one.parts.push_back(prompt_part{companion});
+    }
+    one.fatal = true;
+    one.arrived = this->now;
+    this->begin(std::move(one));
+    this->schedule(this->now + this->random_delay(this->shape.fatal_per_s),
+                   [this] { this->arrive_fatal(); });
+}
+
+void crash_part_fleet::crash_random_server()
+{
+    this->crash(this->random_below(this->servers.size()));
+    this->schedule(this->now + this->random_delay(this->shape.failures_per_s),
+                   [this] { this->crash_random_server(); });
+}
+
+std::int64_t crash_part_fleet::count_late(attempt const& one) const
+{
+    return !one.fatal && this->bound_crash &&
+                   one.arrived - *this->bound_crash > late_from
+               ? 1
+               : 0;
+}
+
+void crash_part_fleet::begin(attempt one)
+{
+    auto const verdict = this->verdict_on(one);
+    if (verdict == crash_verdict::quarantined)
+    {
+        this->result.rejected += one.fatal ? 0 : 1;
+        return;
+    }
+    if (verdict == crash_verdict::on_probation && this->runs_on_probation(one))
+    {
+        this->abandon(one);
+        return;
+    }
+    this->send(std::move(one));
+}
+
+crash_verdict crash_part_fleet::verdict_on(attempt const& one) const
+{
+    return judge(this->routers[one.router].evidence, {service},
+                 traits_of(one.parts, one.customer));
+}
+
+/// True if the router runs another request with a property on probation.
+bool crash_part_fleet::runs_on_probation(attempt const& one) const
+{
+    auto const& evidence = this->routers[one.router].evidence;
+    auto const held = traits_on_probation(evidence, {service},
+                                          traits_of(one.parts, one.customer));
+    for (auto const& each : this->servers)
+    {
+        for (auto const& [run, other] : each.running)
+        {
+            auto const traits = traits_of(other.parts, other.customer);
+            if (other.router == one.router &&
+                std::any_of(held.begin(), held.end(),
+                            [&traits](auto const& trait)
+                            { return traits.contains(trait); }))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::optional<std::size_t> crash_part_fleet::choose(attempt const& one)
+{
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < this->servers.size(); ++i)
+    {
+        if (this->servers[i].up_from <= this->now)
+        {
+            up.push_back(i);
+        }
+    }
+    if (up.empty())
+    {
+        return std::nullopt;
+    }
+    // Most requests go to the server that holds their first part.
+    constexpr std::uint64_t tenths = 10;
+    constexpr std::uint64_t tenths_by_affinity = 7;
+    auto const preferred =
+        static_cast<std::uint64_t>(one.parts.front()) % up.size();
+    return this->random_below(tenths) < tenths_by_affinity
+               ? up[preferred]
+               : up[this->random_below(up.size())];
+}
+
+void crash_part_fleet::send(attempt one)
+{
+    auto const where = this->choose(one);
+    if (!where)
+    {
+        this->abandon(one);
+        return;
+    }
+    one.sends += 1;
+    if (one.fatal && this->result.fatal_crashes >= crashes_in_bound &&
+        this->now - *this->bound_crash > grace)
+    {
+        this->result.late_fatal_sends += 1;
+    }
+    auto const run = ++this->runs;
+    auto const time =
+        one.fatal
+            ? shortest_fatal_run_ms +
+                  static_cast<std::int64_t>(
+                      this->random_below(fatal_run_spread_ms))
+            : shortest_run_ms +
+                  static_cast<std::int64_t>(this->random_below(run_spread_ms));
+    this->servers[*where].running[run] = std::move(one);
+    this->schedule(this->now + duration{time},
+                   [this, where, run] { this->finish(*where, run); });
+}
+
+void crash_part_fleet::finish(std::size_t where, std::uint64_t run)
+{
+    auto& running = this->servers[where].running;
+    auto const found = running.find(run);
+    if (found == running.end())
+    {
+        return;
+    }
+    if (found->second.fatal)
+    {
+        this->result.fatal_crashes += 1;
+        if (this->result.fatal_crashes <= crashes_in_bound)
+        {
+            this->bound_crash = this->now;
+        }
+        this->crash(where);
+        return;
+    }
+    auto const one = std::move(found->second);
+    running.erase(found);
+    if (!one.retried && one.sends == 1)
+    {
+        this->result.late_sound_served += this->count_late(one);
+    }
+    auto const refuted =
+        note_success(this->routers[one.router].evidence, {service}, version,
+                     traits_of(one.parts, one.customer), this->now);
+    for (auto const& cause : refuted)
+    {
+        this->report_cause(one.router, cause);
+    }
+}
+
+void crash_part_fleet::crash(std::size_t where)
+{
+    auto& target = this->servers[where];
+    auto const id =
+        std::exchange(target.id, {"s" + std::to_string(this->starts++)});
+    auto const ended = std::exchange(target.running, {});
+    target.up_from = this->now + down_time;
+    std::map<std::size_t, server_crash> shares;
+    for (auto const& [run, one] : ended)
+    {
+        auto& share = shares[one.router];
+        share.service.value = service;
+        share.version = version;
+        share.noticed_at = this->now;
+        share.suspects.merge(traits_of(one.parts, one.customer));
+    }
+    for (auto const& [from, share] : shares)
+    {
+        note_crash(this->routers[from].evidence, id, share);
+        this->evaluate(from);
+        this->evaluate_soon(from);
+        this->report_crash(from, id, share);
+    }
+    for (auto const& [run, one] : ended)
+    {
+        this->note_failure_of(one);
+    }
+}
+
+void crash_part_fleet::note_failure_of(attempt const& one)
+{
+    if (this->verdict_on(one) < crash_verdict::on_probation &&
+        one.sends < max_sends)
+    {
+        this->send(one);
+        return;
+    }
+    this->abandon(one);
+}
+
+void crash_part_fleet::abandon(attempt const& one)
+{
+    if (one.retried)
+    {
+        this->result.failed += one.fatal ? 0 : 1;
+        return;
+    }
+    auto again = one;
+    again.router = this->random_below(this->shape.routers);
+    again.sends = 0;
+    again.retried = true;
+    this->schedule(this->now + caller_retry_delay,
+                   [this, again] { this->begin(again); });
+}
+
+void crash_part_fleet::report_crash(std::size_t from,
+                                    backend_server_id const& server,
+                                    server_crash const& crash)
+{
+    auto const arrives =
+        std::max(this->now, this->store_back_at) + report_delay;
+    this->schedule(
+        arrives,
+        [this, from, server, crash]
+        {
+            auto received = crash;
+            received.noticed_at = this->now;
+            for (std::size_t i = 0; i < this->routers.size(); ++i)
+            {
+                if (i != from &&
+                    note_crash(this->routers[i].evidence, server, received))
+                {
+                    this->evaluate_soon(i);
+                }
+            }
+        });
+}
+
+void crash_part_fleet::report_cause(std::size_t from, crash_cause const& cause)
+{
+    auto const arrives =
+        std::max(this->now, this->store_back_at) + report_delay;
+    this->schedule(arrives,
+                   [this, from, cause]
+                   {
+                       auto const& causes = this->routers[from].evidence.causes;
+                       auto const found = causes.find(cause);
+                       if (found == causes.end())
+                       {
+                           return;
+                       }
+                       auto const state = found->second.state;
+                       auto refuted_by = this->routers.size();
+                       for (std::size_t i = 0; i < this->routers.size(); ++i)
+                       {
+                           if (i != from &&
+                               merge_cause(this->routers[i].evidence, cause,
+                                           state,
+                                           this->now) == merge_result::refuted)
+                           {
+                               refuted_by = i;
+                           }
+                       }
+                       if (refuted_by != this->routers.size())
+                       {
+                           this->report_cause(refuted_by, cause);
+                       }
+                   });
+}
+
+void crash_part_fleet::evaluate_soon(std::size_t router)
+{
+    auto& one = this->routers[router];
+    auto const next = next_decision(one.evidence, this->now);
+    if (!next || std::exchange(one.will_evaluate, true))
+    {
+        return;
+    }
+    this->schedule(*next,
+                   [this, router]
+                   {
+                       this->routers[router].will_evaluate = false;
+                       this->evaluate(router);
+                       this->evaluate_soon(router);
+                   });
+}
+
+void crash_part_fleet::evaluate(std::size_t router)
+{
+    for (auto const& cause :
+         find_causes(this->routers[router].evidence, this->now))
+    {
+        if (this->routers[router].evidence.causes[cause].state.rejected)
+        {
+            this->count_cause(cause);
+        }
+        this->report_cause(router, cause);
+    }
+}
+
+void crash_part_fleet::count_cause(crash_cause const& cause)
+{
+    auto const has_fatal =
+        std::any_of(cause.traits.begin(), cause.traits.end(),
+                    [this](crash_trait const& trait)
+                    {
+                        auto const part =
+                            static_cast<std::uint64_t>(trait.part);
+                        return part >= first_fatal &&
+                               part < first_fatal + this->shape.fatal_parts;
+                    });
+    if (!has_fatal)
+    {
+        this->wrong.insert(cause);
+    }
+}
+
+} // namespace caperpath::fleet
--- a/tests/gateway/crash_part_test.cpp
+++ b/tests/gateway/crash_part_test.cpp
@@ -1,8 +1,11 @@
+#include "gateway/crash_cause_rows.hpp"
+#include "gateway/crash_rows.hpp"
 #include "gateway/fleet_site.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,12 +21,17 @@
     CPPUNIT_TEST(a_part_beside_rare_parts_is_quarantined);
     CPPUNIT_TEST(a_part_of_requests_that_are_sent_once_is_quarantined);
     CPPUNIT_TEST(a_restarted_router_knows_a_part_that_crashes_servers);
+    CPPUNIT_TEST(crashes_at_other_routers_count);
+    CPPUNIT_TEST(a_removed_row_lifts_a_cause);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int fleet_size = 60;
     /// The most servers that one part may crash, and the requests with it that
     /// may reach servers afterwards.
     static constexpr std::ptrdiff_t max_crashes = 5;
+    /// Servers take some time to crash and routers to decide; without a pause
+    /// the test would be done before.
+    static constexpr std::chrono::milliseconds pause{120};
 
     static bool has_fatal_part(fake_server::request const& got)
     {
@@ -97,6 +105,21 @@
                 "question " + own));
         }
 
+        /// The same, some time after the previous one.
+        received_response ask_later(std::string const& route,
+                                    std::string const& shared_parts)
+        {
+            this->wait(pause);
+            return this->ask(route, shared_parts);
+        }
+
+        void wait(std::chrono::milliseconds time)
+        {
+            auto const at = std::chrono::steady_clock::now() + time;
+            CPPUNIT_ASSERT(this->here->run_until(
+                [at] { return std::chrono::steady_clock::now() >= at; }));
+        }
+
         std::unique_ptr<fleet_site> here;
         std::vector<fake_server*> servers;
         int sent{};
@@ -114,7 +137,9 @@
         for (std::size_t i = 0; i < rounds; ++i)
         {
             auto const sends = all.fatal_sends();
-            auto const fatal = all.ask(route, fatal_parts);
+            auto const fatal = i <= rounds_to_verdict
+                                   ? all.ask_later(route, fatal_parts)
+                                   : all.ask(route, fatal_parts);
             auto const sound =
                 all.ask(route, sound_parts[i % sound_parts.size()]);
             if (i < rounds_to_verdict)
@@ -172,12 +197,15 @@
         scenario first;
         for (int i = 0; i < 10; ++i)
         {
-            first.ask("resume", "aa:100,bad:50");
+            first.ask_later("resume", "aa:100,bad:50");
             first.ask("resume", "aa:100,bb:50");
         }
         CPPUNIT_ASSERT(first.here->run_until(
             [&] { return first.here->store.count_router_rows("crash/") > 0; }));
         scenario second{fleet_site::after_crash(std::move(first.here))};
+        CPPUNIT_ASSERT(second.here->run_until(
+            [&]
+            { return second.ask("resume", "aa:100,bad:50").status == 429; }));
         for (int i = 0; i < 10; ++i)
         {
             CPPUNIT_ASSERT_EQUAL(429,
@@ -187,6 +215,44 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, second.crashed());
     }
+
+    // Guards against routers that each crash servers to find the same cause.
+    void crashes_at_other_routers_count()
+    {
+        scenario all;
+        auto const traits =
+            fleet::traits_of({fleet::prompt_part{0xbad}}, {"taller"});
+        auto const table = store::table_for_kind(crash_table);
+        for (int i = 0; i < 3; ++i)
+        {
+            crash_report const report{{"other-" + std::to_string(i)},
+                                      {{"llm"}, "v1", {}, traits}};
+            all.here->store.put(table, report_key(report.server, 1),
+                                encode_report(report));
+            all.wait(pause);
+        }
+        all.wait(pause);
+        auto const got = all.ask("resume", "aa:100,bad:50");
+        CPPUNIT_ASSERT(got.status == 429 || got.status == 503);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, all.crashed());
+        CPPUNIT_ASSERT_EQUAL(200, all.ask("resume", "aa:100").status);
+    }
+
+    // Guards against a cause that no operator can lift.
+    void a_removed_row_lifts_a_cause()
+    {
+        scenario all;
+        fleet::crash_cause const cause{
+            {"llm"}, fleet::traits_of({fleet::prompt_part{0xaa}}, {"taller"})};
+        auto const table = store::table_for_kind(crash_table);
+        all.here->store.put(table, cause_key(cause),
+                            encode_cause({cause, {0, true}}));
+        CPPUNIT_ASSERT(all.here->run_until(
+            [&] { return all.ask("resume", "aa:100").status == 429; }));
+        all.here->store.put(table, cause_key(cause), std::nullopt);
+        CPPUNIT_ASSERT(all.here->run_until(
+            [&] { return all.ask("resume", "aa:100").status == 200; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crash_part_test);
--- a/tests/gateway/crash_tracker_test.cpp
+++ b/tests/gateway/crash_tracker_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_lost_call_shortens_the_next_waits);
     CPPUNIT_TEST(a_lost_long_poll_hides_no_crash);
     CPPUNIT_TEST(many_lost_calls_start_one_read);
+    CPPUNIT_TEST(requests_beside_a_fatal_part_are_cleared);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t salt = 7;
@@ -197,6 +198,31 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.waits.size());
     }
+
+    // Guards against rejecting a popular request that was open at servers which
+    // other prompts crashed.
+    void requests_beside_a_fatal_part_are_cleared()
+    {
+        constexpr std::chrono::milliseconds between_crashes{150};
+        scenario site;
+        auto const traits =
+            fleet::traits_of({fleet::prompt_part{0xbad}}, {"taller"});
+        fleet::crash_evidence known;
+        for (int i = 0; i < 3; ++i)
+        {
+            backend_server_id const server{"s" + std::to_string(i)};
+            site.keeper.causes().record_crash(
+                server,
+                {{"llm"}, "v1", caperpath::clock::monotonic().now(), traits},
+                2);
+            known = site.keeper.record_crash(fatal(), known, server.value, {});
+            site.loop.run_for(between_crashes);
+            site.loop.restart();
+        }
+        CPPUNIT_ASSERT(site.keeper.causes().cause_of({"llm"}, traits));
+        CPPUNIT_ASSERT(fleet::judge(site.keeper.evidence(fatal())) ==
+                       fleet::crash_verdict::clear);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crash_tracker_test);
