Bound the suspects of a crash, and document causes of crashes

A prompt of many parts would have made the row of its crash larger than a row of the store may be, and the router would have sent it again and again: 64 parts of a prompt are considered, 512 properties of a crash kept, those that are known to be sound left out first.

--- a/include/caperpath/fleet/crash_cause.hpp
+++ b/include/caperpath/fleet/crash_cause.hpp
@@ -43,7 +43,8 @@
 
 using crash_traits = std::set<crash_trait>;
 
-/// The properties of a request. Thread safe.
+/// The properties of a request with `parts`, of which the first
+/// `most_considered_parts` are considered. Thread safe.
 crash_traits traits_of(std::vector<prompt_part> const& parts,
                        customer_id const& customer);
 
@@ -118,8 +119,9 @@
 };
 
 /// Adds what one router knows of a crash: `shared.suspects` of its requests at
-/// `server`. Of the first report, the time and the version are kept. Returns
-/// true if anything was new. Thread safe.
+/// `server`. Of the first report, the time and the version are kept. If there
+/// are more than `most_suspects`, those that are known to be sound are left out
+/// first. Returns true if anything was new. Thread safe.
 bool note_crash(crash_investigation& all, backend_server_id const& server,
                 server_crash const& shared);
 
@@ -196,6 +198,7 @@
 inline constexpr duration crash_lifetime{10 * 60'000};
 inline constexpr duration cause_lifetime{8 * 3'600'000};
 inline constexpr std::size_t most_crashes = 64;
+inline constexpr std::size_t most_considered_parts = 64;
 inline constexpr std::size_t most_suspects = 512; ///< of one crash
 inline constexpr std::size_t most_causes = 256;
 inline constexpr std::size_t most_sound_traits = 32'768;
--- a/src/fleet/crash_cause.cpp
+++ b/src/fleet/crash_cause.cpp
@@ -310,10 +310,11 @@
                        customer_id const& customer)
 {
     crash_traits found;
-    for (auto const part : parts)
+    auto const considered = std::min(parts.size(), most_considered_parts);
+    for (std::size_t i = 0; i < considered; ++i)
     {
-        found.insert({part, 0});
-        found.insert({part, hash_of(customer)});
+        found.insert({parts[i], 0});
+        found.insert({parts[i], hash_of(customer)});
     }
     return found;
 }
@@ -366,22 +367,30 @@
                 server_crash const& shared)
 {
     auto const known = all.crashes.find(server);
-    if (known == all.crashes.end())
+    auto const is_new = known == all.crashes.end();
+    if (is_new)
     {
         make_room(all.crashes);
-        all.crashes.emplace(server, shared);
-        return true;
+        all.crashes[server] = {
+            shared.service, shared.version, shared.noticed_at, {}};
     }
-    auto& suspects = known->second.suspects;
+    auto& suspects = all.crashes[server].suspects;
     auto const before = suspects.size();
-    for (auto const& trait : shared.suspects)
+    auto const add = [&](bool sound)
     {
-        if (suspects.size() < most_suspects)
+        for (auto const& trait : shared.suspects)
         {
-            suspects.insert(trait);
+            auto const success = all.sound.last(shared.service, shared.version,
+                                                trait, shared.noticed_at);
+            if (suspects.size() < most_suspects && success.has_value() == sound)
+            {
+                suspects.insert(trait);
+            }
         }
-    }
-    return suspects.size() > before;
+    };
+    add(false);
+    add(true);
+    return is_new || suspects.size() > before;
 }
 
 std::vector<crash_cause> note_success(crash_investigation& all,
--- a/src/gateway/crash_cause_tracker.cpp
+++ b/src/gateway/crash_cause_tracker.cpp
@@ -125,7 +125,8 @@
                       { return !this->report_rows.contains(entry.first); });
     if (static_cast<std::size_t>(unwritten) < max_unwritten_reports)
     {
-        this->own_reports[key] = encode_report({server, crash});
+        this->own_reports[key] =
+            encode_report({server, this->evidence.crashes.at(server)});
         this->writer.schedule(key);
     }
     this->decide();
--- a/tests/fleet/crash_cause_test.cpp
+++ b/tests/fleet/crash_cause_test.cpp
@@ -317,6 +317,24 @@
             here.crash(of({prompt_part{i}}));
         }
         CPPUNIT_ASSERT_EQUAL(most_crashes, here.all.crashes.size());
+        crash_traits sound;
+        for (std::uint64_t i = 0; i < most_suspects; ++i)
+        {
+            sound.insert({prompt_part{i}, 0});
+        }
+        here.complete(sound);
+        here.crash(both(sound, {{prompt_part{most_suspects}, 0}}));
+        auto const& newest =
+            here.all.crashes.at({"s" + std::to_string(here.servers - 1)});
+        CPPUNIT_ASSERT_EQUAL(most_suspects, newest.suspects.size());
+        CPPUNIT_ASSERT(
+            newest.suspects.contains({prompt_part{most_suspects}, 0}));
+        std::vector<prompt_part> many;
+        for (std::uint64_t i = 0; i < most_suspects; ++i)
+        {
+            many.push_back(prompt_part{i});
+        }
+        CPPUNIT_ASSERT(of(many).size() == 2 * most_considered_parts);
         for (std::uint64_t i = 0; i < 2 * most_causes; ++i)
         {
             merge_cause(here.all, {llm, of({prompt_part{i}})}, {0, true},
