Keep the evidence of a part when a narrower cause with it is superseded

Lifting a cause clears all of its properties. A cause of two properties that a broader one superseded thereby cleared the property of both, and the router would have refuted the right cause when another router reported it. Only causes without a common property are lifted now. Found by review; the new test fails without the change.

A response without a length counts as proof for the parts of its prompt only if the server is known to run after it: a crash may have cut it off.

--- a/src/fleet/crash_cause.cpp
+++ b/src/fleet/crash_cause.cpp
@@ -235,8 +235,16 @@
         });
 }
 
+bool have_common(crash_traits const& a, crash_traits const& b)
+{
+    return std::any_of(a.begin(), a.end(),
+                       [&b](crash_trait const& trait)
+                       { return b.contains(trait); });
+}
+
 /// Lifts the rejected causes all of whose crashes `cause` explains, if it
 /// explains more: they were found while it was at fewer crashes than they were.
+/// Causes with a property of `cause` stay, since lifting them would clear it.
 void lift_superseded(crash_investigation& all, crash_cause const& cause,
                      std::vector<crash_cause>& changed, instant now)
 {
@@ -257,7 +265,7 @@
     for (auto& [other, entry] : all.causes)
     {
         if (!entry.state.rejected || other.service != cause.service ||
-            other == cause)
+            have_common(other.traits, cause.traits))
         {
             continue;
         }
--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -233,7 +233,11 @@
     {
         crashes.record_response(fingerprint_of(current));
     }
-    if (!current.traits.empty())
+    // A response without a length may be the begin of one that a crash cut off.
+    auto const is_proven =
+        !current.server_after_end ||
+        *current.server_after_end == server_presence::running;
+    if (!current.traits.empty() && is_proven)
     {
         crashes.causes().record_response(
             current.work.service, current.server_version, current.traits);
--- a/tests/fleet/crash_cause_test.cpp
+++ b/tests/fleet/crash_cause_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_new_version_may_crash_on_a_sound_part);
     CPPUNIT_TEST(an_explained_crash_counts_against_no_other_part);
     CPPUNIT_TEST(a_customer_does_not_cause_rejections_of_another);
+    CPPUNIT_TEST(a_broader_cause_keeps_the_evidence);
     CPPUNIT_TEST(a_wrong_cause_is_lifted);
     CPPUNIT_TEST(a_router_that_knows_better_refutes_a_cause);
     CPPUNIT_TEST(a_dismissed_cause_needs_new_crashes);
@@ -233,6 +234,29 @@
         CPPUNIT_ASSERT(here.rejects({common}, taller));
     }
 
+    // Guards against a part that counts as sound because a narrower cause with
+    // it is not needed any more.
+    void a_broader_cause_keeps_the_evidence()
+    {
+        scenario here;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({fatal}, taller));
+        }
+        CPPUNIT_ASSERT(!here.rejects({fatal}, otro));
+        // Several crashes are reported before the next decision.
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.at = here.at + between_crashes;
+            note_crash(here.all, {"other" + std::to_string(i)},
+                       {llm, "v1", here.at, of({fatal}, otro)});
+        }
+        here.crash(of({fatal}, otro));
+        CPPUNIT_ASSERT(here.rejects({fatal}, otro));
+        CPPUNIT_ASSERT(here.rejects({fatal}, taller));
+        CPPUNIT_ASSERT(!here.all.sound.last(llm, "v1", {fatal, 0}, here.at));
+    }
+
     // Guards against a sound part that stays rejected because it was found
     // while the evidence was incomplete.
     void a_wrong_cause_is_lifted()
