Add a soak of prompts with a part that crashes servers

Several router processes on one store restart in overlapping series while the store comes and goes; engines crash under one part and come back under new ids.

--- a/tests/soak/fake_store.cpp
+++ b/tests/soak/fake_store.cpp
@@ -158,6 +158,12 @@
         false);
 }
 
+void fake_store::remove(std::string const& table, std::string const& key)
+{
+    this->version += 1;
+    this->write({{"table", table}, {"part", ""}, {"key", key}}, true);
+}
+
 asio::awaitable<void> fake_store::accept(view& at)
 {
     while (true)
--- a/tests/soak/fake_store.hpp
+++ b/tests/soak/fake_store.hpp
@@ -42,6 +42,9 @@
     void put(std::string const& table, std::string const& key,
              std::string const& value);
 
+    /// Removes such a row.
+    void remove(std::string const& table, std::string const& key);
+
     /// While false, calls get no response, but every other write is applied.
     void set_reachable(bool now_reachable);
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 
 #include <sys/socket.h>
@@ -22,6 +23,7 @@
 using std::chrono::milliseconds;
 
 constexpr int prompt_tokens = 300;
+constexpr int fatal_percent = 10;
 constexpr int ok = 200;
 constexpr int budget_used_up = 402;
 constexpr int budget_low = 429;
@@ -44,9 +46,10 @@
     std::string customer;
     int events{};
     std::string bytes;
+    bool fatal{false}; ///< it has a part that crashes engines
 };
 
-caller_request draw_request(std::string const& id, dice& draw)
+caller_request draw_request(std::string const& id, dice& draw, bool fatal_parts)
 {
     caller_request made{id, request_kind::order, "large", 0, {}};
     auto const kind = draw.between(0, 9);
@@ -61,8 +64,12 @@
     {
         made.customer = draw.chance(30) ? "small" : "large";
         made.events = draw.between(5, 60);
+        made.fatal = fatal_parts && draw.chance(fatal_percent);
         prompt = "Token-Count: " + std::to_string(prompt_tokens) + "," +
-                 std::to_string(made.events) + "\r\n";
+                 std::to_string(made.events) + "\r\nPrefix-Hash: a" +
+                 std::to_string(draw.between(0, 3)) + ":50," +
+                 (made.fatal ? "bad:20," : "") + "c" +
+                 std::to_string(draw.between(0, 40)) + ":20,d:1\r\n";
     }
     std::string const body(
         made.kind == request_kind::read
@@ -128,6 +135,14 @@
     co_return true;
 }
 
+/// The whole number at the begin of `text`; 0 if there is none.
+int number_in(std::string_view text)
+{
+    int number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 int events_in(std::string_view body)
 {
     int count = 0;
@@ -177,6 +192,8 @@
         record.spend(request.id, request.customer, prompt_tokens + events);
     }
     record.end(request.id, how);
+    check_prompt(site, request.id, request.fatal, how.status,
+                 number_in(parser.get()["Retry-After"]));
     // A used-up budget says nothing about paths.
     if (how.status != budget_used_up && how.status != budget_low)
     {
@@ -211,8 +228,8 @@
     while (open)
     {
         requests += 1;
-        auto const request =
-            draw_request(name + std::to_string(requests), draw);
+        auto const request = draw_request(name + std::to_string(requests), draw,
+                                          site.options.fatal_parts);
         open = co_await call(site, to, draw, request);
         auto const stopping = site.routers[to.router]->stopping;
         co_await pause(to.stream.get_executor(),
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -53,7 +53,7 @@
     };
     spawn(watch(site));
     spawn(interrupt_store(site));
-    if (!site.options.partitions)
+    if (!site.options.partitions && !site.options.fatal_parts)
     {
         spawn(restart_servers(site));
     }
@@ -82,6 +82,7 @@
     run(site);
     site.record.check_coverage();
     check_partitioned_routers(site);
+    check_fatal_prompts(site);
     std::cout << site.record.summary();
     if (site.record.first_violation().empty())
     {
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -82,6 +82,11 @@
     return number_in(text.substr(std::min(text.find(',') + 1, text.size())));
 }
 
+bool has_fatal_part(http::request<http::string_body> const& got)
+{
+    return got["Prefix-Hash"].find("bad:") != std::string_view::npos;
+}
+
 std::string body_of(std::string const& id)
 {
     return "done " + id;
@@ -165,6 +170,16 @@
     std::string const id{got["Request-Id"]};
     this->record.note_execution(id);
     dice draw{seed_of(id)};
+    if (has_fatal_part(got))
+    {
+        co_await pause(this->loop.get_executor(), draw.ms(20, 300));
+        // The same crash may have ended this connection already.
+        if (stream.socket().is_open())
+        {
+            this->on_fatal_part();
+        }
+        co_return false;
+    }
     if (draw.chance(silent_percent))
     {
         co_await send_no_response(stream);
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -40,6 +41,10 @@
     void kill();
     void start();
 
+    /// Called when a prompt with the part "bad" is about to get its response,
+    /// instead of sending it.
+    std::function<void()> on_fatal_part;
+
 private:
     using request = http::request<http::string_body>;
 
@@ -63,6 +68,9 @@
 /// Total number of events in the stream that responds to `got`.
 int events_of(http::request<http::string_body> const& got);
 
+/// True if the prompt has a part that crashes engines.
+bool has_fatal_part(http::request<http::string_body> const& got);
+
 /// Response body of a call.
 std::string body_of(std::string const& id);
 
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -15,6 +15,7 @@
 
 constexpr int app_servers = soak_site::app_servers;
 constexpr int engines = 2;
+constexpr int engines_with_fatal_parts = 12;
 constexpr int grace_s = 4;
 constexpr milliseconds poll_interval{10};
 /// Small enough to be used up during a soak.
@@ -138,16 +139,18 @@
                                }},
       store{this->loop}, end{steady_clock::now() + options.time}
 {
-    for (int i = 0; i < app_servers + engines; ++i)
+    auto const count =
+        app_servers +
+        (options.fatal_parts ? engines_with_fatal_parts : engines);
+    this->server_ids.resize(static_cast<std::size_t>(count));
+    for (std::size_t i = 0; i < this->server_ids.size(); ++i)
     {
-        auto const& server =
-            this->servers.emplace_back(this->loop, this->record);
-        std::string const service = i < app_servers ? "app" : "llm";
-        this->store.put("servers", "i-" + std::to_string(i),
-                        R"({"backend":")" + service + R"(","address":")" +
-                            server.address() +
-                            R"(","zone":"z","batch-slots":16,)"
-                            R"("state":"healthy"})");
+        this->servers.emplace_back(this->loop, this->record);
+        this->servers.back().on_fatal_part = [this, i]
+        {
+            crash_server(*this, i);
+        };
+        this->list_server(i);
     }
     this->record.pay("small", small_budget);
     this->record.pay("large", large_budget);
@@ -164,6 +167,22 @@
     this->callers_left = options.callers;
 }
 
+void soak_site::list_server(std::size_t number)
+{
+    auto& id = this->server_ids[number];
+    if (!id.empty())
+    {
+        this->store.remove("servers", id);
+    }
+    id = "i-" + std::to_string(this->starts++);
+    std::string const service = number < app_servers ? "app" : "llm";
+    this->store.put("servers", id,
+                    R"({"backend":")" + service + R"(","address":")" +
+                        this->servers[number].address() +
+                        R"(","zone":"z","batch-slots":16,)"
+                        R"("state":"healthy"})");
+}
+
 std::string soak_site::add_links()
 {
     auto& links = this->links.emplace_back();
@@ -242,7 +261,7 @@
     while (!site.over())
     {
         auto& killed = site.servers[static_cast<std::size_t>(
-            draw.between(0, app_servers + engines - 1))];
+            draw.between(0, static_cast<int>(site.servers.size()) - 1))];
         co_await pause(site.loop.get_executor(), draw.ms(1'000, 4'000));
         killed.kill();
         co_await pause(site.loop.get_executor(), draw.ms(100, 1'500));
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -9,6 +9,7 @@
 #include "soak/soak_servers.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -30,6 +31,16 @@
     bool keep_logs{false}; ///< also if no guarantee was violated
     /// Routers lose their paths to servers, and restart less often.
     bool partitions{false};
+    /// Some prompts have a part that crashes engines, of which there are more.
+    bool fatal_parts{false};
+};
+
+/// Crashes of engines under a part of prompts.
+struct crash_count
+{
+    int count{};
+    int late{}; ///< after routers had time to notice the first ones
+    std::chrono::steady_clock::time_point noticed_from{};
 };
 
 /// Whether a router has its paths to all servers of a service.
@@ -49,6 +60,9 @@
 
     void put_configuration();
 
+    /// Lists a server under a new id, as one that has started.
+    void list_server(std::size_t number);
+
     /// Returns true once all routers are stopped for the last time.
     bool over() const;
 
@@ -62,6 +76,7 @@
     std::chrono::steady_clock::time_point end;
     int series_left{};  ///< restart series that are not finished
     int callers_left{}; ///< that are still active
+    crash_count fatal_crashes;
 
     /// Only with `partitions`: by router, a link to each server and the state
     /// of its paths by service.
@@ -71,8 +86,24 @@
 private:
     /// Returns the address of the store for a router.
     std::string add_links();
+
+    int starts{}; ///< of servers; part of their ids
+    std::vector<std::string> server_ids;
 };
 
+/// An engine crashes under a part of a prompt; it comes back under a new id.
+/// Reports a violation if routers had time to notice earlier ones.
+void crash_server(soak_site& site, std::size_t number);
+
+/// Reports a violation if a prompt without the fatal part was rejected as one
+/// that crashes servers.
+void check_prompt(soak_site& site, std::string const& id, bool fatal,
+                  int status, int retry_after_s);
+
+/// Reports a violation if no fatal prompt was rejected, as such a run proves
+/// nothing.
+void check_fatal_prompts(soak_site& site);
+
 /// Cuts paths of routers to servers in series, until the soak time is over.
 asio::awaitable<void> partition_routers(soak_site& site, int series);
 
