--- a/include/caperpath/fleet/crash_cause.hpp
+++ b/include/caperpath/fleet/crash_cause.hpp
@@ -148,7 +148,7 @@
 };
 
 /// When `find_causes` has to be called next, because the reports of a crash are
-/// complete; empty if there is no such crash. Thread safe.
+/// complete or a cause is confirmed; empty if nothing is due. Thread safe.
 std::optional<instant> next_decision(crash_investigation const& all,
                                      instant now);
 
@@ -195,6 +195,8 @@
 /// Within this time the routers whose requests a crash ended report them. A
 /// decision without their suspects could find a wrong cause.
 inline constexpr duration report_time{80};
+/// A cause that no router has refuted for this long may lift others.
+inline constexpr duration confirmation_time{1'000};
 inline constexpr duration crash_lifetime{10 * 60'000};
 inline constexpr duration cause_lifetime{8 * 3'600'000};
 inline constexpr std::size_t most_crashes = 64;
--- a/src/fleet/crash_cause.cpp
+++ b/src/fleet/crash_cause.cpp
@@ -235,6 +235,21 @@
         });
 }
 
+/// The causes that no router has refuted for some time.
+std::vector<crash_cause> confirmed_causes(crash_investigation const& all,
+                                          instant now)
+{
+    std::vector<crash_cause> found;
+    for (auto const& [cause, entry] : all.causes)
+    {
+        if (entry.state.rejected && now - entry.noted_at >= confirmation_time)
+        {
+            found.push_back(cause);
+        }
+    }
+    return found;
+}
+
 bool have_common(crash_traits const& a, crash_traits const& b)
 {
     return std::any_of(a.begin(), a.end(),
@@ -433,6 +448,10 @@
     }
     all.suspicion.clear();
     std::vector<crash_cause> changed;
+    for (auto const& cause : confirmed_causes(all, now))
+    {
+        lift_superseded(all, cause, changed, now);
+    }
     for (auto const& service : services)
     {
         auto const reported = now - report_time;
@@ -444,7 +463,6 @@
             auto& entry = all.causes[*cause];
             entry = {{entry.state.lifted, true}, now};
             changed.push_back(*cause);
-            lift_superseded(all, *cause, changed, now);
         }
         for (auto const& [trait, each] :
              find_suspects(all, crashes_of(all, service, now)))
@@ -462,13 +480,20 @@
                                      instant now)
 {
     std::optional<instant> next;
-    for (auto const& [server, crash] : all.crashes)
+    auto const consider = [&next, now](instant at)
     {
-        auto const at = crash.noticed_at + report_time;
         if (at > now)
         {
             next = std::min(next.value_or(at), at);
         }
+    };
+    for (auto const& [server, crash] : all.crashes)
+    {
+        consider(crash.noticed_at + report_time);
+    }
+    for (auto const& [cause, entry] : all.causes)
+    {
+        consider(entry.noted_at + confirmation_time);
     }
     return next;
 }
--- a/tests/fleet/crash_cause_test.cpp
+++ b/tests/fleet/crash_cause_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_customer_does_not_cause_rejections_of_another);
     CPPUNIT_TEST(a_broader_cause_keeps_the_evidence);
     CPPUNIT_TEST(a_wrong_cause_is_lifted);
+    CPPUNIT_TEST(a_new_cause_lifts_no_other);
     CPPUNIT_TEST(a_router_that_knows_better_refutes_a_cause);
     CPPUNIT_TEST(a_dismissed_cause_needs_new_crashes);
     CPPUNIT_TEST(the_order_of_reports_does_not_matter);
@@ -277,9 +278,34 @@
             here.crash(of({fatal}, otro));
         }
         CPPUNIT_ASSERT(here.rejects({fatal}, otro));
+        here.at = here.at + report_time + confirmation_time;
+        find_causes(here.all, here.at);
+        CPPUNIT_ASSERT(here.rejects({fatal}, otro));
         CPPUNIT_ASSERT(!here.rejects({rare}));
     }
 
+    // Guards against lifting the right cause for one that other routers are
+    // about to refute.
+    void a_new_cause_lifts_no_other()
+    {
+        scenario here;
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(both(of({fatal}, otro), of({prompt_part(i)})));
+        }
+        for (int i = 0; i < here.servers; ++i)
+        {
+            note_crash(here.all, {"s" + std::to_string(i)},
+                       {llm, "v1", here.at, of({common})});
+        }
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({common}));
+        }
+        CPPUNIT_ASSERT(here.rejects({common}));
+        CPPUNIT_ASSERT(here.rejects({fatal}, otro));
+    }
+
     void a_router_that_knows_better_refutes_a_cause()
     {
         scenario here;
