Add a soak in which most callers go to one router

For 4 to 9 s nine of ten new connections go to one of six routers, to another one the next time, and callers open new ones more often, while routers are stopped now and then. From 3 s on, callers whose request the router has read must be served at least three quarters as often as in the other seconds.

Processor and link are not limited in the soak, so these are not covered by it.

--- a/tests/soak/partitions.cpp
+++ b/tests/soak/partitions.cpp
@@ -78,19 +78,6 @@
     }
 }
 
-/// True if the router has had time to learn of the others, so that a load
-/// balancer would send callers to it.
-bool is_settled(soak_site const& site, router_process const& router)
-{
-    auto const now = std::chrono::steady_clock::now();
-    auto const before_outage =
-        router.started + settling_time < site.store.lost_at;
-    auto const after_outage =
-        site.store.is_reachable() &&
-        now - std::max(router.started, site.store.back_at) > settling_time;
-    return !router.stopping && (before_outage || after_outage);
-}
-
 /// True if some router has had its paths all the time and does not stop, so
 /// that it can relay.
 bool has_relay(soak_site& site, std::string const& service,
@@ -120,6 +107,17 @@
 
 } // namespace
 
+bool is_settled(soak_site const& site, router_process const& router)
+{
+    auto const now = std::chrono::steady_clock::now();
+    auto const before_outage =
+        router.started + settling_time < site.store.lost_at;
+    auto const after_outage =
+        site.store.is_reachable() &&
+        now - std::max(router.started, site.store.back_at) > settling_time;
+    return !router.stopping && (before_outage || after_outage);
+}
+
 asio::awaitable<void> partition_routers(soak_site& site, int series)
 {
     dice draw{site.options.seed * 1'000 + 500 +
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -24,6 +24,8 @@
 
 constexpr int prompt_tokens = 300;
 constexpr int fatal_percent = 10;
+/// Of the new connections, those that a herd's router gets besides its share.
+constexpr int herd_percent = 90;
 constexpr int ok = 200;
 constexpr int budget_used_up = 402;
 constexpr int budget_low = 429;
@@ -202,6 +204,11 @@
                                                                  : "app",
                             began_ms, how.status == ok && how.whole);
     }
+    if (how.status != 0 && how.status != budget_used_up)
+    {
+        count_herd_attempt(site, to.router, began_ms,
+                           how.status == ok && how.whole);
+    }
     co_return how.whole&& parser.keep_alive();
 }
 
@@ -213,6 +220,10 @@
     {
         to.router = draw.between(0, site.options.routers - 1);
     }
+    if (site.herd.router >= 0 && draw.chance(herd_percent))
+    {
+        to.router = site.herd.router;
+    }
 }
 
 /// Sends requests over one connection until it is closed.
@@ -234,7 +245,9 @@
         auto const stopping = site.routers[to.router]->stopping;
         co_await pause(to.stream.get_executor(),
                        stopping ? draw.ms(0, 20) : draw.ms(0, 200));
-        open = open && !is_closed(to);
+        // In a herd callers open new connections more often.
+        auto const leaves = site.herd.router >= 0 && draw.chance(30);
+        open = open && !leaves && !is_closed(to);
     }
 }
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,6 +19,8 @@
 
 constexpr milliseconds tick{20};
 constexpr milliseconds stall{100};
+/// What is compared must not be mostly restarts.
+constexpr int longest_stable_uptime_ms = 30'000;
 
 /// Records when this process is scheduled late. Stops the loop once all callers
 /// are done.
@@ -52,8 +54,12 @@
                        });
     };
     spawn(watch(site));
-    spawn(interrupt_store(site));
-    if (!site.options.partitions && !site.options.fatal_parts)
+    if (!site.options.herds)
+    {
+        spawn(interrupt_store(site));
+    }
+    if (!site.options.partitions && !site.options.fatal_parts &&
+        !site.options.herds)
     {
         spawn(restart_servers(site));
     }
@@ -62,6 +68,10 @@
     {
         spawn(partition_routers(site, i));
     }
+    if (site.options.herds)
+    {
+        spawn(herd_callers(site));
+    }
     for (int i = 0; i < site.options.routers; ++i)
     {
         spawn(restart_repeatedly(site, i));
@@ -83,6 +93,7 @@
     site.record.check_coverage();
     check_partitioned_routers(site);
     check_fatal_prompts(site);
+    check_herds(site);
     std::cout << site.record.summary();
     if (site.record.first_violation().empty())
     {
@@ -121,6 +132,10 @@
     constexpr double seconds = 60;
     options.time =
         std::chrono::seconds{static_cast<std::int64_t>(minutes * seconds)};
+    if (options.partitions || options.herds)
+    {
+        options.longest_uptime_ms = longest_stable_uptime_ms;
+    }
     try
     {
         return soak(options);
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -15,7 +15,7 @@
 
 constexpr int app_servers = soak_site::app_servers;
 constexpr int engines = 2;
-constexpr int engines_with_fatal_parts = 12;
+constexpr int more_engines = 12;
 constexpr int grace_s = 4;
 constexpr milliseconds poll_interval{10};
 /// Small enough to be used up during a soak.
@@ -62,8 +62,8 @@
 milliseconds draw_uptime(soak_site const& site, dice& draw)
 {
     auto const early = draw.chance(15);
-    auto const longest = site.options.partitions ? 30'000 : 3'500;
-    return early ? draw.ms(0, 200) : draw.ms(500, longest);
+    return early ? draw.ms(0, 200)
+                 : draw.ms(500, site.options.longest_uptime_ms);
 }
 
 void apply(soak_site& site, router_process& router, disturbance const& what)
@@ -139,9 +139,8 @@
                                }},
       store{this->loop}, end{steady_clock::now() + options.time}
 {
-    auto const count =
-        app_servers +
-        (options.fatal_parts ? engines_with_fatal_parts : engines);
+    auto const has_more = options.fatal_parts || options.herds;
+    auto const count = app_servers + (has_more ? more_engines : engines);
     this->server_ids.resize(static_cast<std::size_t>(count));
     for (std::size_t i = 0; i < this->server_ids.size(); ++i)
     {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -33,6 +33,17 @@
     bool partitions{false};
     /// Some prompts have a part that crashes engines, of which there are more.
     bool fatal_parts{false};
+    /// Most callers go to one router for some seconds, then to another one;
+    /// store and servers keep running, and there are more engines.
+    bool herds{false};
+    int longest_uptime_ms{3'500}; ///< of a router between two stops
+};
+
+/// Where most callers go.
+struct caller_herd
+{
+    int router{-1};              ///< -1: to any router
+    std::int64_t changed_at{-1}; ///< ms of the record; -1 before the first
 };
 
 /// Crashes of engines under a part of prompts.
@@ -77,6 +88,7 @@
     int series_left{};  ///< restart series that are not finished
     int callers_left{}; ///< that are still active
     crash_count fatal_crashes;
+    caller_herd herd;
 
     /// Only with `partitions`: by router, a link to each server and the state
     /// of its paths by service.
@@ -91,6 +103,22 @@
     std::vector<std::string> server_ids;
 };
 
+/// True if the router has had time to learn of the others, so that a load
+/// balancer would send callers to it.
+bool is_settled(soak_site const& site, router_process const& router);
+
+/// Sends most callers to one router after the other.
+asio::awaitable<void> herd_callers(soak_site& site);
+
+/// Counts how a request that `router` has read ended, by whether most callers
+/// go there.
+void count_herd_attempt(soak_site& site, int router, std::int64_t began_ms,
+                        bool served);
+
+/// Reports a violation if callers were served much less often at the router to
+/// which most of them went.
+void check_herds(soak_site& site);
+
 /// An engine crashes under a part of a prompt; it comes back under a new id.
 /// Reports a violation if routers had time to notice earlier ones.
 void crash_server(soak_site& site, std::size_t number);
