--- a/src/gateway/crash_handling.cpp
+++ b/src/gateway/crash_handling.cpp
@@ -87,22 +87,23 @@
 
 std::optional<rejection> check_traits(exchange& current)
 {
-    auto const verdict = verdict_on_traits(current);
-    if (verdict == crash_verdict::on_probation && waits_for_probation(current))
+    auto const& causes = current.shared.crashes.causes();
+    if (auto const cause =
+            causes.cause_of(current.work.service, current.traits))
     {
-        return rejection{http_unavailable, "crash_probation",
-                         probation_retry_after};
+        current.crash_cause = cause->id;
+        return cause->is_final
+                   ? rejection{http_too_many, "crashes_servers", cause->left}
+                   : rejection{http_unavailable, "crash_probation",
+                               cause->left};
     }
-    if (verdict != crash_verdict::quarantined)
+    if (verdict_on_traits(current) == crash_verdict::on_probation &&
+        waits_for_probation(current))
     {
-        return std::nullopt;
+        return rejection{http_unavailable, "crash_probation",
+                         probation_retry_after};
     }
-    auto const cause = current.shared.crashes.causes().cause_of(
-        current.work.service, current.traits);
-    current.crash_cause = cause->id;
-    return cause->is_final
-               ? rejection{http_too_many, "crashes_servers", cause->left}
-               : rejection{http_unavailable, "crash_probation", cause->left};
+    return std::nullopt;
 }
 
 /// Records a crash with the suspects of all requests that were at the server.
--- a/tests/gateway/crash_part_test.cpp
+++ b/tests/gateway/crash_part_test.cpp
@@ -176,8 +176,10 @@
     void a_part_beside_rare_parts_is_quarantined()
     {
         scenario all;
+        constexpr int count = 30;
         std::vector<std::string> rare;
-        for (int i = 0; i < 30; ++i)
+        rare.reserve(count);
+        for (int i = 0; i < count; ++i)
         {
             rare.push_back("aa:100,c" + std::to_string(i) + ":50");
         }
