Break ties of suspects by the number of crashes

At the start of a fleet, when no part is known to be sound, servers crash within moments of each other, and crashes of one moment count once: a first part that was at some crash of each moment was as suspect as the fatal part, which was at all of them, and no decision was made until servers were back.

The new test fails without the change.

--- a/src/fleet/crash_cause.cpp
+++ b/src/fleet/crash_cause.cpp
@@ -146,6 +146,13 @@
                        });
 }
 
+/// Of suspects with equal scores, the one that is at more crashes is the more
+/// suspect, even if some of these happened at one moment.
+std::pair<std::int64_t, std::size_t> weight_of(suspect const& each)
+{
+    return {each.score, each.crashes.size()};
+}
+
 /// The properties that share all crashes with `leader`; empty if a property of
 /// some of these crashes is as suspect.
 crash_traits inseparable_from(suspects const& all, suspect const& leader)
@@ -157,7 +164,7 @@
         {
             found.insert(trait);
         }
-        else if (each.score >= leader.score &&
+        else if (weight_of(each) >= weight_of(leader) &&
                  overlap(each.crashes, leader.crashes))
         {
             return {};
--- a/tests/fleet/crash_cause_test.cpp
+++ b/tests/fleet/crash_cause_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(crash_cause_test);
     CPPUNIT_TEST(the_part_at_most_crashes_is_the_cause);
     CPPUNIT_TEST(parts_that_always_come_together_are_rejected_together);
+    CPPUNIT_TEST(of_equal_suspects_the_one_at_more_crashes_is_the_cause);
     CPPUNIT_TEST(simultaneous_crashes_are_one);
     CPPUNIT_TEST(a_decision_waits_for_the_reports_of_other_routers);
     CPPUNIT_TEST(a_response_clears_a_part);
@@ -122,6 +123,21 @@
         CPPUNIT_ASSERT(!here.rejects({common}));
     }
 
+    // Guards against no decision while a sound part was at as many moments of
+    // crashes as the fatal one.
+    void of_equal_suspects_the_one_at_more_crashes_is_the_cause()
+    {
+        scenario here;
+        note_crash(here.all, {"first"},
+                   {llm, "v1", here.at + between_crashes, of({fatal, rare})});
+        for (int i = 0; i < crashes_to_reject; ++i)
+        {
+            here.crash(of({fatal, common}));
+        }
+        CPPUNIT_ASSERT(here.rejects({fatal}));
+        CPPUNIT_ASSERT(!here.rejects({common}));
+    }
+
     // Guards against rejecting a part because a failure domain lost power.
     void simultaneous_crashes_are_one()
     {
