Note a turn of the event loop only after the events that its poll found

Cause: a tick posts the note that a turn is over. What is posted runs after the next poll, but before the handlers of the events that this poll found. So the bound on how long input can have waited was given up before that input was read, and its age was taken for too small.

The note is now posted from a handler that was posted itself: it runs after those events, whatever their number, so the bound holds until they are read.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,6 +274,18 @@
          {"connections", std::to_string(this->shared.sessions.size())}});
 }
 
+/// What is posted runs after the next poll, but before the handlers of the
+/// events that this poll found; what that posts runs after them.
+void gateway_server::note_turn_after_events()
+{
+    auto const note = [this]
+    {
+        auto& delay = this->shared.delay;
+        delay = note_turn(delay, this->shared.now.now());
+    };
+    asio::post(this->loop, [this, note] { asio::post(this->loop, note); });
+}
+
 void gateway_server::tick()
 {
     auto const now = this->shared.now.now();
@@ -282,12 +294,7 @@
     this->shared.delay = note_timer_run(this->shared.delay, now);
     this->shared.metrics.loop_delay(late.ms,
                                     lasting_delay(this->shared.delay).ms);
-    asio::post(this->loop,
-               [this]
-               {
-                   auto& delay = this->shared.delay;
-                   delay = note_turn(delay, this->shared.now.now());
-               });
+    this->note_turn_after_events();
     this->report_delay();
     this->shared.pool.sweep();
     for (auto const& id : fleet::sweep_servers(this->shared.servers, now))
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -82,6 +82,7 @@
     void replace_servers(store::feed_page const& page);
     void record_store_call(bool reachable, error const& why);
     void tick();
+    void note_turn_after_events();
     /// Logs when the event loop falls behind, and when it has caught up.
     void report_delay();
     /// Logs services whose servers become reachable or unreachable.
