Bound what a server may send as a response

A server in trouble may send bytes that are no response without end, in a head or a body, until the router closes the connection.

What happened: a chunk size, chunk extension or trailer without end filled the connection's buffer, after which nothing was read any more and the caller waited for its whole time; interim responses and responses to other requests were skipped as long as they came; an event without end and bodies without a length were kept in memory, up to 16 MB for each request on VMs of 160 MB.

A response now ends as one that broke off once more than 64 KB of it cannot be parsed, it has 17 MB on the wire, an event has 256 KB, 1 MB was skipped before it, or the bodies of all responses have 32 MB (never one below 256 KB). The connection is closed, and the server is set aside at once instead of after three failures. Responses with other faults count as before: one that is spoiled says less about the next than one without end.

--- a/include/caperpath/fleet/event_splitter.hpp
+++ b/include/caperpath/fleet/event_splitter.hpp
@@ -25,6 +25,9 @@
     /// True if the latest event is incomplete.
     bool in_event() const;
 
+    /// The bytes of the incomplete event, and of what precedes it.
+    std::size_t pending_bytes() const;
+
     /// Ends the current response: removes and returns the bytes after its last
     /// complete event. The next bytes are those of another response that
     /// continues the stream.
--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -99,6 +99,11 @@
     return this->open || this->line_start < this->pending.size();
 }
 
+std::size_t event_splitter::pending_bytes() const
+{
+    return this->pending.size();
+}
+
 std::string event_splitter::take_rest()
 {
     this->line_start = 0;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -156,9 +156,17 @@
     return "caller_left";
 }
 
+struct attempt_end
+{
+    attempt_outcome outcome{};
+    bool lost_connection{false}; ///< and it is not known why
+    bool exceeded_bounds{false};
+};
+
 void record_attempt(exchange& current, fleet::placement const& where,
-                    attempt_outcome end, bool lost_connection)
+                    attempt_end const& ended)
 {
+    auto const end = ended.outcome;
     auto& shared = current.shared;
     current.attempts.sends += 1;
     current.attempts.runs += counts_as_run(end) ? 1 : 0;
@@ -171,25 +179,22 @@
     auto const found = shared.servers.servers.find(where.server);
     // Whether a lost connection is a failure of the server is found out later.
     if (found != shared.servers.servers.end() && counts_as_run(end) &&
-        end != attempt_outcome::expired && !lost_connection)
+        end != attempt_outcome::expired && !ended.lost_connection)
     {
-        fleet::note_failure(found->second, false, shared.now.now());
+        fleet::note_failure(found->second, ended.exceeded_bounds,
+                            shared.now.now());
     }
-    shared.log.write(log_weight::notable, "attempt",
-                     {{"request", current.facts.id},
-                      {"server", where.server.value},
-                      {"version", current.server_version},
-                      {"outcome", std::string{name_of(end)}},
-                      {"expected_ms", std::to_string(where.expected.ms)},
-                      {"sends", std::to_string(current.attempts.sends)}});
+    shared.log.write(
+        log_weight::notable, "attempt",
+        {{"request", current.facts.id},
+         {"server", where.server.value},
+         {"version", current.server_version},
+         {"outcome", std::string{ended.exceeded_bounds ? "response_too_long"
+                                                       : name_of(end)}},
+         {"expected_ms", std::to_string(where.expected.ms)},
+         {"sends", std::to_string(current.attempts.sends)}});
 }
 
-struct attempt_end
-{
-    attempt_outcome outcome{};
-    bool lost_connection{false}; ///< and it is not known why
-};
-
 asio::awaitable<attempt_end> run_attempt(exchange& current,
                                          fleet::placement const& where)
 {
@@ -201,10 +206,12 @@
         suspect_guard const guard{current, where.server};
         server_call call{current, where};
         ended.outcome = co_await call.run();
+        ended.exceeded_bounds = call.exceeded_bounds();
         ended.lost_connection = ended.outcome == attempt_outcome::in_doubt &&
+                                !ended.exceeded_bounds &&
                                 call.lost_connection();
     }
-    record_attempt(current, where, ended.outcome, ended.lost_connection);
+    record_attempt(current, where, ended);
     co_return ended;
 }
 
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -21,6 +21,18 @@
 using fleet::attempt_outcome;
 
 constexpr std::uint64_t max_buffered_response = 16ULL * 1024 * 1024;
+/// With the headers of chunks.
+constexpr std::size_t max_response_bytes = max_buffered_response + 1024 * 1024;
+/// Bodies of all responses together; one below `min_bounded_body` is never cut
+/// for it.
+constexpr std::size_t max_buffered_bodies = 32ULL * 1024 * 1024;
+constexpr std::size_t min_bounded_body = 256ULL * 1024;
+/// Longer than any head, chunk header or trailer.
+constexpr std::size_t max_unparsed = 65'536;
+/// A server may respond once more to earlier requests of a connection.
+constexpr std::size_t max_skipped = 1024ULL * 1024;
+/// What a skipped response counts for beside its body.
+constexpr std::size_t least_response = 1'024;
 constexpr std::size_t parse_buffer_size = 16'384;
 constexpr duration default_idle_timeout{5'000};
 constexpr duration idle_margin{500};
@@ -57,6 +69,7 @@
         target->own.in_memory -=
             this->current.work.prompt_tokens + this->current.work.output_tokens;
     }
+    this->current.shared.buffered_bytes -= this->counted_bytes;
     if (this->counted_unread && target != nullptr)
     {
         target->own.unread -= this->current.work.prompt_tokens;
@@ -130,6 +143,29 @@
     return this->connection && this->connection->end() != peer_end::open;
 }
 
+bool server_call::exceeded_bounds() const
+{
+    return this->over_bounds;
+}
+
+attempt_outcome server_call::end_over_bounds()
+{
+    this->over_bounds = true;
+    return attempt_outcome::in_doubt;
+}
+
+/// True if the response goes on without end, as far as memory allows to wait
+/// for its end.
+bool server_call::is_too_long() const
+{
+    auto const unparsed = this->connection->input().size();
+    auto const shares_memory =
+        this->body.size() >= min_bounded_body &&
+        this->current.shared.buffered_bytes > max_buffered_bodies;
+    return shares_memory || this->received > max_response_bytes ||
+           (unparsed > max_unparsed && !this->response->is_done());
+}
+
 void server_call::send()
 {
     auto& shared = this->current.shared;
@@ -221,6 +257,7 @@
         boost::system::error_code fault;
         auto const used = this->response->put(input.data(), fault);
         input.consume(used);
+        this->received += used;
         this->body.append(buffer.data(), buffer.size() - content.size);
         if (fault == http::error::need_more)
         {
@@ -228,13 +265,23 @@
         }
         if (fault && fault != http::error::need_buffer)
         {
-            return attempt_outcome::in_doubt; // not a valid response
+            auto const endless = fault == http::error::header_limit ||
+                                 fault == http::error::body_limit;
+            return endless ? this->end_over_bounds()
+                           : attempt_outcome::in_doubt;
         }
         if (used == 0 && content.size == buffer.size())
         {
             break;
         }
     }
+    auto& buffered = this->current.shared.buffered_bytes;
+    buffered = buffered - this->counted_bytes + this->body.size();
+    this->counted_bytes = this->body.size();
+    if (this->is_too_long())
+    {
+        return this->end_over_bounds();
+    }
     this->connection->resume();
     auto const finished = this->connection->end() == peer_end::finished;
     if (finished && input.size() == 0 && this->response->is_header_done() &&
@@ -282,10 +329,16 @@
             {
                 co_return this->evaluate_head();
             }
+            this->skipped += this->body.size();
             this->body.clear();
+            if (this->skipped > max_skipped)
+            {
+                co_return this->end_over_bounds();
+            }
             if (this->response->is_done())
             {
                 skipping = false;
+                this->skipped += least_response;
                 this->facts = {};
                 this->response = std::make_unique<parser>();
                 this->response->body_limit(max_buffered_response);
--- a/src/gateway/server_call.hpp
+++ b/src/gateway/server_call.hpp
@@ -32,6 +32,9 @@
     /// True if the connection to the server has ended.
     bool lost_connection() const;
 
+    /// True if the response exceeded the bounds on its size.
+    bool exceeded_bounds() const;
+
 private:
     using parser = http::response_parser<http::buffer_body>;
 
@@ -51,6 +54,8 @@
     void drop_incomplete_event();
     asio::awaitable<bool> broken_off();
     bool may_fail_over();
+    bool is_too_long() const;
+    fleet::attempt_outcome end_over_bounds();
     void record_first_part();
     void release_connection();
     fleet::server* server();
@@ -61,6 +66,11 @@
     std::unique_ptr<parser> response;
     response_facts facts;
     std::string body; ///< parsed and not relayed yet
+    /// Bytes of interim responses and of those to other requests.
+    std::size_t skipped{};
+    std::size_t received{};      ///< and parsed
+    std::size_t counted_bytes{}; ///< of `body`, in `core::buffered_bytes`
+    bool over_bounds{false};
     instant sent_at{};
     std::optional<instant> first_part_at;
     bool version_noted{false};
--- a/src/gateway/server_call_relay.cpp
+++ b/src/gateway/server_call_relay.cpp
@@ -25,6 +25,8 @@
 /// Reading from the server pauses while a slow caller has more unsent bytes
 /// than this.
 constexpr std::size_t max_unsent = 65'536;
+/// Events hold a few tokens each.
+constexpr std::size_t max_event = 256ULL * 1024;
 
 std::string chunk(std::string const& bytes)
 {
@@ -231,6 +233,11 @@
         {
             break;
         }
+        if (this->current.events.pending_bytes() > max_event)
+        {
+            this->drop_incomplete_event();
+            co_return this->end_over_bounds();
+        }
         // While reading pauses, unread input may still complete the response,
         // so a closed connection does not end it.
         auto const end = fault || !may_read ? fault : this->early_end();
--- a/tests/gateway/fake_server.cpp
+++ b/tests/gateway/fake_server.cpp
@@ -97,6 +97,17 @@
             co_await timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, fault));
         }
+        while (!reply.endless.empty() && !fault)
+        {
+            this->bytes_written += co_await asio::async_write(
+                socket, asio::buffer(reply.endless),
+                asio::redirect_error(asio::use_awaitable, fault));
+        }
+        if (!reply.endless.empty())
+        {
+            this->closed_by_router += 1;
+            co_return;
+        }
         if (reply.after == script::ending::reset)
         {
             socket.set_option(asio::socket_base::linger{true, 0}, fault);
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -29,6 +29,8 @@
         exit    ///< close all connections in order and accept no more
     };
     ending after{ending::keep};
+    /// Sent again and again after `pieces`, until the connection ends.
+    std::string endless{};
 };
 
 /// A backend server that responds by a script. Loop thread only.
@@ -51,6 +53,7 @@
     std::vector<request> requests; ///< in the order of arrival
     int connections{};
     int closed_by_router{};
+    std::size_t bytes_written{};
     bool crashed{false};
 
 private:
