Send nothing to evacuated servers, and few requests to cold ones

Two rules that nothing kept.

Nothing read the operators' rows. They are in the table that the configuration is in, so they are applied with the same poll, before the configuration; a page older than the latest is ignored. A server is checked in the turn of the send, after all waits, so connects under way, retries and resumed streams are covered, and a relay checks it when it connects and when the first bytes of the request come. If all servers of a service are evacuated its callers get 503 at once. Servers that are given back count as cold for a whole warm-up.

Cold servers. The bound is on the fleet, and each router held it alone, as a doubled estimate that ended half-way through the warm-up: its remaining time was counted from the listing of the server, not from the entry that told it. Ways compared: - as before: broken, see above; - cold servers get nothing while a warm one has a free slot, and otherwise only from four routers chosen by hash, each with its own part of half the bound, so that two views of the fleet stay within it; - a router that grants each send, as for servers that name a limit: not built, since it needs a round trip for a case in which warm servers have room.

--- a/include/caperpath/fleet/placement.hpp
+++ b/include/caperpath/fleet/placement.hpp
@@ -47,6 +47,10 @@
     bool holds(backend_server_id const& server, std::uint64_t prefix,
                instant now) const;
 
+    /// True if the prefix was sent to `server` after `since`.
+    bool sent_since(backend_server_id const& server, std::uint64_t prefix,
+                    instant since) const;
+
     /// Removes all prefixes of `server`, which has restarted with empty memory.
     void forget(backend_server_id const& server);
 
@@ -109,7 +113,8 @@
 };
 
 /// The best server for `item` that is usable and not in `avoid`; empty if there
-/// is none.
+/// is none. A cold server is chosen only if no warm one has a free slot, and
+/// within this router's part of its bound.
 ///
 /// Rendezvous hashing gives each shared prefix its own order of servers, the
 /// same at every router; the first server is assumed to hold the prefix. The
@@ -123,6 +128,27 @@
                  std::vector<backend_server_id> const& avoid,
                  engine_speed const& speed, instant now);
 
+/// Why no server can take a request, the most lasting reason first.
+enum class shortage_reason
+{
+    no_such_version, ///< and none will come
+    evacuated,
+    unavailable, ///< there are none, or they are set aside or out of reach
+    cold         ///< this router may send them no more now
+};
+
+struct shortage
+{
+    shortage_reason why{shortage_reason::unavailable};
+    duration lasts{}; ///< until the first of the cold servers is warm
+
+    friend bool operator==(shortage const&, shortage const&) = default;
+};
+
+/// Explains that `choose_placement` found no server. Thread safe.
+shortage find_shortage(server_table const& table, placement_request const& item,
+                       instant now);
+
 /// A hash that is the same in every process. Thread safe.
 std::uint64_t stable_hash(std::string_view text);
 
--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -4,10 +4,12 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
 #include <caperpath/fleet/server_path.hpp>
+#include <caperpath/fleet/warm_up.hpp>
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +76,10 @@
     server_path path;
     /// When its limit lets the next request of this router in, as last heard.
     instant next_send{-1'000'000};
+    bool evacuated{false};          ///< its failure domain is
+    instant cold_until{-1'000'000}; ///< it warms up until then
+    bool bounded_while_cold{false}; ///< its service has a `warm_up_limit`
+    cold_sends while_cold;
 
     friend bool operator==(server const&, server const&) = default;
 };
@@ -86,6 +92,11 @@
     /// outage may return shortly after.
     std::optional<instant> store_back_at;
     bool store_reachable{true};
+    std::map<service_id, warm_up_limit> warm_ups;
+    warm_up_tolerance warm_up_bounds;
+    std::int64_t routers{1};               ///< in the fleet
+    std::uint64_t router_salt{};           ///< differs between routers
+    std::set<failure_domain_id> evacuated; ///< their servers get no requests
 
     friend bool operator==(server_table const&, server_table const&) = default;
 };
@@ -116,7 +127,35 @@
 /// ids. Thread safe.
 std::vector<backend_server_id> sweep_servers(server_table& table, instant now);
 
-/// True if new requests may be sent to the server. Thread safe.
+/// Sets the failure domains whose servers get no requests. Servers of one that
+/// is given back may have become cold meanwhile and count as cold for the whole
+/// time that a warm-up lasts. Thread safe.
+void set_evacuated(server_table& table, std::set<failure_domain_id> evacuated,
+                   instant now);
+
+/// Sets the limits of services on their cold servers. Thread safe.
+void set_warm_ups(server_table& table,
+                  std::map<service_id, warm_up_limit> warm_ups);
+
+/// Records that the server stays cold for `left`. Thread safe.
+void note_cold(server& target, duration left, instant now);
+
+/// True if the server is cold and the rate of requests to it is bounded. Thread
+/// safe.
+bool is_cold(server const& target, instant now);
+
+/// Sets the parts of the bounds on cold servers that the router `self` has.
+/// Thread safe.
+void assign_cold_shares(server_table& table,
+                        std::vector<std::string> const& routers,
+                        std::string const& self, instant now);
+
+/// True if no request may be sent to the server: it is draining or evacuated,
+/// or it is cold and this router has used up its part. Thread safe.
+bool is_closed(server const& target, instant now);
+
+/// True if new requests may be sent to the server, as far as its state and its
+/// paths tell. Thread safe.
 bool usable(server const& target, instant now);
 
 /// True if the server takes no new requests: it reports that it is draining, or
--- a/include/caperpath/fleet/site.hpp
+++ b/include/caperpath/fleet/site.hpp
@@ -3,9 +3,11 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/fleet/warm_up.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,6 +68,7 @@
     std::int64_t batch_slots{};     ///< concurrent requests of one engine
     token_count memory_tokens{};    ///< of one engine
     token_count tokens_per_event{}; ///< the most tokens in one event
+    warm_up_limit warm_up;          ///< of servers that have just started
 
     friend bool operator==(service const&, service const&) = default;
 };
@@ -118,6 +121,9 @@
     std::vector<route> const& routes() const;
     std::vector<customer> const& customers() const;
 
+    /// The limits of all services on their cold servers.
+    std::map<service_id, warm_up_limit> warm_ups() const;
+
     /// The route of `host` (with or without a port, in any case) with the
     /// longest prefix of `path`; null if there is none.
     route const* find_route(std::string_view host, std::string_view path) const;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -17,6 +17,9 @@
 /// cost of a second prefill of a small shared prefix, and above 0 so that
 /// routers agree on the second choice.
 constexpr double rank_penalty_ms = 0.4;
+/// Beside the time to read the prompt again, what it costs to send a hot prompt
+/// to the same server again too soon.
+constexpr double hot_prompt_penalty_ms = 10.0;
 /// Penalty of a server without a direct path, for the relay's round trips.
 constexpr double relay_penalty_ms = 5.0;
 constexpr double full_report_weight = 1.0;
@@ -45,6 +48,12 @@
     return own + age_weight(target, now) * std::max(0.0, seen - own);
 }
 
+std::int64_t slots_of(server const& target, service const& of)
+{
+    return std::max<std::int64_t>(1, of.batch_slots > 0 ? of.batch_slots
+                                                        : target.entry.slots);
+}
+
 double expected_engine_ms(server const& target, service const& of,
                           placement_request const& item, bool holds_prefix,
                           engine_speed const& speed, instant now)
@@ -61,8 +70,7 @@
         speed.step_ms + tokens / 1'000 * speed.step_ms_per_1000_tokens;
     auto const tokens_needed =
         tokens + static_cast<double>(item.prompt_tokens + item.output_tokens);
-    auto const slots = static_cast<double>(
-        of.batch_slots > 0 ? of.batch_slots : target.entry.slots);
+    auto const slots = static_cast<double>(slots_of(target, of));
     auto const beyond_slots = std::max(0.0, open + 1 - slots);
     // An engine with full memory preempts a running request and prefills its
     // tokens again later, so the excess costs prefill time.
@@ -136,9 +144,7 @@
     double total_slots = 0;
     for (auto const& each : all)
     {
-        auto const slots =
-            of.batch_slots > 0 ? of.batch_slots : each.target->entry.slots;
-        total_slots += static_cast<double>(std::max<std::int64_t>(1, slots));
+        total_slots += static_cast<double>(slots_of(*each.target, of));
         taken += open_requests(*each.target, now);
     }
     return total_slots > 0 ? static_cast<std::int64_t>(std::lround(
@@ -187,6 +193,16 @@
                        });
 }
 
+bool prefix_history::sent_since(backend_server_id const& server,
+                                std::uint64_t prefix, instant since) const
+{
+    auto const found = this->uses.find(prefix);
+    return found != this->uses.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](last_use const& use)
+                       { return use.server == server && use.at > since; });
+}
+
 void prefix_history::forget(backend_server_id const& server)
 {
     for (auto entry = this->uses.begin(); entry != this->uses.end();)
@@ -206,23 +222,93 @@
         of.memory_tokens > 0
             ? expected_engine_ms(target, of, item, holds_prefix, speed, now)
             : expected_plain_ms(target, speed, now);
-    // A server that is warming up is assumed to take twice as long.
-    auto const warm_up_factor =
-        target.entry.warm_up_left > now - target.listed_at ? 2.0 : 1.0;
+    // A server that is warming up is assumed to take twice as long. Where the
+    // rate of requests to it is bounded, that bound keeps it as fast as others.
+    auto const is_slow = now < target.cold_until && !target.bounded_while_cold;
+    auto const warm_up_factor = is_slow ? 2.0 : 1.0;
     auto const wait = std::max(duration{0}, target.next_send - now);
     return base * std::max(1.0, target.slowness) * warm_up_factor +
            static_cast<double>(wait.ms);
 }
 
-std::optional<placement>
-choose_placement(server_table const& table, service const& of,
-                 placement_request const& item, prefix_history const& memory,
-                 std::vector<backend_server_id> const& avoid,
-                 engine_speed const& speed, instant now)
+namespace
+{
+
+/// Moves the cold servers that this router may still send to into a list of
+/// their own, and removes the others.
+std::vector<candidate> take_cold(std::vector<candidate>& all, instant now)
 {
-    auto const all = candidates(table, of, item, avoid, now);
-    std::optional<placement> best;
-    double least = 0;
+    std::vector<candidate> cold;
+    for (auto const& each : all)
+    {
+        if (is_cold(*each.target, now) && !is_closed(*each.target, now))
+        {
+            cold.push_back(each);
+        }
+    }
+    std::erase_if(all, [now](candidate const& each)
+                  { return is_cold(*each.target, now); });
+    return cold;
+}
+
+struct rated_placement
+{
+    placement where;
+    server const* target{};
+    double cost{};
+};
+
+/// How far a request avoids servers that got the same prompt from this router
+/// lately. A server may have turned cold without this router's knowledge, and a
+/// prompt that many callers send is the only load that exceeds the bound on a
+/// single server.
+struct prompt_spread
+{
+    duration pause{};    ///< until the prompt may go to the same server again
+    double penalty_ms{}; ///< of one that got it since
+    bool is_hot{false};  ///< its first server got it since
+};
+
+prompt_spread spread_of(server_table const& table,
+                        std::vector<candidate> const& all, service const& of,
+                        placement_request const& item,
+                        prefix_history const& memory, engine_speed const& speed,
+                        instant now)
+{
+    prompt_spread spread;
+    if (item.shared_part == 0 || all.empty())
+    {
+        return spread;
+    }
+    spread.pause =
+        pause_of_hot_prompts(of.warm_up, table.warm_up_bounds, table.routers);
+    spread.penalty_ms =
+        static_cast<double>(item.shared_tokens) / speed.prompt_tokens_per_ms +
+        hot_prompt_penalty_ms;
+    spread.is_hot = memory.sent_since(all.front().target->entry.id,
+                                      item.shared_part, now - spread.pause);
+    return spread;
+}
+
+/// The place of a candidate in the order of servers. For a hot prompt it is
+/// another one at each router: with the same one, all routers would move on to
+/// the next server at the same time.
+std::size_t place_of(server_table const& table,
+                     std::vector<candidate> const& all, std::size_t rank,
+                     bool is_hot)
+{
+    auto const& order = all[rank].order;
+    return is_hot ? XXH64(&order, sizeof order, table.router_salt) % all.size()
+                  : rank;
+}
+
+std::optional<rated_placement>
+best_of(server_table const& table, std::vector<candidate> const& all,
+        service const& of, placement_request const& item,
+        prefix_history const& memory, engine_speed const& speed, instant now)
+{
+    std::optional<rated_placement> best;
+    auto const spread = spread_of(table, all, of, item, memory, speed, now);
     for (std::size_t rank = 0; rank < all.size(); ++rank)
     {
         auto const& target = *all[rank].target;
@@ -232,22 +318,99 @@
         auto const time = expected_ms(target, of, item, holds, speed, now);
         auto const relay_cost =
             target.path.direct_failed ? relay_penalty_ms : 0.0;
-        auto const cost =
-            time + relay_cost + rank_penalty_ms * static_cast<double>(rank);
-        if (!best || cost < least)
+        auto const sent_lately =
+            spread.is_hot &&
+            memory.sent_since(target.entry.id, item.shared_part,
+                              now - spread.pause);
+        auto const place = place_of(table, all, rank, spread.is_hot);
+        auto const cost = time + relay_cost +
+                          rank_penalty_ms * static_cast<double>(place) +
+                          (sent_lately ? spread.penalty_ms : 0.0);
+        if (!best || cost < best->cost)
         {
-            least = cost;
-            best = placement{target.entry.id,
-                             {static_cast<std::int64_t>(std::lround(time))},
-                             holds,
-                             0};
+            placement const where{
+                target.entry.id,
+                {static_cast<std::int64_t>(std::lround(time))},
+                holds,
+                0};
+            best = rated_placement{where, &target, cost};
         }
     }
-    if (best)
+    return best;
+}
+
+bool has_room(server const& target, service const& of, instant now)
+{
+    return open_requests(target, now) + 1 <=
+           static_cast<double>(slots_of(target, of));
+}
+
+} // namespace
+
+std::optional<placement>
+choose_placement(server_table const& table, service const& of,
+                 placement_request const& item, prefix_history const& memory,
+                 std::vector<backend_server_id> const& avoid,
+                 engine_speed const& speed, instant now)
+{
+    auto warm = candidates(table, of, item, avoid, now);
+    auto const cold = take_cold(warm, now);
+    auto best = best_of(table, warm, of, item, memory, speed, now);
+    if (!best || !has_room(*best->target, of, now))
     {
-        best->fleet_percent = percent_of_slots_taken(all, of, now);
+        auto const other = best_of(table, cold, of, item, memory, speed, now);
+        best = !best || (other && other->cost < best->cost) ? other : best;
     }
-    return best;
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    best->where.fleet_percent = percent_of_slots_taken(warm, of, now);
+    return best->where;
+}
+
+namespace
+{
+
+shortage_reason obstacle(server const& target, placement_request const& item,
+                         instant now)
+{
+    if (!fits_version(target, item))
+    {
+        return shortage_reason::no_such_version;
+    }
+    if (target.evacuated)
+    {
+        return shortage_reason::evacuated;
+    }
+    return is_cold(target, now) && usable(target, now)
+               ? shortage_reason::cold
+               : shortage_reason::unavailable;
+}
+
+} // namespace
+
+shortage find_shortage(server_table const& table, placement_request const& item,
+                       instant now)
+{
+    std::optional<shortage> least;
+    for (auto const& [id, target] : table.servers)
+    {
+        if (target.entry.service != item.service || is_draining(target, now))
+        {
+            continue;
+        }
+        shortage const found{obstacle(target, item, now),
+                             std::max(duration{0}, target.cold_until - now)};
+        if (!least || found.why > least->why ||
+            (found.why == least->why && found.lasts < least->lasts))
+        {
+            least = found;
+        }
+    }
+    return least.value_or(shortage{item.version
+                                       ? shortage_reason::no_such_version
+                                       : shortage_reason::unavailable});
 }
 
 std::uint64_t stable_hash(std::string_view text)
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace caperpath::fleet
 {
@@ -17,6 +18,12 @@
 /// Bounds the shift. `longest_set_aside` is reached after fewer doublings.
 constexpr int max_doublings = 4;
 
+bool is_bounded(server_table const& table, service_id const& service)
+{
+    auto const found = table.warm_ups.find(service);
+    return found != table.warm_ups.end() && found->second.per_second > 0;
+}
+
 } // namespace
 
 bool list_server(server_table& table, server_entry const& entry, instant now)
@@ -35,6 +42,9 @@
         target.listed_at = now;
     }
     target.entry = entry;
+    target.evacuated = table.evacuated.contains(entry.failure_domain);
+    target.bounded_while_cold = is_bounded(table, entry.service);
+    note_cold(target, entry.warm_up_left, now);
     target.gone_from.reset();
     return added || restarted;
 }
@@ -121,10 +131,75 @@
     return target.entry.draining || gone;
 }
 
+void set_evacuated(server_table& table, std::set<failure_domain_id> evacuated,
+                   instant now)
+{
+    table.evacuated = std::move(evacuated);
+    for (auto& [id, target] : table.servers)
+    {
+        auto const before = std::exchange(
+            target.evacuated,
+            table.evacuated.contains(target.entry.failure_domain));
+        auto const warm_up = table.warm_ups.find(target.entry.service);
+        if (before && !target.evacuated && warm_up != table.warm_ups.end())
+        {
+            note_cold(target, warm_up->second.lasts, now);
+        }
+    }
+}
+
+void set_warm_ups(server_table& table,
+                  std::map<service_id, warm_up_limit> warm_ups)
+{
+    table.warm_ups = std::move(warm_ups);
+    for (auto& [id, target] : table.servers)
+    {
+        target.bounded_while_cold = is_bounded(table, target.entry.service);
+    }
+}
+
+void note_cold(server& target, duration left, instant now)
+{
+    if (left > duration{0})
+    {
+        target.cold_until = std::max(target.cold_until, now + left);
+    }
+}
+
+bool is_cold(server const& target, instant now)
+{
+    return target.bounded_while_cold && now < target.cold_until;
+}
+
+void assign_cold_shares(server_table& table,
+                        std::vector<std::string> const& routers,
+                        std::string const& self, instant now)
+{
+    for (auto& [id, target] : table.servers)
+    {
+        if (!is_cold(target, now))
+        {
+            continue;
+        }
+        auto const warm_up = table.warm_ups.find(target.entry.service);
+        auto const most =
+            warm_up == table.warm_ups.end()
+                ? 0
+                : most_cold_sends(warm_up->second, table.warm_up_bounds);
+        target.while_cold.share = cold_send_share(id, routers, self, most);
+    }
+}
+
+bool is_closed(server const& target, instant now)
+{
+    return is_draining(target, now) || target.evacuated ||
+           (is_cold(target, now) && !may_send_cold(target.while_cold, now));
+}
+
 bool usable(server const& target, instant now)
 {
-    return !is_draining(target, now) && now >= target.set_aside_until &&
-           is_reachable(target.path);
+    return !is_draining(target, now) && !target.evacuated &&
+           now >= target.set_aside_until && is_reachable(target.path);
 }
 
 void note_failure(server& target, bool decisive, instant now)
--- a/src/fleet/site.cpp
+++ b/src/fleet/site.cpp
@@ -65,6 +65,16 @@
     return this->parts.customers;
 }
 
+std::map<service_id, warm_up_limit> site::warm_ups() const
+{
+    std::map<service_id, warm_up_limit> all;
+    for (auto const& one : this->parts.services)
+    {
+        all[one.id] = one.warm_up;
+    }
+    return all;
+}
+
 route const* site::find_route(std::string_view host,
                               std::string_view path) const
 {
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -19,6 +19,12 @@
 /// server may be available again.
 constexpr duration no_server_retry_after{400};
 constexpr duration min_retry_after{150};
+/// Evacuations last for seconds; when one ends is not known.
+constexpr duration evacuation_retry_after{1'000};
+constexpr duration cold_share_lifetime{1'000};
+/// Routers that start together see each other's heartbeats only in the second
+/// read.
+constexpr std::uint64_t reads_to_know_routers = 2;
 /// Jitter added to the shortest `Retry-After`, so that rejected callers do not
 /// all retry at the same time.
 constexpr std::uint64_t retry_jitter_ms = 300;
@@ -29,30 +35,54 @@
     return least + duration{static_cast<std::int64_t>(jitter)};
 }
 
-/// How long callers wait who cannot be served: a server of the version may be
-/// set aside for a moment, or there is none any more.
-duration retry_after_no_server(exchange const& current)
+/// The response to a request that no server can take now.
+rejection reject_without_server(exchange const& current)
 {
-    auto const& version = current.work.version;
-    auto const& servers = current.shared.servers.servers;
     auto const now = current.shared.now.now();
-    auto const comes_back = [&](auto const& entry)
+    auto const shortage =
+        fleet::find_shortage(current.shared.servers, current.work, now);
+    switch (shortage.why)
     {
-        auto const& target = entry.second;
-        return target.entry.service == current.work.service &&
-               target.entry.version == *version &&
-               !fleet::is_draining(target, now);
-    };
-    if (!version || std::any_of(servers.begin(), servers.end(), comes_back))
+    case fleet::shortage_reason::unavailable:
+        return {http_unavailable,
+                current.work.version ? "no_server_of_version" : "no_server",
+                with_jitter(current, no_server_retry_after)};
+    case fleet::shortage_reason::cold:
+        return {
+            http_unavailable, "servers_cold",
+            with_jitter(current, std::max(min_retry_after, shortage.lasts))};
+    case fleet::shortage_reason::evacuated:
+        return {http_unavailable, "servers_evacuated",
+                with_jitter(current, evacuation_retry_after)};
+    case fleet::shortage_reason::no_such_version:
+        break;
+    }
+    // No server will have the version later, so the caller need not come back.
+    return {http_unavailable, "no_server_of_version", current.deadline - now};
+}
+
+/// Cold servers are used only if nothing else has room, so the parts of their
+/// bounds are assigned only then.
+void assign_cold_shares(core& shared)
+{
+    auto const now = shared.now.now();
+    if (shared.membership.completed_reads() < reads_to_know_routers ||
+        now - shared.cold_shares_at < cold_share_lifetime)
     {
-        return with_jitter(current, no_server_retry_after);
+        return;
     }
-    return current.deadline - now;
+    shared.cold_shares_at = now;
+    fleet::assign_cold_shares(shared.servers, shared.send_limits.routers(),
+                              shared.peer_address, now);
 }
 
 std::optional<fleet::placement> choose_server(exchange& current)
 {
     auto& shared = current.shared;
+    if (shared.any_cold)
+    {
+        assign_cold_shares(shared);
+    }
     auto const place = [&](std::vector<backend_server_id> const& avoided)
     {
         return fleet::choose_placement(shared.servers, *current.service,
@@ -304,10 +334,7 @@
             {
                 co_return give_up(current, end);
             }
-            co_return rejection{http_unavailable,
-                                current.work.version ? "no_server_of_version"
-                                                     : "no_server",
-                                retry_after_no_server(current)};
+            co_return reject_without_server(current);
         }
         // Rejects now what cannot start in time, instead of at its deadline.
         if (now + where->expected + turns_to_respond(current) >=
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -247,6 +247,21 @@
     }
 }
 
+void gateway_server::count_cold_servers(instant now)
+{
+    auto const& servers = this->shared.servers.servers;
+    auto const count = std::count_if(
+        servers.begin(), servers.end(),
+        [now](auto const& entry) { return fleet::is_cold(entry.second, now); });
+    if ((count > 0) != this->shared.any_cold)
+    {
+        this->shared.log.write(log_weight::notable, "cold_servers",
+                               {{"count", std::to_string(count)}});
+    }
+    this->shared.any_cold = count > 0;
+    this->shared.metrics.servers_cold(static_cast<std::size_t>(count));
+}
+
 void gateway_server::note_versions()
 {
     auto const now = this->shared.now.now();
@@ -304,11 +319,13 @@
         this->shared.send_limits.forget(id);
     }
     this->shared.connector.probe_paths();
+    this->count_cold_servers(now);
     this->report_retries();
     this->report_reach();
     this->note_versions();
     this->shared.uplink = fleet::advance_time(this->shared.uplink, now);
-    this->shared.budgets.set_router_count(this->shared.membership.alive_vms());
+    this->shared.servers.routers = this->shared.membership.alive_vms();
+    this->shared.budgets.set_router_count(this->shared.servers.routers);
     if (this->shared.membership.completed_reads() != this->membership_reads)
     {
         this->membership_reads = this->shared.membership.completed_reads();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -75,6 +76,10 @@
                       std::function<void()> accept);
     asio::awaitable<void> serve_status(tcp::socket socket);
     void follow_store(store::async_port const& store);
+    void apply_operators_page(store::feed_page const& page, bool whole);
+    void apply_evacuations(store::feed_page const& page, bool whole);
+    void set_evacuated(std::set<failure_domain_id> const& evacuated,
+                       instant now);
     void apply_configuration(store::feed_page const& page);
     std::optional<fleet::server_entry> read_entry(store::feed_row const& row);
     void handle_listed(fleet::server_entry const& entry, bool is_new);
@@ -88,6 +93,7 @@
     /// Logs services whose servers become reachable or unreachable.
     void report_reach();
     void note_versions();
+    void count_cold_servers(instant now);
     /// Logs how this router uses its part of the retry limit.
     void report_retries();
     bool ready() const;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -89,6 +89,9 @@
     prometheus::Gauge& causes{this->gauges.Add({{"name", "crash_causes"}})};
     prometheus::Gauge& cut_off{
         this->gauges.Add({{"name", "services_cut_off"}})};
+    prometheus::Gauge& evacuated{
+        this->gauges.Add({{"name", "failure_domains_evacuated"}})};
+    prometheus::Gauge& cold{this->gauges.Add({{"name", "servers_cold"}})};
     prometheus::Gauge& behind{
         this->gauges.Add({{"name", "event_loop_behind_seconds"}})};
     prometheus::Gauge& dropped{
@@ -165,6 +168,16 @@
     this->self->causes.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::evacuated(std::size_t count)
+{
+    this->self->evacuated.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::servers_cold(std::size_t count)
+{
+    this->self->cold.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::services_cut_off(std::size_t count)
 {
     this->self->cut_off.Set(static_cast<double>(count));
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -53,6 +53,11 @@
     /// Services of which this router reaches no server itself.
     void services_cut_off(std::size_t count);
 
+    /// Failure domains whose servers get no requests, and servers that are
+    /// cold.
+    void evacuated(std::size_t count);
+    void servers_cold(std::size_t count);
+
     /// Causes of crashes whose requests are rejected.
     void crash_causes(std::size_t count);
 
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -29,16 +29,13 @@
         // The pending call for the crash table may be lost too.
         this->shared.crashes.note_lost_store_call();
     };
-    auto const on_configuration = [this](store::feed_page const& page)
-    {
-        this->shared.uplink =
-            fleet::note_configuration_confirmed(this->shared.uplink);
-        this->apply_configuration(page);
-    };
     this->configuration_follower = std::make_unique<table_follower>(
         this->loop.get_executor(), store, adapter.site_table,
-        table_listener{on_configuration, on_configuration, on_reachability,
-                       on_call_lost},
+        table_listener{[this](store::feed_page const& page)
+                       { this->apply_operators_page(page, true); },
+                       [this](store::feed_page const& page)
+                       { this->apply_operators_page(page, false); },
+                       on_reachability, on_call_lost},
         salt);
     auto const on_servers = [this](store::feed_page const& page)
     {
@@ -55,6 +52,82 @@
         salt);
 }
 
+/// Evacuations come first: a router takes callers once it has a configuration,
+/// and must know by then where it may not send them.
+void gateway_server::apply_operators_page(store::feed_page const& page,
+                                          bool whole)
+{
+    this->shared.uplink =
+        fleet::note_configuration_confirmed(this->shared.uplink);
+    this->apply_evacuations(page, whole);
+    this->apply_configuration(page);
+}
+
+/// Ignores pages older than the latest: they could end an evacuation early.
+void gateway_server::apply_evacuations(store::feed_page const& page, bool whole)
+{
+    if (page.version < this->shared.evacuations_version)
+    {
+        return;
+    }
+    this->shared.evacuations_version = page.version;
+    auto const& prefix = this->shared.adapter.evacuation_prefix;
+    auto& servers = this->shared.servers;
+    auto const now = this->shared.now.now();
+    auto evacuated = whole ? std::set<failure_domain_id>{} : servers.evacuated;
+    for (auto const& row : page.rows)
+    {
+        if (!row.key.starts_with(prefix))
+        {
+            continue;
+        }
+        failure_domain_id const domain{row.key.substr(prefix.size())};
+        if (!row.deleted)
+        {
+            evacuated.insert(domain);
+            continue;
+        }
+        // One that begins and ends within a page leaves cold servers, too.
+        evacuated.insert(domain);
+        this->set_evacuated(evacuated, now);
+        evacuated.erase(domain);
+    }
+    this->set_evacuated(evacuated, now);
+}
+
+void gateway_server::set_evacuated(std::set<failure_domain_id> const& evacuated,
+                                   instant now)
+{
+    auto const before = this->shared.servers.evacuated;
+    if (evacuated == before)
+    {
+        return;
+    }
+    fleet::set_evacuated(this->shared.servers, evacuated, now);
+    auto const log =
+        [this](failure_domain_id const& domain, std::string_view state)
+    {
+        this->shared.log.write(
+            log_weight::notable, "evacuation",
+            {{"failure_domain", domain.value}, {"state", std::string{state}}});
+    };
+    for (auto const& domain : evacuated)
+    {
+        if (!before.contains(domain))
+        {
+            log(domain, "begun");
+        }
+    }
+    for (auto const& domain : before)
+    {
+        if (!evacuated.contains(domain))
+        {
+            log(domain, "ended");
+        }
+    }
+    this->shared.metrics.evacuated(evacuated.size());
+}
+
 /// Ignores configurations older than the one in use: they could restore a
 /// revoked key.
 void gateway_server::apply_configuration(store::feed_page const& page)
@@ -85,6 +158,8 @@
         this->shared.site =
             std::make_shared<fleet::site const>(std::move(parts));
         this->shared.budgets.apply(*this->shared.site);
+        fleet::set_warm_ups(this->shared.servers,
+                            this->shared.site->warm_ups());
         this->shared.metrics.site_version(this->shared.site->version());
         this->shared.log.write(
             log_weight::notable, "configuration",
--- a/src/gateway/protocol_adapter.hpp
+++ b/src/gateway/protocol_adapter.hpp
@@ -71,6 +71,7 @@
     /// empty if it names none.
     std::optional<double> requests_per_second;
     std::optional<duration> idle_timeout; ///< of the connection
+    duration warm_up_left{};              ///< how long the server stays cold
 
     friend bool operator==(response_facts const&,
                            response_facts const&) = default;
@@ -103,8 +104,11 @@
     std::variant<fleet::server_entry, error> (*read_server)(
         std::string const& id, std::string const& text){};
 
-    std::string site_table;   ///< table that the operators write
-    std::string site_key;     ///< row of the configuration in it
+    std::string site_table; ///< table that the operators write
+    std::string site_key;   ///< row of the configuration in it
+    /// In the same table: a row whose key is this and the name of a failure
+    /// domain evacuates that failure domain.
+    std::string evacuation_prefix;
     std::string server_table; ///< table that the servers write
 };
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -123,9 +123,11 @@
         }
         auto const& servers = this->shared.servers;
         auto const found = servers.servers.find(request.server);
-        // The other router may not know yet that the server is draining.
+        // The other router may not know yet that the server takes no requests.
+        // The part of a cold server's bound is not known here.
         if (found == servers.servers.end() ||
-            fleet::is_draining(found->second, now))
+            fleet::is_closed(found->second, now) ||
+            fleet::is_cold(found->second, now))
         {
             co_return relay_reply{relay_outcome::unknown_server};
         }
@@ -148,6 +150,7 @@
         this->server = result.link;
         if (this->server)
         {
+            this->server_id = request.server;
             this->server->set_waker(this->wakeup);
             co_return relay_reply{relay_outcome::connected, true};
         }
@@ -177,8 +180,13 @@
             auto const is_open = this->router->has_input()
                                      ? this->router->current_end()
                                      : this->router->end();
+            if (this->must_stop_before_request())
+            {
+                break;
+            }
             if (is_open == peer_end::open)
             {
+                this->forwarded = this->forwarded || this->router->has_input();
                 move_bytes(*this->router, *this->server);
                 move_bytes(*this->server, *this->router);
             }
@@ -206,6 +214,19 @@
         this->server->close();
     }
 
+    /// True if the server has been closed to requests since the connect and
+    /// the request comes only now.
+    bool must_stop_before_request() const
+    {
+        auto const& servers = this->shared.servers.servers;
+        auto const found = servers.find(this->server_id);
+        auto const now = this->shared.now.now();
+        return !this->forwarded && this->router->has_input() &&
+               (found == servers.end() ||
+                fleet::is_closed(found->second, now) ||
+                fleet::is_cold(found->second, now));
+    }
+
     /// Passes on the orderly end of the server. The other router closes its
     /// connection once it has read the whole response.
     asio::awaitable<void> finish_forwarding()
@@ -256,6 +277,8 @@
     waker_ptr wakeup;
     connection_ptr router;
     connection_ptr server;
+    backend_server_id server_id;
+    bool forwarded{false}; ///< bytes of the request have gone to the server
 };
 
 } // namespace
--- a/src/gateway/send_limiter.cpp
+++ b/src/gateway/send_limiter.cpp
@@ -29,6 +29,11 @@
     this->queries.set_routers(std::move(addresses));
 }
 
+std::vector<std::string> const& send_limiter::routers() const
+{
+    return this->queries.routers();
+}
+
 std::vector<std::string>
 send_limiter::granters(backend_server_id const& server) const
 {
--- a/src/gateway/send_limiter.hpp
+++ b/src/gateway/send_limiter.hpp
@@ -32,6 +32,9 @@
     /// The addresses of the other routers.
     void set_routers(std::vector<std::string> addresses);
 
+    /// The addresses of the routers that grant sends, with this one.
+    std::vector<std::string> const& routers() const;
+
     /// Records what a response to a request that was sent at `sent_at` said of
     /// its server's limit; empty if it named none.
     void note_response(backend_server_id const& server,
--- a/src/gateway/server_call.cpp
+++ b/src/gateway/server_call.cpp
@@ -206,6 +206,11 @@
     if (auto* const target = this->server())
     {
         this->current.server_version = target->entry.version;
+        if (fleet::is_cold(*target, now))
+        {
+            target->while_cold =
+                fleet::note_cold_send(std::move(target->while_cold), now);
+        }
         if (!this->relayed)
         {
             target->path = fleet::note_sent(target->path, now);
@@ -366,6 +371,10 @@
         target->report = *this->facts.load;
         target->reported_at = now;
     }
+    if (target != nullptr && !this->facts.wrong_server)
+    {
+        fleet::note_cold(*target, this->facts.warm_up_left, now);
+    }
     if (!this->facts.wrong_server)
     {
         this->current.shared.send_limits.note_response(
--- a/src/gateway/server_call_connect.cpp
+++ b/src/gateway/server_call_connect.cpp
@@ -106,7 +106,7 @@
         shared.crashes.causes()
             .cause_of(this->current.work.service, this->current.traits)
             .has_value();
-    if (target == nullptr || fleet::is_draining(*target, now) ||
+    if (target == nullptr || fleet::is_closed(*target, now) ||
         now >= this->current.deadline || crashes_servers ||
         needs_permit(this->current))
     {
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -15,6 +15,7 @@
 constexpr double max_retry_window_s = 60;
 constexpr double max_ratio = 10;
 constexpr double max_retry_slack = 1'000'000;
+constexpr double max_warm_up_slack = 1'000'000;
 constexpr double ms_per_second = 1'000;
 
 duration seconds(config::json_reader& reader, char const* key,
@@ -77,6 +78,12 @@
     parsed.retries.window =
         seconds(reader, "retry_window_s", parsed.retries.window,
                 min_retry_window_s, max_retry_window_s);
+    parsed.warm_up.factor =
+        reader.number_or("warm_up_factor", "times the rate of a cold server", 1,
+                         max_ratio, parsed.warm_up.factor);
+    parsed.warm_up.requests =
+        reader.number_or("warm_up_slack", "requests in a second", 0,
+                         max_warm_up_slack, parsed.warm_up.requests);
     reader.finish();
     return parsed;
 }
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -4,6 +4,7 @@
 #include <caperpath/base/clock.hpp>
 #include <caperpath/config/json_reader.hpp>
 #include <caperpath/fleet/retry_window.hpp>
+#include <caperpath/fleet/warm_up.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -27,6 +28,7 @@
     std::int64_t last_peer_port{};  ///< read, but not used by the router
     duration grace{8'000};          ///< from SIGTERM to SIGKILL
     fleet::retry_limit retries;
+    fleet::warm_up_tolerance warm_up;
 
     friend bool operator==(settings const&, settings const&) = default;
 };
--- /dev/null
+++ b/tests/gateway/evacuation_test.cpp
@@ -0,0 +1,232 @@
+#include "gateway/fleet_site.hpp"
+#include "gateway/run_after.hpp"
+#include "gateway/silent_address.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+using namespace caperpath;
+using namespace caperpath::gateway;
+
+/// Failure domains whose servers the operators have evacuated.
+class evacuation_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(evacuation_test);
+    CPPUNIT_TEST(an_evacuated_server_gets_no_requests);
+    CPPUNIT_TEST(a_connect_under_way_sends_nothing);
+    CPPUNIT_TEST(a_retry_does_not_go_to_an_evacuated_server);
+    CPPUNIT_TEST(a_service_without_other_servers_is_rejected_at_once);
+    CPPUNIT_TEST(an_evacuation_lasts_while_the_store_is_lost);
+    CPPUNIT_TEST(a_router_that_starts_knows_evacuations);
+    CPPUNIT_TEST(the_latest_of_several_changes_counts);
+    CPPUNIT_TEST(servers_that_are_given_back_count_as_cold);
+    CPPUNIT_TEST(a_relay_connects_to_no_evacuated_server);
+    CPPUNIT_TEST_SUITE_END();
+
+    static fake_server::responder done()
+    {
+        return [](fake_server::request const& got)
+        {
+            return script{{complete_response(got, 200, "done")}};
+        };
+    }
+
+    static void wait_ready(fleet_site& site)
+    {
+        CPPUNIT_ASSERT(site.run_until([&] { return site.readiness() == 200; }));
+    }
+
+    static void run_for(fleet_site& site, duration span)
+    {
+        auto const end = std::chrono::steady_clock::now() + to_chrono(span);
+        CPPUNIT_ASSERT(site.run_until(
+            [end] { return std::chrono::steady_clock::now() >= end; }));
+    }
+
+    static void evacuate(fleet_site& site, std::string const& domain)
+    {
+        site.store.put("op", "evacuate/" + domain, "{}");
+        run_for(site, duration{20});
+    }
+
+    static void give_back(fleet_site& site, std::string const& domain)
+    {
+        site.store.put("op", "evacuate/" + domain, std::nullopt);
+        run_for(site, duration{20});
+    }
+
+    static received_response read(fleet_site& site)
+    {
+        return site.send(fleet_site::request("GET", "/read/1"));
+    }
+
+    // Guards against routers that do not follow evacuations.
+    void an_evacuated_server_gets_no_requests()
+    {
+        fleet_site site;
+        auto& stays = site.add_server("i-1", "app", done());
+        site.failure_domain = "z-other";
+        auto& leaves = site.add_server("i-2", "app", done());
+        wait_ready(site);
+        evacuate(site, "z-other");
+        constexpr std::size_t requests = 20;
+        for (std::size_t i = 0; i < requests; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, read(site).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, leaves.requests.size());
+        CPPUNIT_ASSERT_EQUAL(requests, stays.requests.size());
+    }
+
+    // Guards against a server chosen before the evacuation and sent to after.
+    void a_connect_under_way_sends_nothing()
+    {
+        fleet_site site;
+        site.route_timeout = duration{1'500};
+        site.put_configuration(2);
+        silent_address const silent{site.loop};
+        site.failure_domain = "z-other";
+        site.list_server("i-1", "app", silent.text());
+        wait_ready(site);
+        auto const caller = site.begin(fleet_site::request("GET", "/read/1"));
+        run_for(site, duration{20});
+        auto& server = site.add_server("i-1", "app", done());
+        evacuate(site, "z-other");
+        CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+
+    // Guards against retries that skip the check of the first attempt.
+    void a_retry_does_not_go_to_an_evacuated_server()
+    {
+        fleet_site site;
+        site.failure_domain = "z-other";
+        auto& leaves = site.add_server("i-1", "app", done());
+        wait_ready(site);
+        site.failure_domain = "z";
+        site.add_server("i-2", "app",
+                        [](fake_server::request const& got) {
+                            return script{{complete_response(got, 500, "no")}};
+                        });
+        evacuate(site, "z-other");
+        read(site);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, leaves.requests.size());
+    }
+
+    // Guards against callers that wait for servers that get no requests.
+    void a_service_without_other_servers_is_rejected_at_once()
+    {
+        fleet_site site;
+        auto& server = site.add_server("i-1", "app", done());
+        wait_ready(site);
+        evacuate(site, "z");
+        auto const got = read(site);
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+
+    // Guards against an outage of the store that ends an evacuation.
+    void an_evacuation_lasts_while_the_store_is_lost()
+    {
+        fleet_site site;
+        auto& server = site.add_server("i-1", "app", done());
+        wait_ready(site);
+        evacuate(site, "z");
+        site.store.reachable = false;
+        run_for(site, duration{1'500});
+        CPPUNIT_ASSERT_EQUAL(503, read(site).status);
+        site.store.reachable = true;
+        run_for(site, duration{1'500});
+        CPPUNIT_ASSERT_EQUAL(503, read(site).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+
+    // Guards against a router that takes callers before it has read of them.
+    void a_router_that_starts_knows_evacuations()
+    {
+        auto site = std::make_unique<fleet_site>();
+        site->add_server("i-1", "app", done());
+        wait_ready(*site);
+        evacuate(*site, "z");
+        auto const next = fleet_site::after_crash(std::move(site));
+        auto& server = next->add_server("i-1", "app", done());
+        auto got = read(*next);
+        for (auto i = 0; i < 20 && next->readiness() != 200; ++i)
+        {
+            got = read(*next);
+            CPPUNIT_ASSERT_EQUAL(503, got.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(503, read(*next).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+
+    // Guards against a row that was deleted and written again within one page.
+    void the_latest_of_several_changes_counts()
+    {
+        fleet_site site;
+        auto& server = site.add_server("i-1", "app", done());
+        wait_ready(site);
+        site.store.put("op", "evacuate/z", "{}");
+        site.store.put("op", "evacuate/z", std::nullopt);
+        site.store.put("op", "evacuate/z", "{}");
+        run_for(site, duration{20});
+        CPPUNIT_ASSERT_EQUAL(503, read(site).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+
+    // Guards against a burst to servers that became cold in the evacuation.
+    void servers_that_are_given_back_count_as_cold()
+    {
+        fleet_site site;
+        site.add_server("i-1", "app", done());
+        site.failure_domain = "z-other";
+        auto& back = site.add_server("i-2", "app", done());
+        wait_ready(site);
+        evacuate(site, "z-other");
+        give_back(site, "z-other");
+        constexpr int requests = 20;
+        for (int i = 0; i < requests; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, read(site).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, back.requests.size());
+        run_for(site, duration{1'600});
+        evacuate(site, "z");
+        CPPUNIT_ASSERT_EQUAL(200, read(site).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, back.requests.size());
+    }
+
+    // Guards against a router that learns of an evacuation late and reaches the
+    // servers through one that knows of it.
+    void a_relay_connects_to_no_evacuated_server()
+    {
+        fleet_site relay;
+        auto& server = relay.add_server("i-1", "app", done());
+        relay.add_server("i-2", "app", done());
+        fleet_site late{relay};
+        silent_address const silent{late.loop};
+        late.list_server("i-1", "app", silent.text());
+        relay.store.put("op", "evacuate/z", "{}");
+        auto const run_both = [&](std::function<bool()> const& until)
+        {
+            CPPUNIT_ASSERT(late.run_until(
+                [&]
+                {
+                    relay.loop.run_for(std::chrono::milliseconds{1});
+                    return until();
+                }));
+        };
+        run_both(
+            [&]
+            { return late.readiness() == 200 && relay.readiness() == 200; });
+        auto const caller = late.begin(fleet_site::request("GET", "/read/1"));
+        run_both([&] { return caller->has_input(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(evacuation_test);
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -136,7 +136,9 @@
          << ","
          << route("resume", "streaming", "llm", 2, limit,
                   R"(,"session-affinity":true,"stream-resume":true)")
-         << R"(],"backends":[{"name":"app"},{"name":"llm","engine-type":)"
+         << R"(],"backends":[)"
+         << R"({"name":"app","warmup-s":1.5,"warmup-per-s":4.0},)"
+         << R"({"name":"llm","warmup-s":1.5,"warmup-per-s":4.0,"engine-type":)"
          << R"({"batch-slots":8,"kv-capacity":444000,"stride":2}}],)"
          << R"("limits":{"max-body-bytes":)" << this->max_body_bytes << "},"
          << R"("tenants":[{"name":"taller","api-keys":["key"],"reserved":)"
@@ -163,9 +165,11 @@
 {
     this->store.put("servers", id,
                     R"({"backend":")" + service + R"(","address":")" + address +
-                        R"(","zone":"z","batch-slots":4,"state":"healthy",)"
-                        R"("version":")" +
-                        version + R"("})");
+                        R"(","zone":")" + this->failure_domain +
+                        R"(","batch-slots":4,"state":"healthy",)"
+                        R"("warmup-left-ms":)" +
+                        std::to_string(this->warm_up_left.ms) +
+                        R"(,"version":")" + version + R"("})");
 }
 
 std::string fleet_site::peer_address() const
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -99,6 +99,11 @@
     int log_descriptor{-1};
     /// Timeout of the routes in configurations that are put from now on.
     duration route_timeout{600};
+    /// Failure domain of servers that are listed from now on.
+    std::string failure_domain{"z"};
+    /// How long servers that are listed from now on stay cold. Cold servers
+    /// take four requests a second.
+    duration warm_up_left{};
     /// Longest body in configurations that are put from now on, in bytes.
     std::int64_t max_body_bytes{2'000};
 
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -17,9 +17,10 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::array fields{
-        "vm",          "failure_domain", "callers",    "readiness",
-        "metrics",     "store_address",  "peer_ports", "grace_s",
-        "retry_ratio", "retry_window_s", "retry_slack"};
+        "vm",           "failure_domain", "callers",     "readiness",
+        "metrics",      "store_address",  "peer_ports",  "grace_s",
+        "retry_ratio",  "retry_window_s", "retry_slack", "warm_up_factor",
+        "warm_up_slack"};
 
     static nlohmann::json example()
     {
