Keep requests in the regions that their route and their customer allow

Nothing read `allowed-regions`: a request could reach a server in any region, and its body could pass through a router in any other.

A request is placed only on servers in the regions that both its route and its customer allow; one whose failure domain has no known region fits none. Relays are used for such a request only where all failure domains are in one allowed region: a router does not know the regions of others, and a relay abroad would read the body. Otherwise it needs a direct path. With no server left it gets 503 at once.

Weighed: the region in the heartbeat rows, so that relays at home can be used. It changes a row that all routers of a fleet read; left until a deployment has two regions. The settings take the regions of failure domains from the platform.

--- a/include/caperpath/base/id.hpp
+++ b/include/caperpath/base/id.hpp
@@ -25,6 +25,8 @@
 using service_id = basic_id<struct service_tag>;
 using backend_server_id = basic_id<struct backend_server_tag>;
 using failure_domain_id = basic_id<struct failure_domain_tag>;
+/// A geographic region of failure domains.
+using region_id = basic_id<struct region_tag>;
 using request_id = basic_id<struct request_tag>;
 /// The place where a router runs; its incarnations follow one another there.
 using vm_id = basic_id<struct vm_tag>;
--- a/include/caperpath/fleet/placement.hpp
+++ b/include/caperpath/fleet/placement.hpp
@@ -27,6 +27,10 @@
     token_count output_tokens{}; ///< at most
     /// Only servers of this software version fit; an empty one fits none.
     std::optional<std::string> version{};
+    /// Only servers in these regions fit.
+    residency regions{};
+    /// False if only servers with a direct path fit.
+    bool may_be_relayed{true};
 
     friend bool operator==(placement_request const&,
                            placement_request const&) = default;
@@ -132,6 +136,7 @@
 enum class shortage_reason
 {
     no_such_version, ///< and none will come
+    outside_regions,
     evacuated,
     unavailable, ///< there are none, or they are set aside or out of reach
     cold         ///< this router may send them no more now
--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -3,6 +3,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/base/id.hpp>
+#include <caperpath/fleet/residency.hpp>
 #include <caperpath/fleet/server_path.hpp>
 #include <caperpath/fleet/warm_up.hpp>
 
@@ -76,6 +77,7 @@
     server_path path;
     /// When its limit lets the next request of this router in, as last heard.
     instant next_send{-1'000'000};
+    region_id region;               ///< empty if unknown
     bool evacuated{false};          ///< its failure domain is
     instant cold_until{-1'000'000}; ///< it warms up until then
     bool bounded_while_cold{false}; ///< its service has a `warm_up_limit`
@@ -92,6 +94,7 @@
     /// outage may return shortly after.
     std::optional<instant> store_back_at;
     bool store_reachable{true};
+    region_map regions;
     std::map<service_id, warm_up_limit> warm_ups;
     warm_up_tolerance warm_up_bounds;
     std::int64_t routers{1};               ///< in the fleet
--- a/include/caperpath/fleet/site.hpp
+++ b/include/caperpath/fleet/site.hpp
@@ -54,6 +54,8 @@
     bool needs_key{true};
     bool has_prompt{false}; ///< requests carry a prompt, counted in tokens
     bool resumable{false};  ///< a broken stream may resume at another server
+    /// Requests may be processed only in these regions; empty: in any.
+    std::vector<region_id> regions;
 
     friend bool operator==(route const&, route const&) = default;
 };
@@ -80,6 +82,8 @@
     std::optional<std::int64_t> priority; ///< overrides the route's priority
     std::optional<token_count> paid;      ///< empty: no limit on tokens
     std::vector<std::string> keys;
+    /// Its requests may be processed only in these regions; empty: in any.
+    std::vector<region_id> regions;
 
     friend bool operator==(customer const&, customer const&) = default;
 };
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -102,6 +102,13 @@
     return std::find(all.begin(), all.end(), id) != all.end();
 }
 
+/// A request that may not pass through other regions needs a direct path.
+bool fits_residency(server const& target, placement_request const& item)
+{
+    return allows_region(item.regions, target.region) &&
+           (item.may_be_relayed || !target.path.direct_failed);
+}
+
 bool fits_version(server const& target, placement_request const& item)
 {
     return !item.version ||
@@ -123,7 +130,8 @@
     for (auto const& [id, target] : table.servers)
     {
         if (target.entry.service != of.id || !usable(target, now) ||
-            contains(avoid, id) || !fits_version(target, item))
+            contains(avoid, id) || !fits_version(target, item) ||
+            !fits_residency(target, item))
         {
             continue;
         }
@@ -379,6 +387,10 @@
     {
         return shortage_reason::no_such_version;
     }
+    if (!allows_region(item.regions, target.region))
+    {
+        return shortage_reason::outside_regions;
+    }
     if (target.evacuated)
     {
         return shortage_reason::evacuated;
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -42,6 +42,9 @@
         target.listed_at = now;
     }
     target.entry = entry;
+    auto const region = table.regions.find(entry.failure_domain);
+    target.region =
+        region == table.regions.end() ? region_id{} : region->second;
     target.evacuated = table.evacuated.contains(entry.failure_domain);
     target.bounded_while_cold = is_bounded(table, entry.service);
     note_cold(target, entry.warm_up_left, now);
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -68,6 +68,7 @@
                  { this->peers.send(to, bytes); },
                  this->log}
 {
+    this->servers.regions = settings.regions;
     this->servers.warm_up_bounds = settings.warm_up;
     this->servers.router_salt = fleet::stable_hash(settings.vm);
 }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -54,6 +54,9 @@
     case fleet::shortage_reason::evacuated:
         return {http_unavailable, "servers_evacuated",
                 with_jitter(current, evacuation_retry_after)};
+    case fleet::shortage_reason::outside_regions:
+        return {http_unavailable, "no_server_in_region",
+                with_jitter(current, no_server_retry_after)};
     case fleet::shortage_reason::no_such_version:
         break;
     }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -193,6 +193,10 @@
         current.work.prompt_tokens = current.facts.prompt_tokens;
         current.work.output_tokens = current.facts.output_tokens;
     }
+    auto const& settings = current.shared.settings;
+    current.work.regions = fleet::residency_of(route, current.customer);
+    current.work.may_be_relayed = fleet::may_relay(
+        current.work.regions, settings.regions, settings.region);
     auto const timeout = std::min(
         current.facts.timeout.value_or(max_request_timeout), route.timeout);
     current.deadline = current.arrived + timeout;
--- a/src/gateway/server_call_connect.cpp
+++ b/src/gateway/server_call_connect.cpp
@@ -67,7 +67,8 @@
                               : max_idle_non_repeatable;
     auto const began = shared.now.now();
     auto link = co_await shared.connector.connect(
-        this->where.server, max_idle, this->current.deadline - began);
+        this->where.server, max_idle, this->current.deadline - began,
+        this->current.work.may_be_relayed);
     this->connection = std::move(link.connection);
     this->current.relay = link.relay;
     this->relayed = !link.relay.empty();
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -73,7 +73,7 @@
 
 asio::awaitable<server_link>
 server_connector::connect(backend_server_id const& server, duration max_idle,
-                          duration longest)
+                          duration longest, bool may_be_relayed)
 {
     server_link link;
     auto const* target = this->find(server);
@@ -106,7 +106,7 @@
     {
         auto const at = this->now.now();
         auto const wait_is_over = at - began >= relay_delay;
-        if (!all->direct && !all->relay_tried &&
+        if (!all->direct && !all->relay_tried && may_be_relayed &&
             (!all->direct_pending || wait_is_over) && this->relays.has_relays())
         {
             all->relay_tried = true;
@@ -134,7 +134,8 @@
         link.connection = all->direct;
         co_return link;
     }
-    if (!all->relayed.link && !all->direct_pending && !all->relay_tried)
+    if (!all->relayed.link && !all->direct_pending && !all->relay_tried &&
+        may_be_relayed)
     {
         this->relays_missing(server);
     }
--- a/src/gateway/server_connector.hpp
+++ b/src/gateway/server_connector.hpp
@@ -56,9 +56,11 @@
 
     /// Connects to `server`, over a connection idle for at most `max_idle` if
     /// there is one. Takes at most `longest`, and at most `connect_limit`. If
-    /// the direct path does not respond soon, a relay is tried beside it.
+    /// the direct path does not respond soon, a relay is tried beside it if
+    /// `may_be_relayed`.
     asio::awaitable<server_link> connect(backend_server_id const& server,
-                                         duration max_idle, duration longest);
+                                         duration max_idle, duration longest,
+                                         bool may_be_relayed);
 
     /// Connects directly and records the result, also that of a failure.
     asio::awaitable<connect_result>
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -54,6 +54,22 @@
     into.last_peer_port = std::stoll(last);
 }
 
+void read_regions(config::json_reader& reader, settings& into)
+{
+    reader.each_member(
+        "regions",
+        [&reader, &into](std::string const& failure_domain,
+                         nlohmann::json const& region, std::string const&)
+        {
+            if (!region.is_string())
+            {
+                reader.reject("regions/" + failure_domain, "expected text");
+                return;
+            }
+            into.regions[{failure_domain}] = {region.get<std::string>()};
+        });
+}
+
 } // namespace
 
 settings read_settings(nlohmann::json const& value,
@@ -84,6 +100,8 @@
     parsed.warm_up.requests =
         reader.number_or("warm_up_slack", "requests in a second", 0,
                          max_warm_up_slack, parsed.warm_up.requests);
+    parsed.region = {reader.text("region", "")};
+    read_regions(reader, parsed);
     reader.finish();
     return parsed;
 }
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <caperpath/base/clock.hpp>
 #include <caperpath/config/json_reader.hpp>
+#include <caperpath/fleet/residency.hpp>
 #include <caperpath/fleet/retry_window.hpp>
 #include <caperpath/fleet/warm_up.hpp>
 
@@ -29,6 +30,8 @@
     duration grace{8'000};          ///< from SIGTERM to SIGKILL
     fleet::retry_limit retries;
     fleet::warm_up_tolerance warm_up;
+    region_id region;          ///< of this router; empty if unknown
+    fleet::region_map regions; ///< of all failure domains
 
     friend bool operator==(settings const&, settings const&) = default;
 };
--- a/tests/fleet/warm_up_test.cpp
+++ b/tests/fleet/warm_up_test.cpp
@@ -200,6 +200,9 @@
         table.servers.at({"cold"}).evacuated = true;
         CPPUNIT_ASSERT(find_shortage(table, item, start).why ==
                        shortage_reason::evacuated);
+        item.regions = std::vector<region_id>{{"far"}};
+        CPPUNIT_ASSERT(find_shortage(table, item, start).why ==
+                       shortage_reason::outside_regions);
         item.version = "v2";
         CPPUNIT_ASSERT(find_shortage(table, item, start).why ==
                        shortage_reason::no_such_version);
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -113,6 +113,11 @@
     all.first_peer_port = this->peers_reserved->number();
     all.retries = this->retries;
     all.grace = this->grace;
+    all.region = {"near"};
+    all.regions = {{{"z"}, {"near"}},
+                   {{"z-other"}, {"near"}},
+                   {{"z-far"}, {"far"}},
+                   {{"z-farther"}, {"farther"}}};
     this->router_starts += 1;
     this->router = std::make_unique<gateway_server>(
         this->loop, all, platform::make_protocol_adapter(), this->store.port(),
@@ -127,15 +132,16 @@
 void fleet_site::put_configuration(std::int64_t version, std::int64_t paid)
 {
     auto const limit = this->route_timeout;
+    auto const regions = R"(,"allowed-regions":)" + this->allowed_regions;
     std::ostringstream text;
     text << R"({"version":)" << version << R"(,"route-table":[)"
-         << route("order", "non_idempotent", "app", 1, limit, "") << ","
-         << route("read", "idempotent", "app", 2, limit, "") << ","
+         << route("order", "non_idempotent", "app", 1, limit, regions) << ","
+         << route("read", "idempotent", "app", 2, limit, regions) << ","
          << route("chat", "streaming", "llm", 1, limit,
-                  R"(,"session-affinity":true)")
+                  R"(,"session-affinity":true)" + regions)
          << ","
          << route("resume", "streaming", "llm", 2, limit,
-                  R"(,"session-affinity":true,"stream-resume":true)")
+                  R"(,"session-affinity":true,"stream-resume":true)" + regions)
          << R"(],"backends":[)"
          << R"({"name":"app","warmup-s":1.5,"warmup-per-s":4.0},)"
          << R"({"name":"llm","warmup-s":1.5,"warmup-per-s":4.0,"engine-type":)"
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -99,7 +99,11 @@
     int log_descriptor{-1};
     /// Timeout of the routes in configurations that are put from now on.
     duration route_timeout{600};
-    /// Failure domain of servers that are listed from now on.
+    /// Regions of all routes in configurations that are put from now on, as a
+    /// JSON array.
+    std::string allowed_regions{"[]"};
+    /// Failure domain of servers that are listed from now on: "z" and "z-other"
+    /// are in the router's region, "z-far" and "z-farther" in one of their own.
     std::string failure_domain{"z"};
     /// How long servers that are listed from now on stay cold. Cold servers
     /// take four requests a second.
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -16,11 +16,21 @@
     CPPUNIT_TEST(the_template_names_every_field);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr std::array fields{
-        "vm",           "failure_domain", "callers",     "readiness",
-        "metrics",      "store_address",  "peer_ports",  "grace_s",
-        "retry_ratio",  "retry_window_s", "retry_slack", "warm_up_factor",
-        "warm_up_slack"};
+    static constexpr std::array fields{"vm",
+                                       "failure_domain",
+                                       "callers",
+                                       "readiness",
+                                       "metrics",
+                                       "store_address",
+                                       "peer_ports",
+                                       "grace_s",
+                                       "retry_ratio",
+                                       "retry_window_s",
+                                       "retry_slack",
+                                       "warm_up_factor",
+                                       "warm_up_slack",
+                                       "region",
+                                       "regions"};
 
     static nlohmann::json example()
     {
