Count a server that may have restarted as cold

A router that is cut off from the store must not take a restarted server for the warm one that it knew. Where each start has a new id, the server itself rejects requests for the old one and nothing changes. Where an id survives restarts (`born` in the entry), a connection that broke, or a failed path that works again, may be that of another process: it counts as cold for a whole warm-up. No deployment so far has such ids together with a limit on cold servers, so only a test shows it.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -143,6 +143,13 @@
 /// Records that the server stays cold for `left`. Thread safe.
 void note_cold(server& target, duration left, instant now);
 
+/// Records that connections to the server broke or failed and may work again
+/// later. One whose id survives restarts may be another process by then, and
+/// the store may not tell in time, so it counts as cold for a whole warm-up.
+/// Thread safe.
+void note_possible_restart(server_table& table, backend_server_id const& id,
+                           instant now);
+
 /// True if the server is cold and the rate of requests to it is bounded. Thread
 /// safe.
 bool is_cold(server const& target, instant now);
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -169,6 +169,21 @@
     }
 }
 
+void note_possible_restart(server_table& table, backend_server_id const& id,
+                           instant now)
+{
+    auto const found = table.servers.find(id);
+    if (found == table.servers.end() || found->second.entry.born_ms == 0)
+    {
+        return;
+    }
+    auto const warm_up = table.warm_ups.find(found->second.entry.service);
+    if (warm_up != table.warm_ups.end())
+    {
+        note_cold(found->second, warm_up->second.lasts, now);
+    }
+}
+
 bool is_cold(server const& target, instant now)
 {
     return target.bounded_while_cold && now < target.cold_until;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -362,6 +362,8 @@
         if (ended.lost_connection)
         {
             co_await probe_for_crash(current, where->server);
+            fleet::note_possible_restart(current.shared.servers, where->server,
+                                         current.shared.now.now());
         }
         current.running_at = {};
         auto const forbidden = counts_as_run(end) && forbids_retry(current);
--- a/src/gateway/server_connector.cpp
+++ b/src/gateway/server_connector.cpp
@@ -209,6 +209,10 @@
     }
     auto const before = target->path;
     target->path = fleet::note_direct(before, outcome, began, at);
+    if (before.direct_failed && !target->path.direct_failed)
+    {
+        fleet::note_possible_restart(this->servers, server, at);
+    }
     if (target->path.direct_failed != before.direct_failed)
     {
         this->log_path(server, "direct", to_text(outcome));
--- a/tests/fleet/warm_up_test.cpp
+++ b/tests/fleet/warm_up_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(an_update_extends_the_warm_up);
     CPPUNIT_TEST(a_service_without_a_limit_is_not_bounded);
     CPPUNIT_TEST(servers_that_are_given_back_count_as_cold);
+    CPPUNIT_TEST(a_server_that_may_have_restarted_counts_as_cold);
     CPPUNIT_TEST(a_shortage_names_what_lasts_least);
     CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,22 @@
         CPPUNIT_ASSERT(choose(table, back + limit.lasts));
     }
 
+    // Guards against a router that is cut off from the store and takes a new
+    // process for the one that it knew.
+    void a_server_that_may_have_restarted_counts_as_cold()
+    {
+        auto table = one_warm_and_one_cold();
+        auto lasting = entry("lasting id", {});
+        lasting.born_ms = 1'700'000'000'000;
+        list_server(table, lasting, start);
+        note_possible_restart(table, {"lasting id"}, start);
+        note_possible_restart(table, {"warm"}, start);
+        note_possible_restart(table, {"unknown"}, start);
+        CPPUNIT_ASSERT(is_cold(table.servers.at({"lasting id"}), start));
+        // Another process of this one would have another id.
+        CPPUNIT_ASSERT(!is_cold(table.servers.at({"warm"}), start));
+    }
+
     // Guards against callers that come back too late or too early.
     void a_shortage_names_what_lasts_least()
     {
