--- /dev/null
+++ b/src/fleet/placement_checks.hpp
@@ -0,0 +1,15 @@
+#ifndef CAPERPATH_SRC_FLEET_PLACEMENT_CHECKS_HPP
+#define CAPERPATH_SRC_FLEET_PLACEMENT_CHECKS_HPP
+
+#include <caperpath/fleet/placement.hpp>
+
+namespace caperpath::fleet
+{
+
+/// True if the server has the software version that the request needs. Thread
+/// safe.
+bool fits_version(server const& target, placement_request const& item);
+
+} // namespace caperpath::fleet
+
+#endif
--- /dev/null
+++ b/src/gateway/server_call_read.cpp
@@ -0,0 +1,191 @@
+#include "gateway/server_call.hpp"
+
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+
+/// Reads the response of a server, within bounds on its size.
+namespace caperpath::gateway
+{
+
+namespace
+{
+
+using fleet::attempt_outcome;
+
+constexpr std::uint64_t max_buffered_response = 16ULL * 1024 * 1024;
+/// With the headers of chunks.
+constexpr std::size_t max_response_bytes = max_buffered_response + 1024 * 1024;
+/// Bodies of all responses together; one below `min_bounded_body` is never cut
+/// for it.
+constexpr std::size_t max_buffered_bodies = 32ULL * 1024 * 1024;
+constexpr std::size_t min_bounded_body = 256ULL * 1024;
+/// Longer than any head, chunk header or trailer.
+constexpr std::size_t max_unparsed = 65'536;
+/// A server may respond once more to earlier requests of a connection.
+constexpr std::size_t max_skipped = 1024ULL * 1024;
+/// What a skipped response counts for beside its body.
+constexpr std::size_t least_response = 1'024;
+constexpr std::size_t parse_buffer_size = 16'384;
+constexpr int first_final_status = 200;
+} // namespace
+
+bool server_call::exceeded_bounds() const
+{
+    return this->over_bounds;
+}
+
+attempt_outcome server_call::end_over_bounds()
+{
+    this->over_bounds = true;
+    return attempt_outcome::in_doubt;
+}
+
+/// True if the response goes on without end, as far as memory allows to wait
+/// for its end.
+bool server_call::is_too_long() const
+{
+    auto const unparsed = this->connection->input().size();
+    auto const shares_memory =
+        this->body.size() >= min_bounded_body &&
+        this->current.shared.buffered_bytes > max_buffered_bodies;
+    return shares_memory || this->received > max_response_bytes ||
+           (unparsed > max_unparsed && !this->response->is_done());
+}
+
+/// How the attempt ends if the response cannot continue; nothing if it can.
+std::optional<attempt_outcome> server_call::early_end()
+{
+    if (caller_disconnected(this->current))
+    {
+        return attempt_outcome::caller_gone;
+    }
+    if (this->current.shared.now.now() >= this->current.deadline)
+    {
+        return attempt_outcome::expired;
+    }
+    return this->connection->end() == peer_end::open
+               ? std::nullopt
+               : std::optional{attempt_outcome::in_doubt};
+}
+
+/// Parses the received bytes and appends those of the body to `body`.
+std::optional<attempt_outcome> server_call::parse_input()
+{
+    auto& input = this->connection->input();
+    auto* const target = this->server();
+    if (input.size() > 0 && target != nullptr && !this->relayed)
+    {
+        target->path =
+            fleet::note_heard(target->path, this->current.shared.now.now());
+    }
+    std::array<char, parse_buffer_size> buffer{};
+    while (input.size() > 0 && !this->response->is_done())
+    {
+        auto& content = this->response->get().body();
+        content.data = buffer.data();
+        content.size = buffer.size();
+        content.more = true;
+        boost::system::error_code fault;
+        auto const used = this->response->put(input.data(), fault);
+        input.consume(used);
+        this->received += used;
+        this->body.append(buffer.data(), buffer.size() - content.size);
+        if (fault == http::error::need_more)
+        {
+            break;
+        }
+        if (fault && fault != http::error::need_buffer)
+        {
+            auto const endless = fault == http::error::header_limit ||
+                                 fault == http::error::body_limit;
+            return endless ? this->end_over_bounds()
+                           : attempt_outcome::in_doubt;
+        }
+        if (used == 0 && content.size == buffer.size())
+        {
+            break;
+        }
+    }
+    auto& buffered = this->current.shared.buffered_bytes;
+    buffered = buffered - this->counted_bytes + this->body.size();
+    this->counted_bytes = this->body.size();
+    if (this->is_too_long())
+    {
+        return this->end_over_bounds();
+    }
+    this->connection->resume();
+    auto const finished = this->connection->end() == peer_end::finished;
+    if (finished && input.size() == 0 && this->response->is_header_done() &&
+        !this->response->is_done() && this->response->need_eof())
+    {
+        boost::system::error_code fault;
+        this->response->put_eof(fault);
+        if (fault)
+        {
+            return attempt_outcome::in_doubt;
+        }
+    }
+    return std::nullopt;
+}
+
+/// True if the response is interim or belongs to another request: a server may
+/// respond twice to an earlier request of this connection, and that response
+/// must not be taken for this one.
+bool server_call::must_skip_response()
+{
+    auto const& head = this->response->get();
+    this->facts =
+        this->current.shared.adapter.read_response(head, head.result_int());
+    auto const interim = head.result_int() < first_final_status;
+    auto const foreign = !this->facts.request_id.empty() &&
+                         this->facts.request_id != this->current.facts.id;
+    return interim || foreign;
+}
+
+asio::awaitable<std::optional<attempt_outcome>> server_call::read_head()
+{
+    auto skipping = false;
+    this->response = std::make_unique<parser>();
+    this->response->body_limit(max_buffered_response);
+    while (true)
+    {
+        if (auto const fault = this->parse_input())
+        {
+            co_return fault;
+        }
+        if (this->response->is_header_done())
+        {
+            skipping = skipping || this->must_skip_response();
+            if (!skipping)
+            {
+                co_return this->evaluate_head();
+            }
+            this->skipped += this->body.size();
+            this->body.clear();
+            if (this->skipped > max_skipped)
+            {
+                co_return this->end_over_bounds();
+            }
+            if (this->response->is_done())
+            {
+                skipping = false;
+                this->skipped += least_response;
+                this->facts = {};
+                this->response = std::make_unique<parser>();
+                this->response->body_limit(max_buffered_response);
+                continue;
+            }
+        }
+        if (auto const end = this->early_end())
+        {
+            co_return end;
+        }
+        static_cast<void>(
+            co_await wait_until(this->current, this->current.deadline));
+    }
+}
+
+} // namespace caperpath::gateway
