--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -117,7 +117,7 @@
         assert_ended(
             "/read/1",
             endless(std::string{ok} + "Transfer-Encoding: chunked\r\n\r\n",
-                    "1\r\nx\r\n"));
+                    "8\r\nxxxxxxxx\r\n"));
     }
 
     // Guards against a parser that waits for the end of a line while the
