--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -198,6 +198,7 @@
         wait_ready(site);
         constexpr int requests = 12;
         std::vector<connection_ptr> callers;
+        callers.reserve(requests);
         for (int i = 0; i < requests; ++i)
         {
             callers.push_back(
