--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -1,10 +1,12 @@
 #include "gateway/fleet_site.hpp"
 
+#include "gateway/run_after.hpp"
 #include "platform/protocol_adapter.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <cppunit/TestAssert.h>
 #include <fcntl.h>
 
 #include <chrono>
@@ -211,6 +213,19 @@
     return true;
 }
 
+void fleet_site::wait_ready()
+{
+    CPPUNIT_ASSERT(
+        this->run_until([this] { return this->readiness() == 200; }));
+}
+
+void fleet_site::run_for(duration span)
+{
+    auto const end = std::chrono::steady_clock::now() + to_chrono(span);
+    CPPUNIT_ASSERT(this->run_until(
+        [end] { return std::chrono::steady_clock::now() >= end; }));
+}
+
 std::uint16_t fleet_site::callers_port() const
 {
     return this->callers_reserved->number();
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -74,6 +74,12 @@
     /// within 10 s.
     bool run_until(std::function<bool()> const& done);
 
+    /// Runs the loop until the router takes callers; fails the test if it does
+    /// not within 10 s.
+    void wait_ready();
+
+    void run_for(duration span);
+
     /// Sends raw bytes over a new connection and does not wait for a response.
     connection_ptr begin(std::string const& bytes);
 
