--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -18,10 +18,15 @@
 /// Bounds the shift. `longest_set_aside` is reached after fewer doublings.
 constexpr int max_doublings = 4;
 
-bool is_bounded(server_table const& table, service_id const& service)
+warm_up_limit warm_up_of(server_table const& table, server const& target)
 {
-    auto const found = table.warm_ups.find(service);
-    return found != table.warm_ups.end() && found->second.per_second > 0;
+    auto const found = table.warm_ups.find(target.entry.service);
+    return found == table.warm_ups.end() ? warm_up_limit{} : found->second;
+}
+
+bool is_bounded(server_table const& table, server const& target)
+{
+    return warm_up_of(table, target).per_second > 0;
 }
 
 } // namespace
@@ -46,7 +51,7 @@
     target.region =
         region == table.regions.end() ? region_id{} : region->second;
     target.evacuated = table.evacuated.contains(entry.failure_domain);
-    target.bounded_while_cold = is_bounded(table, entry.service);
+    target.bounded_while_cold = is_bounded(table, target);
     note_cold(target, entry.warm_up_left, now);
     target.gone_from.reset();
     return added || restarted;
@@ -143,10 +148,9 @@
         auto const before = std::exchange(
             target.evacuated,
             table.evacuated.contains(target.entry.failure_domain));
-        auto const warm_up = table.warm_ups.find(target.entry.service);
-        if (before && !target.evacuated && warm_up != table.warm_ups.end())
+        if (before && !target.evacuated)
         {
-            note_cold(target, warm_up->second.lasts, now);
+            note_cold(target, warm_up_of(table, target).lasts, now);
         }
     }
 }
@@ -157,7 +161,7 @@
     table.warm_ups = std::move(warm_ups);
     for (auto& [id, target] : table.servers)
     {
-        target.bounded_while_cold = is_bounded(table, target.entry.service);
+        target.bounded_while_cold = is_bounded(table, target);
     }
 }
 
@@ -173,14 +177,10 @@
                            instant now)
 {
     auto const found = table.servers.find(id);
-    if (found == table.servers.end() || found->second.entry.born_ms == 0)
-    {
-        return;
-    }
-    auto const warm_up = table.warm_ups.find(found->second.entry.service);
-    if (warm_up != table.warm_ups.end())
+    if (found != table.servers.end() && found->second.entry.born_ms != 0)
     {
-        note_cold(found->second, warm_up->second.lasts, now);
+        auto& target = found->second;
+        note_cold(target, warm_up_of(table, target).lasts, now);
     }
 }
 
@@ -195,16 +195,12 @@
 {
     for (auto& [id, target] : table.servers)
     {
-        if (!is_cold(target, now))
+        if (is_cold(target, now))
         {
-            continue;
+            auto const most = most_cold_sends(warm_up_of(table, target),
+                                              table.warm_up_bounds);
+            target.while_cold.share = cold_send_share(id, routers, self, most);
         }
-        auto const warm_up = table.warm_ups.find(target.entry.service);
-        auto const most =
-            warm_up == table.warm_ups.end()
-                ? 0
-                : most_cold_sends(warm_up->second, table.warm_up_bounds);
-        target.while_cold.share = cold_send_share(id, routers, self, most);
     }
 }
 
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -68,7 +68,6 @@
     std::uint64_t evacuations_version{}; ///< of the store's table
     /// When the parts of the bounds on cold servers were assigned last.
     instant cold_shares_at{-1'000'000};
-    bool any_cold{false};          ///< as of the latest tick
     fleet::prefix_history prompts; ///< shared prompt prefixes by server
     fleet::engine_speed speed;
     fleet::retry_window retries;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -64,8 +64,8 @@
     return {http_unavailable, "no_server_of_version", current.deadline - now};
 }
 
-/// Cold servers are used only if nothing else has room, so the parts of their
-/// bounds are assigned only then.
+/// Renews this router's parts of the bounds on cold servers, at most once in
+/// `cold_share_lifetime`.
 void assign_cold_shares(core& shared)
 {
     auto const now = shared.now.now();
@@ -82,10 +82,7 @@
 std::optional<fleet::placement> choose_server(exchange& current)
 {
     auto& shared = current.shared;
-    if (shared.any_cold)
-    {
-        assign_cold_shares(shared);
-    }
+    assign_cold_shares(shared);
     auto const place = [&](std::vector<backend_server_id> const& avoided)
     {
         return fleet::choose_placement(shared.servers, *current.service,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -253,12 +253,12 @@
     auto const count = std::count_if(
         servers.begin(), servers.end(),
         [now](auto const& entry) { return fleet::is_cold(entry.second, now); });
-    if ((count > 0) != this->shared.any_cold)
+    auto const any_cold = count > 0;
+    if (any_cold != std::exchange(this->had_cold_servers, any_cold))
     {
         this->shared.log.write(log_weight::notable, "cold_servers",
                                {{"count", std::to_string(count)}});
     }
-    this->shared.any_cold = count > 0;
     this->shared.metrics.servers_cold(static_cast<std::size_t>(count));
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -120,6 +120,7 @@
     bool was_reachable{true};
     bool was_ready{false};
     bool was_behind{false};
+    bool had_cold_servers{false};
     instant last_tick{};
     instant tick_before_last{};
 };
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -82,15 +82,13 @@
             continue;
         }
         failure_domain_id const domain{row.key.substr(prefix.size())};
-        if (!row.deleted)
+        evacuated.insert(domain);
+        if (row.deleted)
         {
-            evacuated.insert(domain);
-            continue;
+            // One that begins and ends within a page leaves cold servers, too.
+            this->set_evacuated(evacuated, now);
+            evacuated.erase(domain);
         }
-        // One that begins and ends within a page leaves cold servers, too.
-        evacuated.insert(domain);
-        this->set_evacuated(evacuated, now);
-        evacuated.erase(domain);
     }
     this->set_evacuated(evacuated, now);
 }
