--- a/include/caperpath/fleet/warm_up.hpp
+++ b/include/caperpath/fleet/warm_up.hpp
@@ -42,10 +42,9 @@
 std::int64_t most_cold_sends(warm_up_limit const& limit,
                              warm_up_tolerance const& tolerance);
 
-/// The part of `most` that the router `self` may send to `server`; 0 if other
-/// routers were chosen. The parts of all routers with the same view add up to
-/// half of `most`, since others may choose by an older or newer view. Thread
-/// safe.
+/// The part of `most` that the router `self` may send to `server`; 0 if it is
+/// not one of its senders. All parts by one list of routers sum to at most half
+/// of `most`: while the fleet changes, two lists are in use. Thread safe.
 std::int64_t cold_send_share(backend_server_id const& server,
                              std::vector<std::string> const& routers,
                              std::string const& self, std::int64_t most);
--- a/tests/gateway/outcome_test.cpp
+++ b/tests/gateway/outcome_test.cpp
@@ -228,8 +228,8 @@
     }
 
     // A server takes an order and never responds. Guards against a caller that
-    // waits longer than the timeout of the route, or is told that the order did
-    // not run.
+    // waits longer than the timeout of the route, or gets a response that
+    // states that the order did not run.
     void a_silent_server_fails_at_the_timeout_of_the_route()
     {
         fleet_site site;
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -318,8 +318,8 @@
         CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
     }
 
-    // Guards against callers that are told to wait for their budget although it
-    // is not used up, since only the stopping router has no tokens left.
+    // Guards against a `Retry-After` for a budget that is not used up: only the
+    // stopping router has no tokens left.
     void a_prompt_without_tokens_is_sent_elsewhere_at_once()
     {
         scenario here{duration{4'000}};
