Log how connections end, what delays a stream and what throws

The record of streams that were cut around a configuration names them in no line of the router that took them, and the lines there are cannot tell its hypotheses apart: a late event loop, a full link, a silence timeout, an exception, a process that ended.

Added: - step=request of a stream: the longest time between two parts (gap_ms), how much of it the event loop may have added (gap_loop_ms), what the caller had not taken (gap_unsent); of what was sent and not served how both connections ended (server_end, caller_end: open, eof, closed by this process, the system's error) - step=exception: what ended a task; the coroutines that nobody waits for were spawned detached, and an exception left no line - step=loop_stall: a timer that ran 100 ms late or more; step=loop_delay tells lasting delays only - parse_ms of step=configuration: turning a response into rows was in no figure

No change of behaviour.

--- a/include/caperpath/store/async_port.hpp
+++ b/include/caperpath/store/async_port.hpp
@@ -43,6 +43,7 @@
     duration time_to_first_byte{}; ///< from the call to the first byte of the
                                    ///< response
     duration total_time{};         ///< from the call to its last byte
+    duration parse_time{};         ///< to turn the body into rows
 
     friend bool operator==(read_cost const&, read_cost const&) = default;
 };
--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -142,7 +142,8 @@
             if (fault)
             {
                 self->set_end(fault == asio::error::eof ? peer_end::finished
-                                                        : peer_end::broken);
+                                                        : peer_end::broken,
+                              fault);
                 return;
             }
             self->append_input(size);
@@ -175,11 +176,12 @@
         }
         else if (size == 0)
         {
-            this->set_end(peer_end::finished);
+            this->set_end(peer_end::finished, asio::error::eof);
         }
         else if (!is_transient(errno))
         {
-            this->set_end(peer_end::broken);
+            this->set_end(peer_end::broken,
+                          {errno, boost::system::system_category()});
         }
     }
 }
@@ -249,7 +251,7 @@
     this->written = 0;
     if (fault)
     {
-        this->set_end(peer_end::broken);
+        this->set_end(peer_end::broken, fault);
         return;
     }
     this->start_write();
@@ -273,7 +275,7 @@
 {
     if (this->state == peer_end::open && this->ended_in_kernel())
     {
-        this->set_end(peer_end::finished);
+        this->set_end(peer_end::finished, asio::error::eof);
     }
     return this->state;
 }
@@ -295,11 +297,26 @@
     return size == 0 || (size < 0 && !is_transient(errno));
 }
 
-void connection::set_end(peer_end how)
+std::string connection::end_detail() const
+{
+    switch (this->state)
+    {
+    case peer_end::open:
+        return "open";
+    case peer_end::finished:
+        return "eof";
+    case peer_end::broken:
+        break;
+    }
+    return this->end_cause ? this->end_cause.message() : "closed";
+}
+
+void connection::set_end(peer_end how, boost::system::error_code why)
 {
     if (this->state == peer_end::open)
     {
         this->state = how;
+        this->end_cause = why;
     }
     if (this->wakeup)
     {
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -85,6 +85,10 @@
     /// As of the last completed read or write.
     peer_end end() const;
 
+    /// How the connection ended, for logs: `eof`, `closed` by this process, or
+    /// the system's error. "open" if it has not ended.
+    std::string end_detail() const;
+
     /// Asks the kernel, which may know of an end that the event loop has not
     /// handled yet. Does not tell a reset from an orderly end.
     peer_end current_end();
@@ -107,7 +111,7 @@
     void write_rest();
     void handle_written(boost::system::error_code fault, std::size_t size);
     void append_input(std::size_t size);
-    void set_end(peer_end how);
+    void set_end(peer_end how, boost::system::error_code why);
 
     tcp::socket socket;
     boost::beast::flat_buffer input_buffer;
@@ -117,6 +121,7 @@
     std::size_t written{}; ///< of `outgoing`
     std::string queued;    ///< to be handed over after `outgoing`
     peer_end state{peer_end::open};
+    boost::system::error_code end_cause; ///< if `state` is `broken`
     bool reading{false};
     bool writing{false};
     time_point last_used;
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -80,6 +80,25 @@
                  {"detail", what.detail}});
 }
 
+void decision_log::write_exception(std::string_view task,
+                                   std::exception_ptr const& thrown)
+{
+    std::string detail{"not a standard exception"};
+    try
+    {
+        std::rethrow_exception(thrown);
+    }
+    catch (std::exception const& fault)
+    {
+        detail = fault.what();
+    }
+    catch (...) // NOLINT(bugprone-empty-catch): `detail` says so
+    {
+    }
+    this->write(log_weight::notable, "exception",
+                {{"task", std::string{task}}, {"detail", detail}});
+}
+
 void decision_log::flush()
 {
     while (!this->pending.empty())
--- a/src/gateway/decision_log.hpp
+++ b/src/gateway/decision_log.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,10 @@
     /// Writes an error with its step, peer and kind.
     void write_error(error const& what);
 
+    /// Writes that an exception ended `task`.
+    void write_exception(std::string_view task,
+                         std::exception_ptr const& thrown);
+
     /// Writes as much as the descriptor accepts now.
     void flush();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,8 @@
 /// A caller's request takes several turns of the loop; from here on they use up
 /// the time in which most callers expect a response.
 constexpr duration most_loop_delay{250};
+/// A single turn of the loop that takes longer delays events noticeably.
+constexpr duration longest_usual_stall{100};
 /// Kept short, so that the process is not killed while it writes its log.
 constexpr duration max_log_wait{100};
 /// The responses only have to be handed to the kernel.
@@ -292,6 +294,21 @@
     }
 }
 
+void gateway_server::report_stall(duration late)
+{
+    if (late < longest_usual_stall)
+    {
+        return;
+    }
+    auto const& shared = this->shared;
+    this->shared.log.write(
+        log_weight::notable, "loop_stall",
+        {{"ms", std::to_string(late.ms)},
+         {"open_requests", std::to_string(shared.open_requests.size())},
+         {"config",
+          shared.site ? std::to_string(shared.site->version()) : "none"}});
+}
+
 void gateway_server::report_delay()
 {
     auto const is_behind = lasting_delay(this->shared.delay) > duration{0};
@@ -329,6 +346,7 @@
     this->shared.metrics.loop_delay(late.ms,
                                     lasting_delay(this->shared.delay).ms);
     this->note_turn_after_events();
+    this->report_stall(late);
     this->report_delay();
     this->shared.pool.sweep();
     for (auto const& id : fleet::sweep_servers(this->shared.servers, now))
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -90,6 +90,8 @@
     void record_store_call(bool reachable, error const& why);
     void tick();
     void note_turn_after_events();
+    /// Logs a timer run that was `late` by more than usual.
+    void report_stall(duration late);
     /// Logs when the event loop falls behind, and when it has caught up.
     void report_delay();
     /// Logs services whose servers become reachable or unreachable.
--- a/src/gateway/gateway_listeners.cpp
+++ b/src/gateway/gateway_listeners.cpp
@@ -3,9 +3,8 @@
 #include "gateway/relays/relay_session.hpp"
 #include "gateway/requests/session.hpp"
 #include "gateway/run_after.hpp"
+#include "gateway/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -66,10 +65,9 @@
     this->accept(this->callers,
                  [this](tcp::socket socket)
                  {
-                     asio::co_spawn(
-                         this->loop,
-                         serve_caller(this->shared, std::move(socket)),
-                         asio::detached);
+                     spawn(this->shared.loop,
+                           serve_caller(this->shared, std::move(socket)),
+                           "serve_caller", this->shared.log);
                  });
 }
 
@@ -95,10 +93,9 @@
     this->accept(this->routers,
                  [this](tcp::socket socket)
                  {
-                     asio::co_spawn(
-                         this->loop,
-                         serve_relay(this->shared, std::move(socket)),
-                         asio::detached);
+                     spawn(this->shared.loop,
+                           serve_relay(this->shared, std::move(socket)),
+                           "serve_relay", this->shared.log);
                  });
 }
 
@@ -157,9 +154,9 @@
     this->accept(acceptor,
                  [this](tcp::socket socket)
                  {
-                     asio::co_spawn(this->loop,
-                                    this->serve_status(std::move(socket)),
-                                    asio::detached);
+                     spawn(this->shared.loop,
+                           this->serve_status(std::move(socket)),
+                           "serve_status", this->shared.log);
                  });
 }
 
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -169,6 +169,7 @@
              {"bytes", std::to_string(page.cost.bytes)},
              {"answered_ms", std::to_string(page.cost.time_to_first_byte.ms)},
              {"read_ms", std::to_string(page.cost.total_time.ms)},
+             {"parse_ms", std::to_string(page.cost.parse_time.ms)},
              {"apply_ms",
               std::to_string((this->shared.now.now() - began).ms)}});
     }
--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -41,6 +41,14 @@
     friend bool operator==(rejection const&, rejection const&) = default;
 };
 
+/// The time between two parts of a stream as they were read.
+struct event_gap
+{
+    duration length{};
+    duration loop_delay{}; ///< at its end: what the event loop may have added
+    std::size_t unsent{};  ///< bytes that the caller had not taken by then
+};
+
 /// The state of one request: what the filters found out, and the resources to
 /// release when it ends. Loop thread only.
 struct exchange
@@ -117,6 +125,10 @@
     std::optional<duration> first_part;
     std::optional<fleet::body_framing> framing; ///< of the latest response
     bool ended_in_event{false}; ///< the latest attempt ended within an event
+    /// How the connection to the server of the latest attempt had ended by the
+    /// attempt's end.
+    std::string server_end;
+    event_gap longest_gap;
     /// The server of a response without a length, after the response's end.
     std::optional<server_presence> server_after_end;
 };
--- a/src/gateway/requests/exchange_log.cpp
+++ b/src/gateway/requests/exchange_log.cpp
@@ -30,6 +30,26 @@
     }
 }
 
+/// Tells a silent server from a late event loop and from a caller that does not
+/// take its events, and how the connections ended.
+void add_stream_fields(std::vector<log_field>& fields, exchange const& current)
+{
+    if (current.longest_gap.length > duration{0})
+    {
+        auto const& gap = current.longest_gap;
+        fields.push_back({"gap_ms", std::to_string(gap.length.ms)});
+        fields.push_back({"gap_loop_ms", std::to_string(gap.loop_delay.ms)});
+        fields.push_back({"gap_unsent", std::to_string(gap.unsent)});
+    }
+    if (current.reason != "served" && current.possible_deliveries > 0)
+    {
+        fields.push_back({"server_end", current.server_end});
+        fields.push_back({"caller_end", current.caller->end_detail()});
+        fields.push_back(
+            {"caller_unsent", std::to_string(current.caller->unsent())});
+    }
+}
+
 } // namespace
 
 // Estimates output tokens from complete events: each holds up to a known
@@ -117,6 +137,7 @@
                               std::string{to_text(*current.server_after_end)}});
         }
     }
+    add_stream_fields(fields, current);
     add_delay_fields(fields, current);
     add_stopping_field(fields, current);
     shared.log.write(weight, "request", fields);
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -66,6 +66,7 @@
     if (this->connection)
     {
         this->current.left_unsent = this->connection->unsent();
+        this->current.server_end = this->connection->end_detail();
         this->release_connection();
     }
 }
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -59,6 +59,7 @@
     bool must_skip_response();
     void start_response(bool chunked);
     void relay_part(std::string const& part);
+    void record_gap();
     void drop_incomplete_event();
     asio::awaitable<bool> broken_off();
     bool may_fail_over();
@@ -83,6 +84,7 @@
     bool over_bounds{false};
     instant sent_at{};
     std::optional<instant> first_part_at;
+    instant latest_part_at{}; ///< @pre `first_part_at`
     bool version_noted{false};
     bool counted_unread{false};
     bool counted_open{false};
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -1,9 +1,8 @@
 #include "gateway/servers/server_call.hpp"
 
 #include "gateway/requests/head_text.hpp"
+#include "gateway/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -75,6 +74,7 @@
     auto& shared = this->current.shared;
     auto const now = shared.now.now();
     this->first_part_at = now;
+    this->latest_part_at = now;
     shared.metrics.server_first_part((now - this->sent_at).ms);
     if (!this->current.first_part)
     {
@@ -160,6 +160,18 @@
     this->current.caller->send(head_text(head) + this->body);
 }
 
+void server_call::record_gap()
+{
+    auto const& shared = this->current.shared;
+    auto const now = shared.now.now();
+    auto const length = now - std::exchange(this->latest_part_at, now);
+    if (length > this->current.longest_gap.length)
+    {
+        this->current.longest_gap = {length, longest_wait(shared.delay, now),
+                                     this->current.caller->unsent()};
+    }
+}
+
 void server_call::relay_part(std::string const& part)
 {
     if (part.empty())
@@ -167,6 +179,7 @@
         return;
     }
     this->record_first_part();
+    this->record_gap();
     if (!this->version_noted)
     {
         this->version_noted = true;
@@ -200,9 +213,8 @@
     auto& shared = this->current.shared;
     auto const result = std::make_shared<presence_result>();
     result->wakeup = this->current.wakeup;
-    asio::co_spawn(shared.loop,
-                   find_presence(shared, this->where.server, result),
-                   asio::detached);
+    spawn(shared.loop, find_presence(shared, this->where.server, result),
+          "find_presence", shared.log);
     auto const until =
         std::min(this->current.deadline, shared.now.now() + max_presence_wait);
     while (!result->presence && shared.now.now() < until &&
--- a/src/gateway/servers/server_connector.cpp
+++ b/src/gateway/servers/server_connector.cpp
@@ -1,9 +1,7 @@
 #include "gateway/servers/server_connector.hpp"
 
 #include "gateway/run_after.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "gateway/spawn.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -97,10 +95,9 @@
     if (!target->path.direct_failed)
     {
         all->direct_pending = true;
-        asio::co_spawn(
-            this->executor,
-            this->race_directly(all, std::min(longest, connect_timeout)),
-            asio::detached);
+        spawn(this->executor,
+              this->race_directly(all, std::min(longest, connect_timeout)),
+              "connect", this->log);
     }
     while (true)
     {
@@ -111,8 +108,8 @@
         {
             all->relay_tried = true;
             all->relay_pending = true;
-            asio::co_spawn(this->executor, this->race_through_relay(all),
-                           asio::detached);
+            spawn(this->executor, this->race_through_relay(all),
+                  "connect_through_relay", this->log);
         }
         auto const pending = all->direct_pending || all->relay_pending;
         if (all->direct || all->relayed.link || !pending || at >= until)
@@ -338,7 +335,7 @@
     }
     for (auto const& server : due)
     {
-        asio::co_spawn(this->executor, this->probe(server), asio::detached);
+        spawn(this->executor, this->probe(server), "probe_path", this->log);
     }
 }
 
