Add a soak of configurations beside long streams

The soak could not see a stream that is cut: check_outcome() passes over streams that end early, since its servers are killed, go silent and truncate, and every run restarts routers all the time. So it could not have found what was reported.

soak.configurations: reliable servers, long streams open all the time, callers that never leave, configurations of 2,800 routes and 560 keys in series of one to six, 30 to 900 ms apart, SIGHUP in between; routers stop only at the end. A stream that ends before its last event with less than seven tenths of its time used is a violation, and the history says who ended it.

--- /dev/null
+++ b/tests/soak/configurations_test.cpp
@@ -0,0 +1,16 @@
+#include "soak/soak_main.hpp"
+
+// Guards against streams that are cut, and routers that end, while large
+// configurations come into force in quick series.
+
+int main(int argc, char** argv)
+{
+    caperpath::soak::soak_options options{20'261'204,        {}, 12, 60,
+                                          CAPERPATH_GATEWAY, {}};
+    options.configurations = true;
+    return caperpath::soak::run_soak(
+        argc, argv,
+        "Puts large configurations in quick series while callers read long "
+        "streams, and checks that each stream ends with its last event.",
+        options);
+}
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -61,7 +61,7 @@
                             soak_options const& options)
 {
     caller_request made{id, request_kind::order, "large", 0, {}};
-    auto const kind = draw.between(0, 9);
+    auto const kind = draw.between(options.configurations ? 2 : 0, 9);
     std::string path = "/order/1";
     if (kind >= 4)
     {
@@ -72,7 +72,8 @@
     if (made.kind == request_kind::stream)
     {
         made.customer = draw.chance(30) ? "small" : "large";
-        made.events = draw.between(5, 60);
+        made.events =
+            options.configurations ? draw.between(20, 90) : draw.between(5, 60);
         made.fatal = options.fatal_parts && draw.chance(fatal_percent);
         prompt = "Token-Count: " + std::to_string(prompt_tokens) + "," +
                  std::to_string(made.events) + "\r\nPrefix-Hash: a" +
@@ -86,7 +87,7 @@
             : static_cast<std::size_t>(draw.between(
                   1, options.slow_routers ? long_body : short_body)),
         'b');
-    made.timeout_ms = draw.between(500, 8'000);
+    made.timeout_ms = options.configurations ? 8'000 : draw.between(500, 8'000);
     made.bytes = (made.kind == request_kind::read ? "GET " : "POST ") + path +
                  " HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + id +
                  "\r\nDeadline-Ms: " + std::to_string(made.timeout_ms) +
@@ -214,6 +215,10 @@
         record.spend(request.id, request.customer, prompt_tokens + events);
     }
     record.end(request.id, how);
+    if (request.kind == request_kind::stream)
+    {
+        check_stream(site, request.id, how, began_ms, request.timeout_ms);
+    }
     check_prompt(site, request.id, request.fatal, how.status,
                  number_in(parser.get()["Retry-After"]));
     // A used-up budget says nothing about paths.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -54,12 +54,17 @@
                        });
     };
     spawn(watch(site));
-    if (!site.options.herds)
+    if (site.options.configurations)
+    {
+        spawn(change_configurations(site));
+    }
+    else if (!site.options.herds)
     {
         spawn(interrupt_store(site));
     }
     if (!site.options.partitions && !site.options.fatal_parts &&
-        !site.options.herds && !site.options.notices)
+        !site.options.herds && !site.options.notices &&
+        !site.options.configurations)
     {
         spawn(restart_servers(site));
     }
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -253,6 +253,13 @@
     }
 }
 
+std::string soak_record::history(std::string const& id) const
+{
+    auto const found = this->requests.find(id);
+    return found == this->requests.end() ? std::string{}
+                                         : found->second.history;
+}
+
 std::string const& soak_record::first_violation() const
 {
     return this->first;
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -79,6 +79,9 @@
     void report_violation(std::string const& promise,
                           std::string const& history);
 
+    /// What was noted of a request.
+    std::string history(std::string const& id) const;
+
     /// Empty if no guarantee was violated.
     std::string const& first_violation() const;
     std::string summary() const;
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -217,7 +217,7 @@
         }
         co_return false;
     }
-    if (draw.chance(silent_percent))
+    if (!this->reliable && draw.chance(silent_percent))
     {
         co_await send_no_response(stream);
         co_return false;
@@ -243,7 +243,8 @@
     auto const events = events_of(got);
     auto const gap = draw.ms(5, 80);
     auto const unframed = draw.chance(unframed_percent);
-    auto const truncated = unframed && draw.chance(truncated_percent);
+    auto const truncated =
+        unframed && !this->reliable && draw.chance(truncated_percent);
     auto next = number_in(last) + 1;
     auto const end = truncated ? draw.between(next, events) : events;
     std::string const framing =
@@ -264,6 +265,10 @@
         auto const bytes = unframed ? event : chunk.str();
         open = co_await send(stream, bytes);
     }
+    if (!open)
+    {
+        this->record.note(id, "its router closes the server's connection");
+    }
     if (unframed)
     {
         co_return false;
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -54,6 +54,9 @@
 
     std::string notices; ///< header lines of its responses
 
+    /// It completes each response that its router reads.
+    bool reliable{false};
+
     /// The number of requests that it runs.
     int running() const;
 
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_site.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 #include <utility>
@@ -61,6 +62,11 @@
 
 milliseconds draw_uptime(soak_site const& site, dice& draw)
 {
+    if (site.options.configurations)
+    {
+        return std::chrono::duration_cast<milliseconds>(site.end -
+                                                        steady_clock::now());
+    }
     auto const early = draw.chance(15);
     return early ? draw.ms(0, 200)
                  : draw.ms(500, site.options.longest_uptime_ms);
@@ -156,6 +162,7 @@
         {
             crash_server(*this, i);
         };
+        this->servers.back().reliable = options.configurations;
         if (options.notices)
         {
             this->servers.back().on_request =
@@ -229,14 +236,22 @@
          << route("resume", "streaming", "llm",
                   R"(,"attempts":2,"session-affinity":true,)"
                   R"("stream-resume":true)")
+         << more_routes(this->extra_routes)
          << R"(],"backends":[{"name":"app"},{"name":"llm","engine-type":)"
          << R"({"batch-slots":16,"kv-capacity":444000,"stride":1}}],)"
          << R"("limits":{"max-body-bytes":40000},"tenants":[)"
          << customer("small", small_budget) << ","
-         << customer("large", large_budget) << "]}";
+         << customer("large", large_budget)
+         << more_customers(this->extra_routes) << "]}";
     this->store.put("op", "config", text.str());
 }
 
+bool soak_site::stopping() const
+{
+    return std::any_of(this->routers.begin(), this->routers.end(),
+                       [](auto const& router) { return router->stopping; });
+}
+
 bool soak_site::over() const
 {
     return this->series_left == 0;
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -43,6 +43,9 @@
     bool slow_routers{false};
     /// Servers leave, ask for rests and fall over under rejections.
     bool notices{false};
+    /// Large configurations in quick series beside long streams. Servers never
+    /// break off, and routers stop only at the end.
+    bool configurations{false};
     int longest_uptime_ms{3'500}; ///< of a router between two stops
 };
 
@@ -87,6 +90,9 @@
     /// Returns true once all routers are stopped for the last time.
     bool over() const;
 
+    /// Returns true if a router was stopped.
+    bool stopping() const;
+
     soak_options const options;
     asio::io_context loop;
     soak_record record;
@@ -94,6 +100,7 @@
     std::deque<soak_server> servers;
     std::vector<std::unique_ptr<router_process>> routers;
     std::int64_t configuration{};
+    int extra_routes{}; ///< in configurations that are put from now on
     std::chrono::steady_clock::time_point end;
     int series_left{};  ///< restart series that are not finished
     int callers_left{}; ///< that are still active
@@ -162,6 +169,21 @@
 /// Restarts one router until the soak time is over.
 asio::awaitable<void> restart_repeatedly(soak_site& site, int number);
 
+/// Puts series of configurations, some of them large, until the soak time is
+/// over.
+asio::awaitable<void> change_configurations(soak_site& site);
+
+/// Routes and keys of `customers` customers, with which a configuration has the
+/// size of a large site's; for `soak_site::put_configuration`.
+std::string more_routes(int count);
+std::string more_customers(int count);
+
+/// Reports a violation if a stream of reliable servers did not end with its
+/// last event although its caller waited.
+void check_stream(soak_site& site, std::string const& id,
+                  request_outcome const& how, std::int64_t began_ms,
+                  int timeout_ms);
+
 /// Makes the store unreachable for random periods.
 asio::awaitable<void> interrupt_store(soak_site& site);
 
