Go on after an exception in a handler or a request

What callers would see: a configuration, a row or a datagram that makes a handler throw ended the process, and all streams open there were cut at one moment, closed or reset, with no line of any of them (the lines of the last 50 ms are not written either). A request that threw ended without a response and left pointers to its frame in the sets of sessions and open requests, which the stop and the evidence of crashes walk.

Changed, by class of fault rather than by place: - gateway_server::run: an exception of a handler is logged and ends that handler - run_after: what runs regularly runs again after it threw - table_follower: a page that cannot be applied does not end the following - requests: an exception ends in a response (503 if nothing was sent, else 502), a line (reason=internal_error) and released tokens; sessions and relays leave their sets and close their connections

Weighed: ending the process in order (drain, then restart) cuts nothing either, but a configuration that throws would stop the whole fleet at once.

--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -80,7 +80,7 @@
                  {"detail", what.detail}});
 }
 
-void decision_log::write_exception(std::string_view task,
+void decision_log::write_exception(std::string const& task,
                                    std::exception_ptr const& thrown)
 {
     std::string detail{"not a standard exception"};
--- a/src/gateway/decision_log.hpp
+++ b/src/gateway/decision_log.hpp
@@ -49,7 +49,7 @@
     void write_error(error const& what);
 
     /// Writes that an exception ended `task`.
-    void write_exception(std::string_view task,
+    void write_exception(std::string const& task,
                          std::exception_ptr const& thrown);
 
     /// Writes as much as the descriptor accepts now.
--- a/src/gateway/followers/table_follower.cpp
+++ b/src/gateway/followers/table_follower.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -75,11 +76,31 @@
                         this->is_current = true;
                         this->version = page.version;
                         this->listener.on_reachability(true, {});
-                        this->listener.on_snapshot(page);
+                        this->deliver(this->listener.on_snapshot, page);
                         this->follow(this->hold);
                     });
 }
 
+/// A page that cannot be applied must not end the following of the table.
+void table_follower::deliver(
+    std::function<void(store::feed_page const&)> const& handler,
+    store::feed_page const& page)
+{
+    try
+    {
+        handler(page);
+    }
+    catch (std::exception const& fault)
+    {
+        if (this->listener.on_first_failure)
+        {
+            this->listener.on_first_failure({error_kind::internal,
+                                             "apply " + this->table, "store",
+                                             fault.what()});
+        }
+    }
+}
+
 void table_follower::restart_poll()
 {
     if (!this->may_restart_poll)
@@ -116,7 +137,7 @@
                           this->lost_polls = 0;
                           this->version = page.version;
                           this->listener.on_reachability(true, {});
-                          this->listener.on_change(page);
+                          this->deliver(this->listener.on_change, page);
                           if (page.rows.empty() && hold == this->hold)
                           {
                               this->hold = next_hold(this->hold,
--- a/src/gateway/followers/table_follower.hpp
+++ b/src/gateway/followers/table_follower.hpp
@@ -30,7 +30,8 @@
     /// The store responded, or failed to do so twice in a row.
     std::function<void(bool reachable, error const& why)> on_reachability;
 
-    /// A call failed after one that succeeded. Optional.
+    /// A call failed after one that succeeded, or a page could not be applied.
+    /// Optional.
     std::function<void(error const& why)> on_first_failure{};
 
     /// Delay before the next call for changes, so that a table that changes
@@ -71,6 +72,8 @@
 
 private:
     void list();
+    void deliver(std::function<void(store::feed_page const&)> const& handler,
+                 store::feed_page const& page);
     void follow(duration hold);
     void follow_next();
     void schedule(duration pause, std::function<void()> next);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <iterator>
 #include <utility>
 
@@ -130,6 +131,23 @@
     return this->readiness.local_endpoint().port();
 }
 
+void gateway_server::run(std::function<void()> const& run_loop)
+{
+    while (true)
+    {
+        try
+        {
+            run_loop();
+            return;
+        }
+        catch (...)
+        {
+            this->shared.log.write_exception("handler",
+                                             std::current_exception());
+        }
+    }
+}
+
 bool gateway_server::ready() const
 {
     if (this->shared.stop || !this->shared.site || !this->shared.servers_listed)
@@ -182,7 +200,7 @@
     }
     this->wake_sessions();
     this->loop.restart();
-    this->loop.run_for(to_chrono(overdue_run_time));
+    this->run([this] { this->loop.run_for(to_chrono(overdue_run_time)); });
 }
 
 void gateway_server::flush_log()
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -37,6 +37,11 @@
     /// `unavailable` if an address cannot be bound.
     result<void> start();
 
+    /// Calls `run_loop`, which runs the event loop, until it returns. An
+    /// exception that a handler throws is logged and ends that handler only:
+    /// the requests that are open have nothing to do with it.
+    void run(std::function<void()> const& run_loop);
+
     /// Starts a planned stop: reports not ready at once, serves requests while
     /// the balancer still sends them, then ends. Idempotent.
     void stop();
--- a/src/gateway/relays/relay_session.cpp
+++ b/src/gateway/relays/relay_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -62,6 +63,34 @@
     relay_session& operator=(relay_session const&) = delete;
 
     asio::awaitable<void> run()
+    {
+        std::exception_ptr thrown;
+        try
+        {
+            co_await this->serve();
+        }
+        catch (...)
+        {
+            thrown = std::current_exception();
+            this->close_both();
+        }
+        if (thrown)
+        {
+            std::rethrow_exception(thrown);
+        }
+    }
+
+private:
+    void close_both()
+    {
+        this->router->close(true);
+        if (this->server)
+        {
+            this->server->close(true);
+        }
+    }
+
+    asio::awaitable<void> serve()
     {
         auto const request = co_await this->read_request();
         if (!request)
@@ -80,7 +109,6 @@
         co_await this->finish();
     }
 
-private:
     asio::awaitable<void> wait(duration span)
     {
         static_cast<void>(co_await this->wakeup->wait(
--- a/src/gateway/requests/exchange.cpp
+++ b/src/gateway/requests/exchange.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace caperpath::gateway
@@ -294,10 +295,11 @@
     return all;
 }
 
-asio::awaitable<void> serve(exchange& current)
+namespace
+{
+
+asio::awaitable<void> run_filters(exchange& current)
 {
-    current.shared.open_requests.insert(&current);
-    record_stopping(current);
     for (auto const& filter : request_filters())
     {
         current.step = filter.name;
@@ -305,9 +307,42 @@
         if (rejected)
         {
             send_rejection(current, *rejected);
-            break;
+            co_return;
         }
     }
+}
+
+/// Ends a request that an exception has stopped. A part of a response that was
+/// sent stays visibly incomplete.
+void fail(exchange& current)
+{
+    current.keep_connection = false;
+    current.reason = "internal_error";
+    if (!current.response_started)
+    {
+        auto const may_have_run = current.possible_deliveries > 0;
+        send_rejection(current,
+                       {may_have_run ? http_bad_gateway : http_unavailable,
+                        "internal_error"});
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> serve(exchange& current)
+{
+    current.shared.open_requests.insert(&current);
+    record_stopping(current);
+    try
+    {
+        co_await run_filters(current);
+    }
+    catch (...)
+    {
+        current.shared.log.write_exception("request " + current.facts.id,
+                                           std::current_exception());
+        fail(current);
+    }
     if (current.server_crashed)
     {
         current.shared.crashes.publish_evidence(*current.fingerprint);
--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace caperpath::gateway
@@ -85,6 +86,31 @@
     asio::awaitable<void> run()
     {
         this->shared.sessions.insert(this->wakeup.get());
+        std::exception_ptr thrown;
+        try
+        {
+            co_await this->serve_requests();
+            co_await this->end();
+        }
+        catch (...)
+        {
+            thrown = std::current_exception();
+        }
+        // A destructor would also run when the event loop is destroyed, after
+        // the sets.
+        this->shared.idle_callers.erase(this->caller.get());
+        this->shared.sessions.erase(this->wakeup.get());
+        this->caller->set_waker(nullptr);
+        this->caller->close();
+        if (thrown)
+        {
+            std::rethrow_exception(thrown);
+        }
+    }
+
+private:
+    asio::awaitable<void> serve_requests()
+    {
         auto keep_open = true;
         while (keep_open)
         {
@@ -102,11 +128,8 @@
             }
             keep_open = co_await this->handle_request(std::move(result));
         }
-        co_await this->end();
-        this->shared.sessions.erase(this->wakeup.get());
     }
 
-private:
     instant now() const
     {
         return this->shared.now.now();
@@ -280,8 +303,6 @@
         {
             co_await this->discard_input(this->now() + output_timeout);
         }
-        this->caller->set_waker(nullptr);
-        this->caller->close();
     }
 
     /// Waits until the caller has taken all output, as long as it makes
--- a/src/gateway/run_after.hpp
+++ b/src/gateway/run_after.hpp
@@ -19,18 +19,29 @@
 }
 
 /// Calls `next` after `pause`, unless `timer` is set again, cancelled or
-/// destroyed before. Loop thread only.
+/// destroyed before. If it throws it is called again after another `pause`, so
+/// that an exception does not end what runs regularly. Loop thread only.
 inline void run_after(boost::asio::steady_timer& timer, duration pause,
                       std::function<void()> next)
 {
     timer.expires_after(to_chrono(pause));
     timer.async_wait(
-        [next = std::move(next)](boost::system::error_code cancelled)
+        [&timer, pause,
+         next = std::move(next)](boost::system::error_code cancelled)
         {
-            if (!cancelled)
+            if (cancelled)
+            {
+                return;
+            }
+            try
             {
                 next();
             }
+            catch (...)
+            {
+                run_after(timer, pause, next);
+                throw;
+            }
         });
 }
 
--- a/src/gateway/spawn.hpp
+++ b/src/gateway/spawn.hpp
@@ -8,27 +8,28 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <exception>
-#include <string_view>
+#include <string>
 #include <utility>
 
 namespace caperpath::gateway
 {
 
 /// Starts `task`; nobody waits for its end. An exception that ends it is logged
-/// as `step=exception` with `name`. Loop thread only; `log` and the text of
-/// `name` must outlive the task.
+/// as `step=exception` with `name`. Loop thread only; `log` must outlive the
+/// task.
 inline void spawn(boost::asio::any_io_executor const& executor,
-                  boost::asio::awaitable<void> task, std::string_view name,
+                  boost::asio::awaitable<void> task, std::string name,
                   decision_log& log)
 {
-    boost::asio::co_spawn(executor, std::move(task),
-                          [name, &log](std::exception_ptr const& thrown)
-                          {
-                              if (thrown)
-                              {
-                                  log.write_exception(name, thrown);
-                              }
-                          });
+    boost::asio::co_spawn(
+        executor, std::move(task),
+        [name = std::move(name), &log](std::exception_ptr const& thrown)
+        {
+            if (thrown)
+            {
+                log.write_exception(name, thrown);
+            }
+        });
 }
 
 } // namespace caperpath::gateway
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -58,7 +58,8 @@
 }
 
 fleet_site::fleet_site(without_router with)
-    : log_descriptor{::open("/dev/null", O_WRONLY)}, retries{with.retries},
+    : log_descriptor{::open("/dev/null", O_WRONLY)},
+      adapter{platform::make_protocol_adapter()}, retries{with.retries},
       grace{with.grace}, callers_reserved{std::make_shared<reserved_port>()},
       peers_reserved{std::make_shared<reserved_port>()}
 {
@@ -75,6 +76,14 @@
     this->start_router();
 }
 
+fleet_site::fleet_site(protocol_adapter adapter)
+    : fleet_site{without_router{{10, 50, {10'000}}}}
+{
+    this->adapter = std::move(adapter);
+    this->put_configuration(1);
+    this->start_router();
+}
+
 fleet_site::fleet_site(fleet_site const& peer)
     : fleet_site{without_router{peer.retries, peer.grace}}
 {
@@ -122,7 +131,7 @@
                    {{"z-farther"}, {"farther"}}};
     this->router_starts += 1;
     this->router = std::make_unique<gateway_server>(
-        this->loop, all, platform::make_protocol_adapter(), this->store.port(),
+        this->loop, all, this->adapter, this->store.port(),
         incarnation_id{"vm-1-" + std::to_string(this->router_starts)},
         this->log_descriptor);
     boost::leaf::try_handle_all([this] { return this->router->start(); },
@@ -208,7 +217,7 @@
         {
             return false;
         }
-        this->loop.run_for(slice);
+        this->router->run([this] { this->loop.run_for(slice); });
         this->store.now_ms += slice.count();
     }
     return true;
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -48,6 +48,9 @@
                         fleet::retry_limit retries = {10, 50, {10'000}},
                         duration grace = duration{8'000});
 
+    /// The same with another adapter.
+    explicit fleet_site(protocol_adapter adapter);
+
     /// The same with the heartbeat row of another site's router.
     explicit fleet_site(fleet_site const& peer);
     ~fleet_site();
@@ -140,6 +143,7 @@
     connection_ptr connect(std::uint16_t to);
     received_response call(std::uint16_t port, std::string const& bytes);
 
+    protocol_adapter adapter;
     std::map<std::string, std::unique_ptr<fake_server>> servers;
     fleet::retry_limit retries;
     duration grace;
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -111,7 +111,7 @@
         return exit_failed;
     }
     wait_for_signals(signals, loop, timer, serving);
-    loop.run();
+    serving.run([&loop] { loop.run(); });
     serving.reject_open_requests();
     serving.flush_log();
     // Requests that are still open hold references to the gateway, and the loop
