Read large configurations on a thread of their own

What callers would see: the events of all open streams, the timers and the store's leases of a router wait while it parses and builds a configuration, at every router at the same moment.

Cause: parsing the response, decoding the row, parsing the configuration and building its index were one handler of the event loop. On router processes (soak of configurations, 2,800 routes and 560 keys, busy machine) that handler took 74 to 106 ms (apply_ms) after 5 to 32 ms of parsing, with single stalls of 105 and 145 ms.

Text above 16 KB is now parsed by one worker thread, which gets values and returns values; all state stays with the loop thread, and the swap is one assignment. Pages stay in order, and a version is compared when it comes into force, so a small newer one that overtakes a large older one is not undone.

Weighed: parsing in slices on the loop needs another JSON library that can suspend, and every later step in slices too.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,11 +41,13 @@
 gateway_server::gateway_server(asio::io_context& loop, settings const& settings,
                                protocol_adapter adapter,
                                store::async_port const& store,
-                               incarnation_id incarnation, int log_descriptor)
+                               incarnation_id incarnation, int log_descriptor,
+                               std::shared_ptr<worker> background)
     : loop{loop}, shared{loop.get_executor(),    settings,
                          std::move(adapter),     store,
                          std::move(incarnation), log_descriptor},
-      callers{loop}, readiness{loop}, metrics{loop}, routers{loop}, timer{loop}
+      background{std::move(background)}, callers{loop}, readiness{loop},
+      metrics{loop}, routers{loop}, timer{loop}
 {
     this->follow_store(store);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "gateway/core.hpp"
 #include "gateway/followers/table_follower.hpp"
 #include "gateway/settings.hpp"
+#include "gateway/worker.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,15 +20,26 @@
 namespace caperpath::gateway
 {
 
+/// How a configuration was read; for the log.
+struct configuration_read
+{
+    std::size_t rows{}; ///< of the response
+    store::read_cost cost{};
+    duration build_time{}; ///< from its text to a value, off the event loop
+                           ///< if the text is long
+};
+
 /// The router, which is the process `caperpath-gateway`. It serves callers,
 /// backend servers and the store on one event loop and thread, so that a
-/// request needs no locks and no thread switches. Not thread safe.
+/// request needs no locks and no thread switches. Only large documents are
+/// parsed on another thread. Not thread safe.
 class gateway_server
 {
 public:
     gateway_server(asio::io_context& loop, settings const& settings,
                    protocol_adapter adapter, store::async_port const& store,
-                   incarnation_id incarnation, int log_descriptor);
+                   incarnation_id incarnation, int log_descriptor,
+                   std::shared_ptr<worker> background);
     ~gateway_server();
 
     gateway_server(gateway_server const&) = delete;
@@ -86,6 +98,8 @@
     void set_evacuated(std::set<failure_domain_id> const& evacuated,
                        instant now);
     void apply_configuration(store::feed_page const& page);
+    void use_configuration(std::shared_ptr<fleet::site const> site,
+                           configuration_read const& read);
     std::optional<fleet::server_entry> read_entry(store::feed_row const& row);
     void handle_listed(fleet::server_entry const& entry, bool is_new);
     void receive_datagram(std::string const& from, std::string const& bytes);
@@ -111,6 +125,7 @@
 
     asio::io_context& loop;
     core shared;
+    std::shared_ptr<worker> background;
     tcp::acceptor callers;
     tcp::acceptor readiness;
     tcp::acceptor metrics;
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -2,7 +2,9 @@
 #include "gateway/gateway.hpp"
 
 #include <map>
+#include <memory>
 #include <utility>
+#include <variant>
 #include <vector>
 
 /// Keeps the configuration and the list of servers up to date from the store.
@@ -14,6 +16,35 @@
 
 constexpr duration reach_report_interval{500};
 
+struct built_site
+{
+    std::shared_ptr<fleet::site const> site; ///< null if `fault` says why
+    error fault;
+    duration time{};
+};
+
+using site_reader =
+    std::variant<fleet::site_parts, error> (*)(std::string const& text);
+
+built_site build_site(site_reader read_site, std::string const& text)
+{
+    built_site built;
+    auto const time = caperpath::clock::monotonic();
+    auto const began = time.now();
+    auto read = read_site(text);
+    if (auto* fault = std::get_if<error>(&read))
+    {
+        built.fault = std::move(*fault);
+    }
+    else
+    {
+        built.site = std::make_shared<fleet::site const>(
+            std::move(std::get<fleet::site_parts>(read)));
+    }
+    built.time = time.now() - began;
+    return built;
+}
+
 } // namespace
 
 void gateway_server::follow_store(store::async_port const& store)
@@ -127,8 +158,8 @@
     this->shared.metrics.evacuated(evacuated.size());
 }
 
-/// Ignores configurations older than the one in use: they could restore a
-/// revoked key.
+/// Reading and building a large configuration takes long enough to delay the
+/// events of open streams, so it is left to the worker, which keeps the order.
 void gateway_server::apply_configuration(store::feed_page const& page)
 {
     for (auto const& row : page.rows)
@@ -137,42 +168,70 @@
         {
             continue;
         }
-        auto const began = this->shared.now.now();
-        auto read = this->shared.adapter.read_site(row.value);
-        if (auto const* fault = std::get_if<error>(&read))
+        auto const use = [this, rows = page.rows.size(),
+                          cost = page.cost](built_site const& built)
         {
-            this->shared.log.write_error(*fault);
-            continue;
-        }
-        auto& parts = std::get<fleet::site_parts>(read);
-        auto const known = this->shared.site ? this->shared.site->version() : 0;
-        if (this->shared.site && parts.version <= known)
+            if (!built.site)
+            {
+                this->shared.log.write_error(built.fault);
+                return;
+            }
+            this->use_configuration(built.site, {rows, cost, built.time});
+        };
+        auto const read_site = this->shared.adapter.read_site;
+        if (row.value.size() <= longest_inline_text)
         {
+            use(build_site(read_site, row.value));
             continue;
         }
-        if (!this->shared.site)
-        {
-            this->configuration_known_at = this->shared.now.now();
-        }
-        this->shared.site =
-            std::make_shared<fleet::site const>(std::move(parts));
-        this->shared.budgets.apply(*this->shared.site);
-        fleet::set_warm_ups(this->shared.servers,
-                            this->shared.site->warm_ups());
-        this->shared.metrics.site_version(this->shared.site->version());
-        this->shared.log.write(
-            log_weight::notable, "configuration",
-            {{"version", std::to_string(this->shared.site->version())},
-             {"before", std::to_string(known)},
-             {"routes", std::to_string(this->shared.site->routes().size())},
-             {"rows", std::to_string(page.rows.size())},
-             {"bytes", std::to_string(page.cost.bytes)},
-             {"answered_ms", std::to_string(page.cost.time_to_first_byte.ms)},
-             {"read_ms", std::to_string(page.cost.total_time.ms)},
-             {"parse_ms", std::to_string(page.cost.parse_time.ms)},
-             {"apply_ms",
-              std::to_string((this->shared.now.now() - began).ms)}});
+        this->background->run<built_site>(
+            "read configuration",
+            [read_site, text = row.value]
+            { return build_site(read_site, text); },
+            [this, use](std::variant<built_site, error> const& result)
+            {
+                if (auto const* fault = std::get_if<error>(&result))
+                {
+                    this->shared.log.write_error(*fault);
+                    return;
+                }
+                use(std::get<built_site>(result));
+            });
+    }
+}
+
+/// Ignores configurations older than the one in use: they could restore a
+/// revoked key.
+void gateway_server::use_configuration(std::shared_ptr<fleet::site const> site,
+                                       configuration_read const& read)
+{
+    auto& shared = this->shared;
+    auto const known = shared.site ? shared.site->version() : 0;
+    if (shared.site && site->version() <= known)
+    {
+        return;
+    }
+    auto const began = shared.now.now();
+    if (!shared.site)
+    {
+        this->configuration_known_at = began;
     }
+    shared.site = std::move(site);
+    shared.budgets.apply(*shared.site);
+    fleet::set_warm_ups(shared.servers, shared.site->warm_ups());
+    shared.metrics.site_version(shared.site->version());
+    shared.log.write(
+        log_weight::notable, "configuration",
+        {{"version", std::to_string(shared.site->version())},
+         {"before", std::to_string(known)},
+         {"routes", std::to_string(shared.site->routes().size())},
+         {"rows", std::to_string(read.rows)},
+         {"bytes", std::to_string(read.cost.bytes)},
+         {"answered_ms", std::to_string(read.cost.time_to_first_byte.ms)},
+         {"read_ms", std::to_string(read.cost.total_time.ms)},
+         {"parse_ms", std::to_string(read.cost.parse_time.ms)},
+         {"build_ms", std::to_string(read.build_time.ms)},
+         {"apply_ms", std::to_string((shared.now.now() - began).ms)}});
 }
 
 /// Parses the entry in a row. Returns nothing if it is invalid: the state of
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -133,7 +133,8 @@
     this->router = std::make_unique<gateway_server>(
         this->loop, all, this->adapter, this->store.port(),
         incarnation_id{"vm-1-" + std::to_string(this->router_starts)},
-        this->log_descriptor);
+        this->log_descriptor,
+        std::make_shared<worker>(this->loop.get_executor()));
     boost::leaf::try_handle_all([this] { return this->router->start(); },
                                 [](error const& fault)
                                 { throw std::runtime_error(to_string(fault)); },
@@ -160,7 +161,8 @@
          << R"("limits":{"max-body-bytes":)" << this->max_body_bytes << "},"
          << R"("tenants":[{"name":"taller","api-keys":["key"],"reserved":)"
          << paid << R"(},{"name":"otro","api-keys":["second"],"reserved":)"
-         << paid << "}]}";
+         << paid << R"(}],"padding":")" << std::string(this->padding_bytes, 'x')
+         << R"("})";
     this->store.put("op", "config", text.str());
 }
 
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -119,6 +119,8 @@
     duration warm_up_left{};
     /// Start of servers that are listed from now on, in Unix time; 0: unknown.
     std::int64_t born_ms{0};
+    /// Makes configurations that are put from now on as long as large ones.
+    std::size_t padding_bytes{0};
     /// Longest body in configurations that are put from now on, in bytes.
     std::int64_t max_body_bytes{2'000};
 
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -87,13 +87,17 @@
     asio::steady_timer timer{loop};
     auto const store = std::make_shared<gateway::http_client>(
         loop.get_executor(), settings.store_address);
+    auto const background =
+        std::make_shared<gateway::worker>(loop.get_executor());
     gateway::gateway_server serving{
         loop,
         settings,
         platform::make_protocol_adapter(),
-        platform::make_store_port(store, settings.store_address, store_timeout),
+        platform::make_store_port(store, settings.store_address, store_timeout,
+                                  background),
         new_incarnation(settings.vm),
-        STDOUT_FILENO};
+        STDOUT_FILENO,
+        background};
     auto const started = boost::leaf::try_handle_all(
         [&]() -> result<bool>
         {
