Apply longer timeouts to requests that may have been sent under them

What callers would see: a request that is sent after a configuration with a longer timeout, to a router that does not know it yet, is cut at the timeout of the older one. The store may be slow, as in the report, and then that lasts for seconds.

Cause: a request keeps the deadline of the configuration that it was accepted with. Which one its caller means is not known in between: it arrived after the store was last known to hold the older one.

Requests that arrived since then get the longer timeout when the newer configuration comes into force; a shorter one applies to new requests only, and requests from before keep theirs. Of the report this is a suspect only.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -27,6 +27,8 @@
     store::read_cost cost{};
     duration build_time{}; ///< from its text to a value, off the event loop
                            ///< if the text is long
+    /// An older configuration was in force until then.
+    instant since{};
 };
 
 /// The router, which is the process `caperpath-gateway`. It serves callers,
@@ -134,6 +136,8 @@
     std::unique_ptr<table_follower> configuration_follower;
     std::unique_ptr<table_follower> server_follower;
     instant configuration_known_at{};
+    /// When the store last showed whether there is a newer one.
+    instant configuration_confirmed_at{};
     instant retries_reported_at{};
     instant versions_noted_at{};
     instant reach_reported_at{};
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/requests/exchange.hpp"
 
 #include <map>
 #include <memory>
@@ -162,13 +163,18 @@
 /// events of open streams, so it is left to the worker, which keeps the order.
 void gateway_server::apply_configuration(store::feed_page const& page)
 {
+    // No other version was in force up to here.
+    auto const since =
+        std::exchange(this->configuration_confirmed_at,
+                      this->shared.now.now() - page.cost.total_time +
+                          page.cost.time_to_first_byte - page.cost.parse_time);
     for (auto const& row : page.rows)
     {
         if (row.key != this->shared.adapter.site_key || row.deleted)
         {
             continue;
         }
-        auto const use = [this, rows = page.rows.size(),
+        auto const use = [this, since, rows = page.rows.size(),
                           cost = page.cost](built_site const& built)
         {
             if (!built.site)
@@ -176,7 +182,8 @@
                 this->shared.log.write_error(built.fault);
                 return;
             }
-            this->use_configuration(built.site, {rows, cost, built.time});
+            this->use_configuration(built.site,
+                                    {rows, cost, built.time, since});
         };
         auto const read_site = this->shared.adapter.read_site;
         if (row.value.size() <= longest_inline_text)
@@ -216,6 +223,7 @@
     {
         this->configuration_known_at = began;
     }
+    adopt_longer_timeouts(shared, *site, read.since);
     shared.site = std::move(site);
     shared.budgets.apply(*shared.site);
     fleet::set_warm_ups(shared.servers, shared.site->warm_ups());
--- a/src/gateway/requests/exchange.cpp
+++ b/src/gateway/requests/exchange.cpp
@@ -33,17 +33,6 @@
     budget::flat_period + duration{300};
 /// `Retry-After` while this process does not know the configuration.
 constexpr duration not_ready_retry_after{500};
-/// Upper bound for requests whose caller sets no time limit; the timeout of the
-/// route still applies.
-constexpr duration max_request_timeout{600'000};
-
-std::string_view path_of(caller_request const& request)
-{
-    auto const target = request.target();
-    std::string_view const text{target.data(), target.size()};
-    return text.substr(0, text.find('?'));
-}
-
 duration reserve_timeout(exchange const& current, token_count amount)
 {
     auto& shared = current.shared;
@@ -151,9 +140,7 @@
         co_return rejection{http_unavailable, "not_ready",
                             not_ready_retry_after};
     }
-    auto const host = current.request[http::field::host];
-    current.route = current.site->find_route({host.data(), host.size()},
-                                             path_of(current.request));
+    current.route = route_of(current, *current.site);
     if (current.route == nullptr)
     {
         co_return rejection{http_not_found, "no_route"};
@@ -198,9 +185,7 @@
     current.work.regions = fleet::residency_of(route, current.customer);
     current.work.may_be_relayed = fleet::may_relay(
         current.work.regions, settings.regions, settings.region);
-    auto const timeout = std::min(
-        current.facts.timeout.value_or(max_request_timeout), route.timeout);
-    current.deadline = current.arrived + timeout;
+    current.deadline = deadline_of(current, route);
     current.attempts.kind = route.kind;
     current.attempts.resumable = route.resumable;
     current.attempts.max_servers = route.max_servers;
--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -197,6 +197,18 @@
 void add_stopping_field(std::vector<log_field>& fields,
                         exchange const& current);
 
+/// Applies the longer timeouts of `newer` to open requests that arrived at
+/// `since` or later: their callers may have sent them under it. Shorter ones
+/// apply to new requests only.
+void adopt_longer_timeouts(core& shared, fleet::site const& newer,
+                           instant since);
+
+/// The request's route in `site`; null if it has none.
+fleet::route const* route_of(exchange const& current, fleet::site const& site);
+
+/// The deadline of the request under the timeout of `route`.
+instant deadline_of(exchange const& current, fleet::route const& route);
+
 /// Limits the deadline so that the process can respond before it exits. @pre
 /// The process is stopping.
 void limit_deadline_to_stop(exchange& current);
