Keep the versions at which streams began in the store

Cause: what decides where a stream may go on was in the memory of processes: the records of streams, and the 60 s of one version that a process must have seen itself. The class: a decision that must survive a restart rests on state that does not.

Now the store has, for each service, a row with the versions at which open streams may have begun. A router sends a resumable stream to a version only once the row has it, so whoever reads the row later knows all versions that are possible; a version leaves the row after a stream's lifetime. While the row has several, each router writes its open streams, at the send, into a row of its own, at an interval by which all routers together use a quarter of the store's writes. A resumption takes a record (its own, another router's, the store's), else the only version of the row as read after it arrived, else it is rejected. A request whose record may have been written is sent again only to the same version. A new process takes over the records of the one before.

--- a/include/caperpath/fleet/placement.hpp
+++ b/include/caperpath/fleet/placement.hpp
@@ -27,6 +27,9 @@
     token_count output_tokens{}; ///< at most
     /// Only servers of this software version fit; an empty one fits none.
     std::optional<std::string> version{};
+    /// True for a stream that may be resumed: without `version`, only servers
+    /// with a confirmed version fit.
+    bool needs_confirmed_version{false};
     /// Only servers in these regions fit.
     residency regions{};
     /// False if only servers with a direct path fit.
--- a/include/caperpath/fleet/readiness.hpp
+++ b/include/caperpath/fleet/readiness.hpp
@@ -15,8 +15,8 @@
     /// Each budget has a share here or met several conflicts in the store. In a
     /// large fleet, the same as `has_read_a_budget`.
     bool has_shares{false};
-    /// It has read the crash record.
-    bool knows_crashes{false};
+    /// It has read the records of crashes and of streams.
+    bool knows_records{false};
     bool store_reachable{true};
     duration since_configuration{}; ///< since the first one was read
 
--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -84,6 +84,8 @@
     instant cold_until{-1'000'000}; ///< it warms up until then
     bool bounded_while_cold{false}; ///< its service has a `warm_up_limit`
     cold_sends while_cold;
+    /// The store says that streams may begin at the version of its software.
+    bool version_confirmed{false};
 
     friend bool operator==(server const&, server const&) = default;
 };
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -127,7 +127,7 @@
     {
         if (target.entry.service != of.id || !usable(target, now) ||
             contains(avoid, id) || !fits_version(target, item) ||
-            !fits_residency(target, item))
+            !may_begin_at(target, item) || !fits_residency(target, item))
         {
             continue;
         }
--- a/src/fleet/placement_checks.hpp
+++ b/src/fleet/placement_checks.hpp
@@ -10,6 +10,10 @@
 /// safe.
 bool fits_version(server const& target, placement_request const& item);
 
+/// True if the request may begin at the server's version, if it fits. Thread
+/// safe.
+bool may_begin_at(server const& target, placement_request const& item);
+
 } // namespace caperpath::fleet
 
 #endif
--- a/src/fleet/readiness.cpp
+++ b/src/fleet/readiness.cpp
@@ -9,8 +9,9 @@
 /// A router that lacks a share of one budget can serve the other customers.
 constexpr duration max_wait_for_shares{1'500};
 /// Without the crash record the router would send requests that are known to
-/// crash servers, but it can serve all other requests.
-constexpr duration max_wait_for_crashes{3'000};
+/// crash servers, and without that of streams it resumes few of them, but it
+/// can serve all other requests.
+constexpr duration max_wait_for_records{3'000};
 
 } // namespace
 
@@ -23,12 +24,12 @@
         return false;
     }
     auto const since = so_far.since_configuration;
-    auto const waits_for_crashes = !so_far.knows_crashes &&
+    auto const waits_for_records = !so_far.knows_records &&
                                    so_far.store_reachable &&
-                                   since < max_wait_for_crashes;
+                                   since < max_wait_for_records;
     auto const waits_for_shares =
         !so_far.has_shares && since < max_wait_for_shares;
-    return !waits_for_crashes && !waits_for_shares;
+    return !waits_for_records && !waits_for_shares;
 }
 
 } // namespace caperpath::fleet
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -46,6 +46,8 @@
         target.own = own;
         target.listed_at = now;
     }
+    target.version_confirmed =
+        target.version_confirmed && target.entry.version == entry.version;
     target.entry = entry;
     auto const region = table.regions.find(entry.failure_domain);
     target.region =
--- a/src/fleet/shortage.cpp
+++ b/src/fleet/shortage.cpp
@@ -13,6 +13,12 @@
            (!item.version->empty() && target.entry.version == *item.version);
 }
 
+bool may_begin_at(server const& target, placement_request const& item)
+{
+    return item.version || !item.needs_confirmed_version ||
+           target.version_confirmed;
+}
+
 namespace
 {
 
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -61,6 +61,9 @@
       streams{loop,
               [this](std::string const& to, std::string const& bytes)
               { this->peers.send(to, bytes); },
+              store,
+              settings.vm,
+              settings.store_writes_per_s,
               this->log},
       send_limits{loop, this->peer_address,
                   [this](std::string const& to, std::string const& bytes)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -75,6 +75,7 @@
     this->server_follower->start();
     this->shared.membership.start();
     this->shared.crashes.start();
+    this->shared.streams.start();
     asio::co_spawn(this->loop, kernel_tells_packet_times(this->shared.loop),
                    [this](std::exception_ptr const& fault, bool known)
                    {
@@ -160,10 +161,12 @@
     auto const now = shared.now.now();
     return !fleet::sheds_callers(shared.uplink, now) &&
            lasting_delay(shared.delay) < most_loop_delay &&
-           fleet::may_take_callers(
-               {shared.budgets.has_read_a_budget(), shared.budgets.ready(),
-                shared.crashes.has_read_rows(), shared.servers.store_reachable,
-                now - this->configuration_known_at});
+           fleet::may_take_callers({shared.budgets.has_read_a_budget(),
+                                    shared.budgets.ready(),
+                                    shared.crashes.has_read_rows() &&
+                                        shared.streams.has_read_rows(),
+                                    shared.servers.store_reachable,
+                                    now - this->configuration_known_at});
 }
 
 void gateway_server::stop()
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -263,6 +263,7 @@
     {
         confirm_crashes(this->shared, entry.id, entry.born_ms);
         this->shared.streams.note_server(entry);
+        invalidate_streams_at(this->shared, entry);
         this->shared.pool.drop(entry.id);
         this->shared.prompts.forget(entry.id);
     }
@@ -288,8 +289,12 @@
                                {{"server", row.key}, {"state", "unlisted"}});
         return;
     }
-    this->handle_listed(*entry,
-                        fleet::list_server(this->shared.servers, *entry, now));
+    auto const is_new = fleet::list_server(this->shared.servers, *entry, now);
+    this->handle_listed(*entry, is_new);
+    if (is_new)
+    {
+        this->shared.streams.note_servers(this->shared.servers);
+    }
 }
 
 /// An entry that lapses in an outage of the store may return.
@@ -323,6 +328,7 @@
     {
         this->handle_listed(this->shared.servers.servers.at(id).entry, true);
     }
+    this->shared.streams.note_servers(this->shared.servers);
     this->shared.servers_listed = true;
     this->shared.metrics.servers_listed(entries.size());
 }
--- a/src/gateway/requests/dispatch.cpp
+++ b/src/gateway/requests/dispatch.cpp
@@ -177,6 +177,10 @@
     current.attempts.sends += 1;
     current.attempts.runs += counts_as_run(end) ? 1 : 0;
     current.tried.push_back(where.server);
+    if (end == attempt_outcome::not_run || end == attempt_outcome::wrong_server)
+    {
+        retract_stream_send(current);
+    }
     if (end == attempt_outcome::responded ||
         end == attempt_outcome::caller_gone)
     {
--- a/src/gateway/requests/exchange.cpp
+++ b/src/gateway/requests/exchange.cpp
@@ -181,6 +181,8 @@
         current.work.prompt_tokens = current.facts.prompt_tokens;
         current.work.output_tokens = current.facts.output_tokens;
     }
+    current.work.needs_confirmed_version =
+        route.resumable && route.kind == fleet::request_kind::streaming;
     auto const& settings = current.shared.settings;
     current.work.regions = fleet::residency_of(route, current.customer);
     current.work.may_be_relayed = fleet::may_relay(
@@ -333,6 +335,7 @@
         current.shared.crashes.publish_evidence(*current.fingerprint);
     }
     end_probation(current);
+    note_stream_end(current);
     release_tokens(current);
     record_service_time(current);
     log_request(current);
--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -181,6 +181,20 @@
 /// go on only there.
 void note_stream_version(exchange& current);
 
+/// Records the version of the server that a resumable stream is sent to, and
+/// keeps the stream there while the service has several versions.
+void note_stream_send(exchange& current);
+
+/// Takes that back after an attempt that did not run, if nothing was written.
+void retract_stream_send(exchange& current);
+
+/// Another process has the place of a server: the open streams there may have
+/// begun at its version.
+void invalidate_streams_at(core& shared, fleet::server_entry const& entry);
+
+/// Records that a stream was sent to its caller as a whole.
+void note_stream_end(exchange& current);
+
 /// Records for how long the process had been stopping when the request arrived.
 /// No effect if it is not stopping.
 void record_stopping(exchange& current);
--- a/src/gateway/requests/exchange_resume.cpp
+++ b/src/gateway/requests/exchange_resume.cpp
@@ -13,8 +13,14 @@
 namespace
 {
 
-/// Other routers reply within a round trip.
-constexpr duration max_version_wait{60};
+/// The store replies within some ms, unless it is overloaded.
+constexpr duration max_version_wait{400};
+
+bool begins_resumable(exchange const& current)
+{
+    return current.route != nullptr && current.route->resumable &&
+           current.route->kind == fleet::request_kind::streaming;
+}
 
 bool resumes_stream(exchange const& current)
 {
@@ -60,6 +66,47 @@
     co_return std::nullopt;
 }
 
+void note_stream_send(exchange& current)
+{
+    if (begins_resumable(current) &&
+        current.shared.streams.note_send(key_of(current), current.work.service,
+                                         current.server_version,
+                                         current.deadline))
+    {
+        current.work.version = current.server_version;
+    }
+}
+
+void retract_stream_send(exchange& current)
+{
+    if (begins_resumable(current) && !resumes_stream(current) &&
+        !current.response_started &&
+        current.shared.streams.retract(key_of(current)))
+    {
+        current.work.version.reset();
+    }
+}
+
+void invalidate_streams_at(core& shared, fleet::server_entry const& entry)
+{
+    for (auto* const open : shared.open_requests)
+    {
+        if (begins_resumable(*open) && open->running_at == entry.id &&
+            open->server_version != entry.version)
+        {
+            shared.streams.invalidate(key_of(*open));
+        }
+    }
+}
+
+void note_stream_end(exchange& current)
+{
+    if (begins_resumable(current) && current.reason == "served")
+    {
+        current.shared.streams.end(key_of(current));
+    }
+}
+
 void note_stream_version(exchange& current)
 {
     if (current.route->kind != fleet::request_kind::streaming)
--- a/src/gateway/requests/stream_version_exchange.cpp
+++ b/src/gateway/requests/stream_version_exchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/run_after.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace caperpath::gateway
@@ -19,25 +20,62 @@
 /// Collects the streams that begin together; a router that is killed loses
 /// those of this time.
 constexpr duration note_delay{20};
+/// Other routers reply within a round trip.
+constexpr duration max_router_wait{60};
+/// Callers of streams that began while there was one version may come back for
+/// this long; their deadlines are not known any more.
+constexpr duration longest_open_stream{15'000};
 
 } // namespace
 
 stream_version_exchange::stream_version_exchange(
     boost::asio::any_io_executor const& executor, sender send,
+    store::async_port port, std::string vm, std::int64_t writes_per_s,
     decision_log& log)
-    : executor{executor}, timer{executor}, send{std::move(send)}, log{log}
+    : executor{executor}, timer{executor}, send{std::move(send)}, log{log},
+      rows{executor,
+           std::move(port),
+           std::move(vm),
+           writes_per_s,
+           log,
+           {[this](fleet::streams_by_version const& streams)
+            {
+                for (auto const& [version, keys] : streams)
+                {
+                    for (auto const key : keys)
+                    {
+                        this->known.note(key, version, this->now.now());
+                    }
+                }
+            },
+            [this](service_id const& service)
+            {
+                this->keep_in_store(service);
+            }}}
+{
+}
+
+void stream_version_exchange::start()
+{
+    this->rows.start();
+}
+
+bool stream_version_exchange::has_read_rows() const
 {
+    return this->rows.has_read();
 }
 
 void stream_version_exchange::set_routers(std::vector<std::string> addresses)
 {
     this->routers = std::move(addresses);
+    this->rows.set_router_count(std::ssize(this->routers) + 1);
 }
 
-void stream_version_exchange::note_servers(fleet::server_table const& table)
+void stream_version_exchange::note_servers(fleet::server_table& table)
 {
     this->history =
         fleet::note_versions(std::move(this->history), table, this->now.now());
+    this->rows.note_servers(table, this->history);
 }
 
 void stream_version_exchange::note_server(fleet::server_entry const& entry)
@@ -49,8 +87,13 @@
     {
         return;
     }
-    // Streams that began before the second version may be resumed after it.
-    for (auto const& [version, streams] : this->own.all(at))
+    this->keep_own_elsewhere();
+}
+
+/// Streams that began before the second version may be resumed after it.
+void stream_version_exchange::keep_own_elsewhere()
+{
+    for (auto const& [version, streams] : this->own.all(this->now.now()))
     {
         for (auto const stream : streams)
         {
@@ -59,6 +102,52 @@
     }
 }
 
+void stream_version_exchange::keep_in_store(service_id const& service)
+{
+    auto const at = this->now.now();
+    for (auto const& [version, streams] : this->own.all(at))
+    {
+        for (auto const stream : streams)
+        {
+            this->rows.records().begin(stream, version,
+                                       at + longest_open_stream);
+        }
+    }
+    this->log.write(log_weight::notable, "stream_records",
+                    {{"service", service.value}, {"state", "begun"}});
+}
+
+bool stream_version_exchange::note_send(fleet::stream_key stream,
+                                        service_id const& service,
+                                        std::string const& version,
+                                        instant deadline)
+{
+    if (!this->rows.has_several(service))
+    {
+        return false;
+    }
+    this->rows.records().begin(stream, version, deadline);
+    this->rows.write_soon();
+    return true;
+}
+
+bool stream_version_exchange::retract(fleet::stream_key stream)
+{
+    return this->rows.records().retract(stream);
+}
+
+void stream_version_exchange::end(fleet::stream_key stream)
+{
+    this->rows.records().end(stream);
+}
+
+void stream_version_exchange::invalidate(fleet::stream_key stream)
+{
+    this->known.note(stream, "", this->now.now());
+    this->rows.records().invalidate(stream);
+    this->rows.write_soon();
+}
+
 void stream_version_exchange::note_stream(fleet::stream_key stream,
                                           service_id const& service,
                                           std::string const& version)
@@ -117,23 +206,34 @@
             fleet::only_version(this->history, service, at).value_or("")};
 }
 
+/// A record of the stream comes first, then the row of the service, as it was
+/// read after the stream began.
+std::optional<std::string>
+stream_version_exchange::conclude(open_query const& query,
+                                  fleet::stream_key stream,
+                                  service_id const& service) const
+{
+    auto reports = query.reports;
+    reports.push_back(this->report_of(stream, service));
+    auto const has_record = std::any_of(reports.begin(), reports.end(),
+                                        [](fleet::stream_report const& report)
+                                        { return !report.version.empty(); });
+    auto const only = query.rows_read.value_or(false)
+                          ? this->rows.only_version(service)
+                          : std::nullopt;
+    return has_record || !only ? fleet::version_to_resume(reports) : only;
+}
+
 boost::asio::awaitable<std::optional<std::string>>
 stream_version_exchange::find(fleet::stream_key stream, service_id service,
                               duration longest)
 {
-    auto const query = std::make_shared<open_query>();
-    query->wakeup = std::make_shared<waker>(this->executor);
-    query->reports.push_back(this->report_of(stream, service));
-    auto const is_conclusive = [&query]
+    if (auto const version = this->known.find(stream, this->now.now()))
     {
-        return std::any_of(query->reports.begin(), query->reports.end(),
-                           [](fleet::stream_report const& report)
-                           { return !report.version.empty(); });
-    };
-    if (is_conclusive())
-    {
-        co_return fleet::version_to_resume(query->reports);
+        co_return version;
     }
+    auto const query = std::make_shared<open_query>();
+    query->wakeup = std::make_shared<waker>(this->executor);
     auto const number = ++this->last_query;
     this->queries[number] = query;
     auto const asked = fleet::keepers_of(stream, this->routers, most_asked);
@@ -144,16 +244,36 @@
     {
         this->send(router, bytes);
     }
-    auto const until = this->now.now() + longest;
-    while (!is_conclusive() && query->reports.size() <= asked.size() &&
-           this->now.now() < until)
+    this->rows.read(
+        [query](bool whole)
+        {
+            query->rows_read = whole;
+            query->wakeup->raise();
+        });
+    auto const began = this->now.now();
+    auto const routers_until = began + std::min(longest, max_router_wait);
+    auto const until = began + longest;
+    auto const next_end = [&]
+    {
+        auto const all_replied = query->reports.size() >= asked.size();
+        auto const routers_end = all_replied ? began : routers_until;
+        return query->rows_read ? routers_end : until;
+    };
+    auto const has_record = [&]
+    {
+        return this->known.find(stream, this->now.now()).has_value() ||
+               std::any_of(query->reports.begin(), query->reports.end(),
+                           [](fleet::stream_report const& report)
+                           { return !report.version.empty(); });
+    };
+    while (!has_record() && this->now.now() < next_end())
     {
-        static_cast<void>(
-            co_await query->wakeup->wait(std::chrono::steady_clock::now() +
-                                         to_chrono(until - this->now.now())));
+        static_cast<void>(co_await query->wakeup->wait(
+            std::chrono::steady_clock::now() +
+            to_chrono(next_end() - this->now.now())));
     }
     this->queries.erase(number);
-    co_return fleet::version_to_resume(query->reports);
+    co_return this->conclude(*query, stream, service);
 }
 
 void stream_version_exchange::receive(std::string const& from,
--- a/src/gateway/requests/stream_version_exchange.hpp
+++ b/src/gateway/requests/stream_version_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/decision_log.hpp"
 #include "gateway/requests/stream_packet.hpp"
+#include "gateway/requests/stream_rows.hpp"
 #include "gateway/waker.hpp"
 
 #include <caperpath/base/clock.hpp>
@@ -24,10 +25,11 @@
 namespace caperpath::gateway
 {
 
-/// Keeps the versions of recent streams at several routers, so that a caller
-/// can take a stream up at any of them after the first one is gone. While a
-/// service has had only one version, nothing is sent. Loop thread only; must
-/// outlive its calls, and `log` must outlive it.
+/// Keeps the versions of recent streams at several routers and in the store, so
+/// that a caller can resume a stream at any router, also after all of them were
+/// killed. While a service has had only one version, nothing is sent or
+/// written. Loop thread only; must outlive its calls, and `log` must outlive
+/// it.
 class stream_version_exchange
 {
 public:
@@ -35,13 +37,21 @@
         std::function<void(std::string const& to, std::string const& bytes)>;
 
     stream_version_exchange(boost::asio::any_io_executor const& executor,
-                            sender send, decision_log& log);
+                            sender send, store::async_port port, std::string vm,
+                            std::int64_t writes_per_s, decision_log& log);
+
+    /// Reads what the store knows; call once.
+    void start();
+
+    /// True if that was read.
+    bool has_read_rows() const;
 
     /// The addresses of the other routers.
     void set_routers(std::vector<std::string> addresses);
 
-    /// Records the versions of all servers; call regularly.
-    void note_servers(fleet::server_table const& table);
+    /// Records the versions of all servers and confirms them; call regularly
+    /// and after a server was listed.
+    void note_servers(fleet::server_table& table);
 
     /// Records a server that was listed.
     void note_server(fleet::server_entry const& entry);
@@ -50,8 +60,23 @@
     void note_stream(fleet::stream_key stream, service_id const& service,
                      std::string const& version);
 
-    /// The version at which the stream must go on; empty if neither this router
-    /// nor another one knows it. Asks others for at most `longest`.
+    /// Records that a request for the stream is sent to a server of `version`.
+    /// Returns true if it may be sent again only to this version.
+    bool note_send(fleet::stream_key stream, service_id const& service,
+                   std::string const& version, instant deadline);
+
+    /// Takes that back, as the request did not run. Returns false if it may
+    /// still be sent only to the same version.
+    bool retract(fleet::stream_key stream);
+
+    /// Records that the whole stream was sent to its caller.
+    void end(fleet::stream_key stream);
+
+    /// Records that the version of the stream is not certain any more.
+    void invalidate(fleet::stream_key stream);
+
+    /// The version at which the stream must go on; empty if neither a router
+    /// nor the store knows it. Takes at most `longest`.
     boost::asio::awaitable<std::optional<std::string>>
     find(fleet::stream_key stream, service_id service, duration longest);
 
@@ -63,10 +88,16 @@
     {
         waker_ptr wakeup;
         std::vector<fleet::stream_report> reports;
+        std::optional<bool> rows_read; ///< empty while they are being read
     };
 
     fleet::stream_report report_of(fleet::stream_key stream,
                                    service_id const& service) const;
+    void keep_own_elsewhere();
+    void keep_in_store(service_id const& service);
+    std::optional<std::string> conclude(open_query const& query,
+                                        fleet::stream_key stream,
+                                        service_id const& service) const;
     void keep_elsewhere(fleet::stream_key stream, std::string const& version);
     void send_notes();
 
@@ -78,6 +109,7 @@
     fleet::version_history history;
     fleet::stream_versions known;
     fleet::stream_versions own; ///< streams that this router served
+    stream_rows rows;
     /// By router and version; sent together after a short time.
     std::map<std::string, std::map<std::string, std::vector<fleet::stream_key>>>
         unsent;
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -181,6 +181,7 @@
     {
         this->current.server_version = target->entry.version;
         this->current.server_born_ms = target->entry.born_ms;
+        note_stream_send(this->current);
         if (fleet::is_cold(*target, now))
         {
             target->while_cold =
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -16,6 +16,7 @@
 constexpr double max_ratio = 10;
 constexpr double max_retry_slack = 1'000'000;
 constexpr double max_warm_up_slack = 1'000'000;
+constexpr double max_store_calls = 1'000'000;
 constexpr double ms_per_second = 1'000;
 
 duration seconds(config::json_reader& reader, char const* key,
@@ -83,6 +84,9 @@
     parsed.readiness = reader.listen_address("readiness");
     parsed.metrics = reader.listen_address("metrics");
     parsed.store_address = reader.address("store_address");
+    parsed.store_writes_per_s = std::llround(reader.number_or(
+        "store_writes_per_s", "calls in a second", 1, max_store_calls,
+        static_cast<double>(parsed.store_writes_per_s)));
     read_peer_ports(reader, parsed);
     parsed.grace = seconds(reader, "grace_s", parsed.grace, 0, max_seconds);
     parsed.retries.ratio =
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -21,10 +21,12 @@
 {
     std::string vm;
     std::string failure_domain;
-    std::string callers;            ///< "IP:port" where callers connect
-    std::string readiness;          ///< "IP:port" of the readiness check
-    std::string metrics;            ///< "IP:port" of the metrics page
-    std::string store_address;      ///< "IP:port"
+    std::string callers;       ///< "IP:port" where callers connect
+    std::string readiness;     ///< "IP:port" of the readiness check
+    std::string metrics;       ///< "IP:port" of the metrics page
+    std::string store_address; ///< "IP:port"
+    /// Write calls that the store takes from all routers together.
+    std::int64_t store_writes_per_s{500};
     std::int64_t first_peer_port{}; ///< for messages between routers
     std::int64_t last_peer_port{};  ///< read, but not used by the router
     duration grace{8'000};          ///< from SIGTERM to SIGKILL
--- a/tests/fleet/readiness_test.cpp
+++ b/tests/fleet/readiness_test.cpp
@@ -31,7 +31,7 @@
     void an_unread_crash_record_delays_readiness()
     {
         auto known = all_known();
-        known.knows_crashes = false;
+        known.knows_records = false;
         CPPUNIT_ASSERT(!may_take_callers(known));
         known.since_configuration = duration{2'000};
         CPPUNIT_ASSERT(!may_take_callers(known));
@@ -42,7 +42,7 @@
     void an_unread_crash_record_does_not_block_readiness()
     {
         auto known = all_known();
-        known.knows_crashes = false;
+        known.knows_records = false;
         known.since_configuration = duration{3'000};
         CPPUNIT_ASSERT(may_take_callers(known));
     }
@@ -51,7 +51,7 @@
     void an_outage_skips_the_wait_for_the_crash_record()
     {
         auto known = all_known();
-        known.knows_crashes = false;
+        known.knows_records = false;
         known.store_reachable = false;
         CPPUNIT_ASSERT(may_take_callers(known));
     }
--- /dev/null
+++ b/tests/fleet/resume_fleet.cpp
@@ -0,0 +1,288 @@
+#include "fleet/resume_fleet.hpp"
+
+#include <caperpath/fleet/stream_record.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace caperpath::fleet
+{
+
+namespace
+{
+
+constexpr duration tick{10};
+/// Routers learn of a change of the list within this time.
+constexpr std::int64_t longest_lag_ms = 1'000;
+constexpr std::int64_t mean_life_ms = 2'500;
+constexpr duration time_limit{10'000};
+constexpr std::int64_t longest_return_ms = 1'000;
+constexpr int whole = 100;
+
+duration interval(resume_scenario const& scenario)
+{
+    return record_interval(scenario.routers, scenario.writes_per_s);
+}
+
+struct stream
+{
+    stream_key key{};
+    std::string version;
+    instant began;
+    instant ends;
+};
+
+/// The simulated routers, their rows and their streams.
+class resume_fleet
+{
+public:
+    resume_fleet(resume_scenario const& scenario, resume_way way)
+        : scenario{scenario}, way{way}, random{scenario.seed},
+          records(static_cast<std::size_t>(scenario.routers))
+    {
+        auto const routers = static_cast<std::size_t>(scenario.routers);
+        for (std::size_t i = 0; i < routers; ++i)
+        {
+            this->lags.push_back({this->draw(0, longest_lag_ms)});
+            this->next_row.push_back({this->draw(0, interval(scenario).ms)});
+            this->open.emplace_back();
+        }
+        this->rows.resize(routers);
+    }
+
+    resume_result run()
+    {
+        for (instant now{}; now < this->scenario.killed; now = now + tick)
+        {
+            for (std::size_t i = 0; i < this->open.size(); ++i)
+            {
+                this->run_router(i, now);
+            }
+        }
+        return this->resume_all();
+    }
+
+private:
+    std::int64_t draw(std::int64_t least, std::int64_t most)
+    {
+        return std::uniform_int_distribution<std::int64_t>{least,
+                                                           most}(this->random);
+    }
+
+    rollout_step const& step_at(instant now) const
+    {
+        auto const& all = this->scenario.rollout;
+        auto const next =
+            std::find_if(all.begin() + 1, all.end(),
+                         [now](auto const& step) { return step.at > now; });
+        return *(next - 1);
+    }
+
+    static std::string by_hash(rollout_step const& step, stream_key key)
+    {
+        return static_cast<int>(key % whole) < step.percent ? step.newer
+                                                            : step.older;
+    }
+
+    static std::set<std::string> versions_of(rollout_step const& step)
+    {
+        std::set<std::string> versions;
+        if (step.percent > 0)
+        {
+            versions.insert(step.newer);
+        }
+        if (step.percent < whole)
+        {
+            versions.insert(step.older);
+        }
+        return versions;
+    }
+
+    void run_router(std::size_t router, instant now)
+    {
+        auto const view = now - this->lags[router];
+        auto const& step = this->step_at(std::max(view, instant{}));
+        auto const listed = versions_of(step);
+        auto const had_several = this->set.versions.size() > 1;
+        // The first router that sees a version adds it to the row.
+        this->set.versions.insert(listed.begin(), listed.end());
+        if (!had_several && this->set.versions.size() > 1)
+        {
+            this->record_open_streams(now);
+        }
+        auto& open = this->open[router];
+        std::erase_if(open,
+                      [&](stream const& each)
+                      {
+                          if (now < each.ends)
+                          {
+                              return false;
+                          }
+                          this->records[router].end(each.key);
+                          return true;
+                      });
+        constexpr std::int64_t per_s = 1'000;
+        if (this->draw(1, per_s) <= this->scenario.streams_per_s * tick.ms)
+        {
+            this->begin(router, step, now);
+        }
+        this->write_row(router, now);
+    }
+
+    void record_open_streams(instant now)
+    {
+        for (std::size_t i = 0; i < this->open.size(); ++i)
+        {
+            for (auto const& each : this->open[i])
+            {
+                this->records[i].begin(each.key, each.version,
+                                       now + time_limit);
+            }
+        }
+    }
+
+    void begin(std::size_t router, rollout_step const& step, instant now)
+    {
+        std::exponential_distribution<double> life{1.0 / mean_life_ms};
+        stream made;
+        made.key = this->random();
+        made.began = now;
+        made.ends =
+            now +
+            duration{std::min(static_cast<std::int64_t>(life(this->random)),
+                              time_limit.ms)};
+        made.version = by_hash(
+            step, this->way == resume_way::hash ? made.key : this->random());
+        this->open[router].push_back(made);
+        if (this->set.versions.size() > 1)
+        {
+            this->records[router].begin(made.key, made.version,
+                                        now + time_limit);
+        }
+    }
+
+    void write_row(std::size_t router, instant now)
+    {
+        auto& records = this->records[router];
+        if (now < this->next_row[router] || !records.has_changed())
+        {
+            return;
+        }
+        this->next_row[router] = now + interval(this->scenario);
+        auto row = records.take_row(now);
+        auto const is_lost =
+            now >= this->scenario.store_away ||
+            this->draw(1, whole) <= this->scenario.lost_percent;
+        if (is_lost)
+        {
+            records.note_lost_row();
+            return;
+        }
+        this->rows[router] = std::move(row);
+    }
+
+    /// The version by the id, if all functions of the time in which the stream
+    /// can have begun give the same.
+    std::optional<std::string> by_history(stream_key key, instant now) const
+    {
+        std::optional<std::string> version;
+        auto const from =
+            now - time_limit - duration{longest_lag_ms + longest_return_ms};
+        for (auto at = std::max(from, instant{}); at < this->scenario.killed;
+             at = at + tick)
+        {
+            auto const given = by_hash(this->step_at(at), key);
+            if (version && *version != given)
+            {
+                return std::nullopt;
+            }
+            version = given;
+        }
+        return version;
+    }
+
+    std::optional<std::string> by_rows(stream_key key) const
+    {
+        auto const found = this->read.find(key);
+        if (found != this->read.end())
+        {
+            return found->second;
+        }
+        return this->set.versions.size() == 1
+                   ? std::optional{*this->set.versions.begin()}
+                   : std::nullopt;
+    }
+
+    std::optional<std::string> find(stream const& of, instant now) const
+    {
+        switch (this->way)
+        {
+        case resume_way::memory:
+            return std::nullopt;
+        case resume_way::hash:
+            return this->by_history(of.key, now);
+        case resume_way::rows:
+            break;
+        }
+        return this->by_rows(of.key);
+    }
+
+    resume_result resume_all()
+    {
+        for (auto const& row : this->rows)
+        {
+            for (auto const& [version, keys] : row)
+            {
+                for (auto const key : keys)
+                {
+                    this->read[key] = version;
+                }
+            }
+        }
+        resume_result result;
+        for (auto const& open : this->open)
+        {
+            for (auto const& each : open)
+            {
+                auto const now = this->scenario.killed + this->scenario.down +
+                                 duration{this->draw(0, longest_return_ms)};
+                auto const there = versions_of(this->step_at(now));
+                if (now - each.began >= time_limit ||
+                    !there.contains(each.version))
+                {
+                    continue;
+                }
+                result.streams += 1;
+                auto const version = this->find(each, now);
+                result.resumed += version ? 1 : 0;
+                result.at_another_version +=
+                    version && *version != each.version ? 1 : 0;
+            }
+        }
+        return result;
+    }
+
+    resume_scenario const& scenario;
+    resume_way way;
+    std::mt19937_64 random;
+    std::vector<stream_records> records;
+    std::vector<duration> lags;
+    std::vector<instant> next_row;
+    std::vector<std::vector<stream>> open;
+    std::vector<streams_by_version> rows;
+    std::unordered_map<stream_key, std::string> read;
+    version_set set;
+};
+
+} // namespace
+
+resume_result play(resume_scenario const& scenario, resume_way way)
+{
+    return resume_fleet{scenario, way}.run();
+}
+
+} // namespace caperpath::fleet
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -176,9 +176,12 @@
     port.commit = [this](store::transaction const& txn,
                          std::function<void(store::commit_result)> const& done)
     {
-        if (this->writes_to_reject > 0)
+        auto const is_rejected =
+            !this->rejected_prefix.empty() && !txn.writes.empty() &&
+            txn.writes.front().key.starts_with(this->rejected_prefix);
+        if (is_rejected || this->writes_to_reject > 0)
         {
-            this->writes_to_reject -= 1;
+            this->writes_to_reject -= is_rejected ? 0 : 1;
             store::commit_result const busy{
                 store::commit_outcome::rejected, {}, no_response};
             this->post_reply([done, busy] { done(busy); });
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -55,6 +55,10 @@
     /// How many of the next writes are rejected, as by an overloaded store.
     int writes_to_reject{0};
 
+    /// Writes of rows whose key begins with this prefix are rejected; empty:
+    /// none are.
+    std::string rejected_prefix;
+
     /// While true, commits are applied and their responses are lost.
     bool loses_responses{false};
 
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -22,6 +22,7 @@
                                        "readiness",
                                        "metrics",
                                        "store_address",
+                                       "store_writes_per_s",
                                        "peer_ports",
                                        "grace_s",
                                        "retry_ratio",
