Confirm the older configuration by when the store's reply began

The wait of a request before it was read was also counted as if it had arrived earlier. Each leaves a request with the shorter timeout that was sent under the longer one.

The time of the first byte is now kept as such; the confirmation moves on when a page without a newer version came and none is being read, or when a version is in force.

--- a/include/caperpath/store/async_port.hpp
+++ b/include/caperpath/store/async_port.hpp
@@ -44,6 +44,7 @@
                                    ///< response
     duration total_time{};         ///< from the call to its last byte
     duration parse_time{};         ///< to turn the body into rows
+    instant first_byte_at{};       ///< of the first call; 0 if it is not known
 
     friend bool operator==(read_cost const&, read_cost const&) = default;
 };
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -29,6 +29,7 @@
                            ///< if the text is long
     /// An older configuration was in force until then.
     instant since{};
+    instant read_at{}; ///< from the store
 };
 
 /// The router, which is the process `caperpath-gateway`. It serves callers,
@@ -91,6 +92,8 @@
     /// Passes each connection that arrives at `acceptor` to `serve`.
     void accept(tcp::acceptor& acceptor,
                 std::function<void(tcp::socket)> serve);
+    void begin_session(std::function<void(tcp::socket)> const& serve,
+                       tcp::socket socket);
     void accept_after(boost::system::error_code fault,
                       std::function<void()> accept);
     asio::awaitable<void> serve_status(tcp::socket socket);
@@ -138,6 +141,7 @@
     instant configuration_known_at{};
     /// When the store last showed whether there is a newer one.
     instant configuration_confirmed_at{};
+    int reading_configurations{}; ///< by the worker
     instant retries_reported_at{};
     instant versions_noted_at{};
     instant reach_reported_at{};
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway.hpp"
 #include "gateway/requests/exchange.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <utility>
@@ -164,17 +165,26 @@
 void gateway_server::apply_configuration(store::feed_page const& page)
 {
     // No other version was in force up to here.
-    auto const since =
-        std::exchange(this->configuration_confirmed_at,
-                      this->shared.now.now() - page.cost.total_time +
-                          page.cost.time_to_first_byte - page.cost.parse_time);
+    auto const since = this->configuration_confirmed_at;
+    auto const read_at = page.cost.first_byte_at == instant{}
+                             ? this->shared.now.now()
+                             : page.cost.first_byte_at;
+    auto const has_version =
+        std::any_of(page.rows.begin(), page.rows.end(),
+                    [this](store::feed_row const& row)
+                    { return row.key == this->shared.adapter.site_key; });
+    if (!has_version)
+    {
+        this->configuration_confirmed_at =
+            this->reading_configurations == 0 ? read_at : since;
+    }
     for (auto const& row : page.rows)
     {
         if (row.key != this->shared.adapter.site_key || row.deleted)
         {
             continue;
         }
-        auto const use = [this, since, rows = page.rows.size(),
+        auto const use = [this, since, read_at, rows = page.rows.size(),
                           cost = page.cost](built_site const& built)
         {
             if (!built.site)
@@ -183,7 +193,7 @@
                 return;
             }
             this->use_configuration(built.site,
-                                    {rows, cost, built.time, since});
+                                    {rows, cost, built.time, since, read_at});
         };
         auto const read_site = this->shared.adapter.read_site;
         if (row.value.size() <= longest_inline_text)
@@ -191,12 +201,14 @@
             use(build_site(read_site, row.value));
             continue;
         }
+        this->reading_configurations += 1;
         this->background->run<built_site>(
             "read configuration",
             [read_site, text = row.value]
             { return build_site(read_site, text); },
             [this, use](std::variant<built_site, error> const& result)
             {
+                this->reading_configurations -= 1;
                 if (auto const* fault = std::get_if<error>(&result))
                 {
                     this->shared.log.write_error(*fault);
@@ -223,9 +235,10 @@
     {
         this->configuration_known_at = began;
     }
+    shared.budgets.apply(*site);
     adopt_longer_timeouts(shared, *site, read.since);
     shared.site = std::move(site);
-    shared.budgets.apply(*shared.site);
+    this->configuration_confirmed_at = read.read_at;
     fleet::set_warm_ups(shared.servers, shared.site->warm_ups());
     shared.metrics.site_version(shared.site->version());
     shared.log.write(
@@ -262,8 +275,8 @@
     if (is_new)
     {
         confirm_crashes(this->shared, entry.id, entry.born_ms);
-        this->shared.streams.note_server(entry);
         invalidate_streams_at(this->shared, entry);
+        this->shared.streams.note_server(entry);
         this->shared.pool.drop(entry.id);
         this->shared.prompts.forget(entry.id);
     }
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -194,6 +194,7 @@
         if (cost.bytes == 0)
         {
             cost.time_to_first_byte = cost.total_time;
+            cost.first_byte_at = at;
             watch = start_stall_detector(stall, at);
             // With the small default buffer each 512 bytes would take one
             // system call.
--- a/src/gateway/requests/exchange_deadline.cpp
+++ b/src/gateway/requests/exchange_deadline.cpp
@@ -42,7 +42,7 @@
     for (auto* const open : shared.open_requests)
     {
         auto const* const route = route_of(*open, newer);
-        if (open->route == nullptr || open->arrived < since ||
+        if (open->route == nullptr || open->arrived + open->unread < since ||
             route == nullptr || open->deadline_from_stop ||
             deadline_of(*open, *route) <= open->deadline)
         {
