End a request in steps that do not depend on each other

A review of the handling of exceptions found where the same class still acted: what follows a step that throws was lost. - the end of a request: a throw left the request in the set that each configuration now walks, and its tokens reserved. It leaves the set first, and each step runs - a crash check that throws let all others that wait for it wait for ever - a write of the spend row that throws left the writer marked as writing - accepting and the handling of signals were armed only after their work - a send that throws could end as 503, although bytes may have gone out - what is no std::exception ended the process from the worker's thread

Left as they are, see the postmortem: flags of budget shares, of merged rows and of membership after an exception in their callbacks.

--- a/src/gateway/budgets/spend_row_writer.cpp
+++ b/src/gateway/budgets/spend_row_writer.cpp
@@ -160,13 +160,14 @@
     {
         return;
     }
+    auto const required = this->listener.required();
     this->writing = true;
     // A pending row makes this write a retry. A retry sends the old row again,
     // so a row with the current limits must follow.
     this->write_again = this->journal.pending.has_value();
     // A retry has the limits of its first attempt, and so keeps its send time.
     this->sent_at = this->write_again ? this->sent_at : this->now.now();
-    this->send(this->listener.required(),
+    this->send(required,
                [this](auto const& result) { this->finish_write(result); });
 }
 
--- a/src/gateway/crashes/crash_check.cpp
+++ b/src/gateway/crashes/crash_check.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace caperpath::gateway
@@ -69,9 +70,22 @@
     new_probe->finished.expires_at(asio::steady_timer::time_point::max());
     new_probe->started_at = this->now.now();
     this->probes[server] = new_probe;
-    auto const presence = co_await this->connector.find_out(server);
+    auto presence = server_presence::unknown;
+    std::exception_ptr thrown;
+    try
+    {
+        presence = co_await this->connector.find_out(server);
+    }
+    catch (...)
+    {
+        thrown = std::current_exception();
+    }
     new_probe->result = presence;
-    new_probe->finished.cancel();
+    new_probe->finished.cancel(); // others may wait for it
+    if (thrown)
+    {
+        std::rethrow_exception(thrown);
+    }
     co_return presence;
 }
 
--- a/src/gateway/gateway_listeners.cpp
+++ b/src/gateway/gateway_listeners.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -99,6 +100,20 @@
                  });
 }
 
+/// A connection that cannot be served must not end the accepting.
+void gateway_server::begin_session(
+    std::function<void(tcp::socket)> const& serve, tcp::socket socket)
+{
+    try
+    {
+        serve(std::move(socket));
+    }
+    catch (...)
+    {
+        this->shared.log.write_exception("accept", std::current_exception());
+    }
+}
+
 void gateway_server::accept(tcp::acceptor& acceptor,
                             std::function<void(tcp::socket)> serve)
 {
@@ -117,7 +132,7 @@
                 acceptor.accept(socket, fault);
                 if (!fault)
                 {
-                    serve(std::move(socket));
+                    this->begin_session(serve, std::move(socket));
                 }
             }
             if (fault == asio::error::would_block)
--- a/src/gateway/requests/exchange.cpp
+++ b/src/gateway/requests/exchange.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <functional>
 #include <utility>
 
 namespace caperpath::gateway
@@ -314,32 +315,61 @@
     }
 }
 
+/// Runs one step of the end of a request; the others follow in any case.
+void run_step(exchange& current, std::function<void(exchange&)> const& step)
+{
+    try
+    {
+        step(current);
+    }
+    catch (...)
+    {
+        current.shared.log.write_exception("end of " + current.facts.id,
+                                           std::current_exception());
+    }
+}
+
+void publish_crash(exchange& current)
+{
+    if (current.server_crashed)
+    {
+        current.shared.crashes.publish_evidence(*current.fingerprint);
+    }
+}
+
 } // namespace
 
 asio::awaitable<void> serve(exchange& current)
 {
     current.shared.open_requests.insert(&current);
     record_stopping(current);
+    std::exception_ptr thrown;
     try
     {
         co_await run_filters(current);
     }
     catch (...)
     {
-        current.shared.log.write_exception("request " + current.facts.id,
-                                           std::current_exception());
-        fail(current);
+        thrown = std::current_exception();
     }
-    if (current.server_crashed)
+    // First of all: others walk this set.
+    current.shared.open_requests.erase(&current);
+    if (thrown)
     {
-        current.shared.crashes.publish_evidence(*current.fingerprint);
+        run_step(current,
+                 [thrown](exchange& failed)
+                 {
+                     failed.shared.log.write_exception(
+                         "request " + failed.facts.id, thrown);
+                     fail(failed);
+                 });
     }
-    end_probation(current);
-    note_stream_end(current);
-    release_tokens(current);
-    record_service_time(current);
-    log_request(current);
-    current.shared.open_requests.erase(&current);
+    for (auto* const step : {publish_crash, end_probation, note_stream_end,
+                             release_tokens, record_service_time})
+    {
+        run_step(current, step);
+    }
+    run_step(current, log_request);
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -172,9 +172,12 @@
         head.set(http::field::content_length, std::to_string(content.size()));
     }
     record_evidence_at_send(this->current);
-    this->connection->send(head_text(head) + content);
-    shared.metrics.sent(this->current.possible_deliveries > 0, this->relayed);
+    auto const bytes = head_text(head) + content;
+    // Counted first: what fails from here on may have been sent.
+    auto const is_retry = this->current.possible_deliveries > 0;
     this->current.possible_deliveries += 1;
+    this->connection->send(bytes);
+    shared.metrics.sent(is_retry, this->relayed);
     this->current.retry_charged = false;
     this->current.running_at = this->where.server;
     if (auto* const target = this->server())
--- a/src/gateway/worker.hpp
+++ b/src/gateway/worker.hpp
@@ -68,6 +68,10 @@
         {
             return error{error_kind::internal, step, "", fault.what()};
         }
+        catch (...)
+        {
+            return error{error_kind::internal, step, "", "unknown exception"};
+        }
     }
 
     boost::asio::any_io_executor loop;
--- a/tests/gateway/exception_test.cpp
+++ b/tests/gateway/exception_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(the_next_configuration_comes_into_force);
     CPPUNIT_TEST(a_request_that_throws_gets_a_response);
     CPPUNIT_TEST(a_caller_whose_request_cannot_be_read_is_disconnected);
+    CPPUNIT_TEST(a_rejection_that_throws_leaves_no_request_behind);
     CPPUNIT_TEST(a_router_stops_in_order_after_exceptions);
     CPPUNIT_TEST(a_timer_that_throws_runs_again);
     CPPUNIT_TEST_SUITE_END();
@@ -52,12 +53,24 @@
         return platform::make_protocol_adapter().read_request(head);
     }
 
+    static void reject_or_throw(http::fields& head, std::string const& id,
+                                std::optional<duration> retry_after)
+    {
+        if (id == "reject")
+        {
+            throw std::bad_alloc{};
+        }
+        platform::make_protocol_adapter().prepare_rejection(head, id,
+                                                            retry_after);
+    }
+
     static protocol_adapter throwing_adapter()
     {
         auto adapter = platform::make_protocol_adapter();
         adapter.read_site = read_site_or_throw;
         adapter.prepare_request = prepare_or_throw;
         adapter.read_request = read_or_throw;
+        adapter.prepare_rejection = reject_or_throw;
         return adapter;
     }
 
@@ -151,6 +164,25 @@
         CPPUNIT_ASSERT(got.closed);
     }
 
+    // Guards against a configuration that walks requests which no longer exist.
+    void a_rejection_that_throws_leaves_no_request_behind()
+    {
+        fleet_site site{throwing_adapter()};
+        site.wait_ready();
+        CPPUNIT_ASSERT(site.send("GET /nowhere HTTP/1.1\r\nHost: x\r\n"
+                                 "Request-Id: reject\r\n\r\n")
+                           .closed);
+        site.max_body_bytes = 10;
+        site.put_configuration(5);
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                return site.send(fleet_site::request("POST", "/order/1", "",
+                                                     std::string(100, 'b')))
+                           .status == 413;
+            }));
+    }
+
     // Guards against a stop that walks sessions and requests that no longer
     // exist.
     void a_router_stops_in_order_after_exceptions()
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -64,16 +64,14 @@
             {
                 return;
             }
+            wait_for_signals(signals, loop, timer, serving);
             if (signal == SIGHUP)
             {
                 serving.reload();
+                return;
             }
-            else
-            {
-                serving.stop();
-                end_when_stopped(loop, timer, serving);
-            }
-            wait_for_signals(signals, loop, timer, serving);
+            end_when_stopped(loop, timer, serving);
+            serving.stop();
         });
 }
 
