Keep uncertain versions uncertain, and check the version at the send

An uncertain stream now stays so everywhere, also at the routers that keep it, and goes on nowhere. An entry with another version alone counts as another process - the version was checked when a server was chosen, not at the send: after waits for a limit, a connect or a permit it may be another process. It is checked in the turn of the send now - a router whose list is old kept a version confirmed for ever; it counts as seen only while the store is reachable - a router that had not seen the newest version could vouch for the only version although the row has several; the row decides if it was read

The sequences were found by reading; only the first has a test.

--- a/include/caperpath/fleet/server_table.hpp
+++ b/include/caperpath/fleet/server_table.hpp
@@ -109,9 +109,9 @@
 };
 
 /// Adds or updates an entry read from the store. The same id with another
-/// `born_ms` or address is another process: measurements of the previous one
-/// are discarded. Returns true if the process was not known before. Thread
-/// safe.
+/// `born_ms`, address or version is another process: measurements of the
+/// previous one are discarded. Returns true if the process was not known
+/// before. Thread safe.
 bool list_server(server_table& table, server_entry const& entry, instant now);
 
 /// Records that the entry is missing from the store. Right after an outage of
--- a/include/caperpath/fleet/stream_record.hpp
+++ b/include/caperpath/fleet/stream_record.hpp
@@ -47,8 +47,9 @@
     /// Records that the whole stream was sent to its caller.
     void end(stream_key stream);
 
-    /// Records that the version of the stream is not certain any more.
-    void invalidate(stream_key stream);
+    /// Records that the version of the stream is not certain, whatever is
+    /// recorded later.
+    void invalidate(stream_key stream, instant deadline);
 
     /// Adds the records of the router that ran here before.
     void inherit(streams_by_version const& streams, instant now);
@@ -68,9 +69,10 @@
 private:
     struct record
     {
-        std::string version;
+        std::string version; ///< empty if it is not certain
         instant until;
         bool written{false};
+        bool uncertain{false};
     };
 
     std::unordered_map<stream_key, record> records;
@@ -82,6 +84,9 @@
 /// `writes_per_s` is positive.
 duration record_interval(std::int64_t routers, std::int64_t writes_per_s);
 
+/// How long a router waits between two reads of all rows. Thread safe.
+duration record_read_interval(std::int64_t routers);
+
 /// The versions of a service that streams may have begun at, as its row says.
 /// Value type.
 struct version_set
@@ -92,10 +97,11 @@
     friend bool operator==(version_set const&, version_set const&) = default;
 };
 
-/// A router sends no new stream to a version that it has not seen listed for
-/// this long, until it has read the row again: another router may have removed
-/// the version. Much shorter than `stream_lifetime`, after which that is done.
-inline constexpr duration confirmation_lifetime{20'000};
+/// A router sends no new stream to a version that it has not seen for this long
+/// in a list that was up to date, until it has read the row again: another
+/// router may have removed the version. Shorter than `stream_lifetime`, after
+/// which that is done.
+inline constexpr duration confirmation_lifetime{45'000};
 
 /// The versions of the row that may be removed from it: this router has known
 /// the list of servers for `stream_lifetime` and has not seen them in it. A
--- a/include/caperpath/fleet/stream_version.hpp
+++ b/include/caperpath/fleet/stream_version.hpp
@@ -46,6 +46,12 @@
     /// The version of the stream; empty if it is not known.
     std::optional<std::string> find(stream_key stream, instant now) const;
 
+    /// True if there are conflicting records of the stream.
+    bool is_uncertain(stream_key stream, instant now) const;
+
+    /// Removes a stream that ended.
+    void forget(stream_key stream);
+
     /// The streams with a known version.
     std::map<std::string, std::vector<stream_key>> all(instant now) const;
 
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -35,10 +35,12 @@
 {
     auto const [found, added] = table.servers.try_emplace(entry.id);
     auto& target = found->second;
-    // The same id with another start time or address is another process; the
-    // failures and the cached prompts of the previous one do not apply to it.
+    // The same id with another start time, address or version is another
+    // process; the failures and the cached prompts of the previous one do not
+    // apply to it.
     auto const restarted = !added && (target.entry.born_ms != entry.born_ms ||
-                                      target.entry.address != entry.address);
+                                      target.entry.address != entry.address ||
+                                      target.entry.version != entry.version);
     if (added || restarted)
     {
         auto const own = target.own;
@@ -46,8 +48,6 @@
         target.own = own;
         target.listed_at = now;
     }
-    target.version_confirmed =
-        target.version_confirmed && target.entry.version == entry.version;
     target.entry = entry;
     auto const region = table.regions.find(entry.failure_domain);
     target.region =
--- a/src/fleet/stream_record.cpp
+++ b/src/fleet/stream_record.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr duration least_interval{100};
+constexpr duration longest_read_interval{350};
+constexpr std::int64_t read_pause_per_router_ms = 2;
 /// The part of the store's writes that all routers together use.
 constexpr std::int64_t write_divisor = 4;
 constexpr std::int64_t ms_per_s = 1'000;
@@ -20,16 +22,15 @@
                            instant deadline)
 {
     auto& found = this->records[stream];
-    auto const until = std::max(found.until, deadline + resumption_slack);
-    if (found.version == version && found.until == until)
+    found.until = std::max(found.until, deadline + resumption_slack);
+    if (found.uncertain || found.version == version)
     {
         return;
     }
-    this->changed = this->changed || found.version != version;
+    this->changed = true;
     // A row that names another version may have been written.
-    auto const certain = !found.written || found.version == version;
-    found.version = certain ? version : "";
-    found.until = until;
+    found.uncertain = found.written;
+    found.version = found.uncertain ? "" : version;
 }
 
 bool stream_records::retract(stream_key stream)
@@ -57,14 +58,13 @@
     }
 }
 
-void stream_records::invalidate(stream_key stream)
+void stream_records::invalidate(stream_key stream, instant deadline)
 {
-    auto const found = this->records.find(stream);
-    if (found != this->records.end() && !found->second.version.empty())
-    {
-        found->second.version.clear();
-        this->changed = true;
-    }
+    auto& found = this->records[stream];
+    found.until = std::max(found.until, deadline + resumption_slack);
+    found.uncertain = true;
+    this->changed = this->changed || !found.version.empty();
+    found.version.clear();
 }
 
 void stream_records::inherit(streams_by_version const& streams, instant now)
@@ -74,7 +74,7 @@
         for (auto const key : keys)
         {
             this->records.try_emplace(
-                key, record{version, now + stream_lifetime, true});
+                key, record{version, now + stream_lifetime, true, false});
         }
     }
 }
@@ -137,6 +137,12 @@
                                              write_divisor / writes_per_s});
 }
 
+duration record_read_interval(std::int64_t routers)
+{
+    return std::clamp(duration{routers * read_pause_per_router_ms},
+                      least_interval, longest_read_interval);
+}
+
 std::set<std::string> removable_versions(version_set const& row,
                                          version_history const& history,
                                          service_id const& service, instant now)
--- a/src/fleet/stream_version.cpp
+++ b/src/fleet/stream_version.cpp
@@ -44,6 +44,18 @@
     return found->second.version;
 }
 
+bool stream_versions::is_uncertain(stream_key stream, instant now) const
+{
+    auto const found = this->records.find(stream);
+    return found != this->records.end() && found->second.version.empty() &&
+           now - found->second.noted_at < stream_lifetime;
+}
+
+void stream_versions::forget(stream_key stream)
+{
+    this->records.erase(stream);
+}
+
 std::map<std::string, std::vector<stream_key>>
 stream_versions::all(instant now) const
 {
--- a/src/gateway/requests/dispatch.cpp
+++ b/src/gateway/requests/dispatch.cpp
@@ -177,15 +177,12 @@
     current.attempts.sends += 1;
     current.attempts.runs += counts_as_run(end) ? 1 : 0;
     current.tried.push_back(where.server);
-    if (end == attempt_outcome::not_run || end == attempt_outcome::wrong_server)
-    {
-        retract_stream_send(current);
-    }
     if (end == attempt_outcome::responded ||
         end == attempt_outcome::caller_gone)
     {
         return;
     }
+    retract_stream_send(current);
     auto const found = shared.servers.servers.find(where.server);
     // Whether a lost connection is a failure of the server is found out later.
     if (found != shared.servers.servers.end() && counts_as_run(end) &&
--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -185,7 +185,8 @@
 /// keeps the stream there while the service has several versions.
 void note_stream_send(exchange& current);
 
-/// Takes that back after an attempt that did not run, if nothing was written.
+/// Takes that back after an attempt of which the caller got nothing, if no row
+/// may have it.
 void retract_stream_send(exchange& current);
 
 /// Another process has the place of a server: the open streams there may have
--- a/src/gateway/requests/exchange_resume.cpp
+++ b/src/gateway/requests/exchange_resume.cpp
@@ -14,7 +14,7 @@
 {
 
 /// The store replies within some ms, unless it is overloaded.
-constexpr duration max_version_wait{400};
+constexpr duration max_version_wait{600};
 
 bool begins_resumable(exchange const& current)
 {
@@ -94,7 +94,8 @@
         if (begins_resumable(*open) && open->running_at == entry.id &&
             open->server_version != entry.version)
         {
-            shared.streams.invalidate(key_of(*open));
+            shared.streams.invalidate(key_of(*open), open->deadline);
+            open->work.version = ""; // it goes on nowhere
         }
     }
 }
--- a/src/gateway/requests/stream_rows.cpp
+++ b/src/gateway/requests/stream_rows.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -24,11 +25,13 @@
 constexpr std::size_t stream_partitions = 8;
 constexpr std::string_view stream_begin = "streams/";
 constexpr std::string_view version_begin = "versions/";
-constexpr std::string_view version_end = "/fleet";
+constexpr std::string_view version_end = "/versions";
 /// '0' is the character after '/', so the ranges hold all rows.
-constexpr char version_range_begin[] = "versions//fleet";
-constexpr char version_range_end[] = "versions0/fleet";
+constexpr char version_range_begin[] = "versions//versions";
+constexpr char version_range_end[] = "versions0/versions";
 constexpr duration read_retry{500};
+constexpr duration least_commit_pause{200};
+constexpr std::uint64_t commit_jitter_ms = 1'000;
 
 std::string partition(std::size_t number)
 {
@@ -139,33 +142,47 @@
     return this->own;
 }
 
-void stream_rows::note_servers(fleet::server_table& servers,
-                               fleet::version_history const& history)
+/// Sets which servers may get new streams. Versions count as seen only in a
+/// list that is up to date.
+void stream_rows::confirm(fleet::server_table& servers)
 {
     auto const at = this->now.now();
-    std::map<service_id, std::set<std::string>> unconfirmed;
     for (auto& [id, target] : servers.servers)
     {
-        auto const& entry = target.entry;
-        auto& known = this->confirmed[entry.service];
-        auto const found = known.find(entry.version);
+        auto& known = this->confirmed[target.entry.service];
+        auto const found = known.find(target.entry.version);
         target.version_confirmed =
             found != known.end() &&
             at - found->second < fleet::confirmation_lifetime;
-        if (fleet::is_draining(target, at))
+        if (target.version_confirmed && servers.store_reachable &&
+            !fleet::is_draining(target, at))
         {
-            continue;
+            found->second = at;
         }
-        if (target.version_confirmed)
+    }
+}
+
+void stream_rows::note_servers(fleet::server_table& servers,
+                               fleet::version_history const& history)
+{
+    auto const at = this->now.now();
+    this->listed = &servers;
+    this->confirm(servers);
+    if (!this->read_once || !servers.store_reachable)
+    {
+        return;
+    }
+    std::map<service_id, std::set<std::string>> unconfirmed;
+    for (auto const& [id, target] : servers.servers)
+    {
+        if (!target.version_confirmed && !fleet::is_draining(target, at))
         {
-            found->second = at;
-            continue;
+            unconfirmed[target.entry.service].insert(target.entry.version);
         }
-        unconfirmed[entry.service].insert(entry.version);
     }
     for (auto const& [service, versions] : unconfirmed)
     {
-        this->add_versions(service, versions, {});
+        this->change_versions(service, versions, {});
     }
     for (auto const& [service, row] : this->sets)
     {
@@ -173,18 +190,21 @@
             fleet::removable_versions(row, history, service, at);
         if (!removed.empty())
         {
-            this->add_versions(service, {}, removed);
+            this->change_versions(service, {}, removed);
         }
     }
 }
 
 /// Commits a changed row. Its condition fails if another router has changed it,
 /// and the result then shows the current one.
-void stream_rows::add_versions(service_id const& service,
-                               std::set<std::string> const& added,
-                               std::set<std::string> const& removed)
+void stream_rows::change_versions(service_id const& service,
+                                  std::set<std::string> const& added,
+                                  std::set<std::string> const& removed)
 {
-    if (!this->committing.insert(service).second)
+    auto const at = this->now.now();
+    auto const paused = this->retry_at.find(service);
+    if (this->committing.contains(service) ||
+        (paused != this->retry_at.end() && at < paused->second))
     {
         return;
     }
@@ -200,34 +220,38 @@
     store::transaction txn;
     txn.conditions.push_back({key, row.row_version});
     txn.writes.push_back({key, value});
-    this->port.commit(txn,
-                      [this, service, value](store::commit_result const& result)
-                      { this->handle_commit(service, value, result); });
+    this->port.commit(txn, [this, service, value, before = row.row_version](
+                               store::commit_result const& result)
+                      { this->handle_commit(service, value, before, result); });
+    this->committing.insert(service);
 }
 
 void stream_rows::handle_commit(service_id const& service,
-                                std::string const& value,
+                                std::string const& value, std::uint64_t before,
                                 store::commit_result const& result)
 {
     this->committing.erase(service);
     auto const key = version_key(service);
     if (result.outcome == store::commit_outcome::applied)
     {
-        auto const before = this->sets[service].row_version;
         this->take_version_row(
             {key, store::written_version(result, before), value});
         this->log.write(log_weight::notable, "stream_versions",
                         {{"service", service.value}, {"versions", value}});
         return;
     }
-    for (auto const& row : result.failed)
-    {
-        this->take_version_row(row);
-    }
     if (result.failed.empty())
     {
+        // Not all routers at the same moment.
+        auto const jitter = fleet::stable_hash(this->vm) % commit_jitter_ms;
+        this->retry_at[service] = this->now.now() + least_commit_pause +
+                                  duration{static_cast<std::int64_t>(jitter)};
         this->log.write_error(result.fault);
     }
+    for (auto const& row : result.failed)
+    {
+        this->take_version_row(row);
+    }
 }
 
 void stream_rows::take_version_row(store::row const& row)
@@ -258,6 +282,10 @@
         this->handlers.on_several(service);
         this->write_soon();
     }
+    if (this->listed != nullptr)
+    {
+        this->confirm(*this->listed);
+    }
 }
 
 void stream_rows::read(std::function<void(bool)> done)
@@ -267,7 +295,8 @@
     {
         return;
     }
-    auto const next = this->read_at + this->interval();
+    auto const next =
+        this->read_at + fleet::record_read_interval(this->routers);
     auto const pause = next - this->now.now();
     if (pause <= duration{0})
     {
@@ -282,39 +311,48 @@
     this->read_at = this->now.now();
     this->current = {stream_partitions + 1, false,
                      std::exchange(this->waiting_for_next, {})};
-    using rows_or_error = std::variant<std::vector<store::row>, error>;
     for (std::size_t i = 0; i < stream_partitions; ++i)
     {
-        this->port.scan("streams/" + partition(i), "streams0" + partition(i),
-                        [this](rows_or_error const& reply)
-                        {
-                            if (auto const* fault = std::get_if<error>(&reply))
-                            {
-                                this->log.write_error(*fault);
-                                this->end_part(true);
-                                return;
-                            }
-                            this->take_streams(
-                                std::get<std::vector<store::row>>(reply));
-                            this->end_part(false);
-                        });
+        this->scan("streams/" + partition(i), "streams0" + partition(i),
+                   [this](auto const& rows) { this->take_streams(rows); });
     }
-    this->port.scan(version_range_begin, version_range_end,
-                    [this](rows_or_error const& reply)
-                    {
-                        if (auto const* fault = std::get_if<error>(&reply))
-                        {
-                            this->log.write_error(*fault);
-                            this->end_part(true);
-                            return;
-                        }
-                        for (auto const& row :
-                             std::get<std::vector<store::row>>(reply))
-                        {
-                            this->take_version_row(row);
-                        }
-                        this->end_part(false);
-                    });
+    this->scan(version_range_begin, version_range_end,
+               [this](auto const& rows)
+               {
+                   for (auto const& row : rows)
+                   {
+                       this->take_version_row(row);
+                   }
+               });
+}
+
+void stream_rows::scan(std::string const& first, std::string const& last,
+                       std::function<void(std::vector<store::row> const&)> take)
+{
+    this->port.scan(
+        first, last,
+        [this, take = std::move(take)](
+            std::variant<std::vector<store::row>, error> const& reply)
+        {
+            if (auto const* fault = std::get_if<error>(&reply))
+            {
+                this->log.write_error(*fault);
+                this->end_part(true);
+                return;
+            }
+            auto failed = true;
+            try
+            {
+                take(std::get<std::vector<store::row>>(reply));
+                failed = false;
+            }
+            catch (std::exception const& fault)
+            {
+                this->log.write_error({error_kind::internal, "read stream rows",
+                                       "store", fault.what()});
+            }
+            this->end_part(failed);
+        });
 }
 
 void stream_rows::end_part(bool failed)
@@ -337,7 +375,7 @@
     }
     if (!this->waiting_for_next.empty())
     {
-        run_after(this->read_timer, this->interval(),
+        run_after(this->read_timer, fleet::record_read_interval(this->routers),
                   [this] { this->begin_read(); });
     }
 }
@@ -347,6 +385,11 @@
     auto const own_key = stream_key_of_vm(this->vm);
     for (auto const& row : rows)
     {
+        auto& seen = this->seen_rows[row.key];
+        if (seen == row.version)
+        {
+            continue;
+        }
         auto const decoded =
             value_or_error([&row] { return decode_stream_packet(row.value); });
         if (auto const* fault = std::get_if<error>(&decoded))
@@ -363,13 +406,15 @@
         {
             this->own.inherit(streams, this->now.now());
         }
+        seen = row.version;
         this->handlers.on_streams(streams);
     }
 }
 
 void stream_rows::write_soon()
 {
-    if (this->write_scheduled || !this->own.has_changed() || !this->read_once)
+    if (this->write_scheduled || this->writing || !this->own.has_changed() ||
+        !this->read_once)
     {
         return;
     }
@@ -388,6 +433,7 @@
     this->port.commit(txn,
                       [this](store::commit_result const& result)
                       {
+                          this->writing = false;
                           if (result.outcome != store::commit_outcome::applied)
                           {
                               this->log.write_error(result.fault);
@@ -395,6 +441,7 @@
                           }
                           this->write_soon();
                       });
+    this->writing = true;
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/requests/stream_rows.hpp
+++ b/src/gateway/requests/stream_rows.hpp
@@ -55,7 +55,8 @@
     void start();
 
     /// Sets `server::version_confirmed`, and adds versions to the rows of their
-    /// services. Call it after each change of the list, and regularly.
+    /// services. Call it after each change of the list, and regularly. @pre
+    /// `servers` outlives this object.
     void note_servers(fleet::server_table& servers,
                       fleet::version_history const& history);
 
@@ -95,10 +96,14 @@
     void take_streams(std::vector<store::row> const& rows);
     void take_versions(std::vector<store::row> const& rows);
     void take_version_row(store::row const& row);
-    void add_versions(service_id const& service,
-                      std::set<std::string> const& added,
-                      std::set<std::string> const& removed);
+    void scan(std::string const& first, std::string const& last,
+              std::function<void(std::vector<store::row> const&)> take);
+    void confirm(fleet::server_table& servers);
+    void change_versions(service_id const& service,
+                         std::set<std::string> const& added,
+                         std::set<std::string> const& removed);
     void handle_commit(service_id const& service, std::string const& value,
+                       std::uint64_t before,
                        store::commit_result const& result);
     void write();
 
@@ -112,15 +117,19 @@
     stream_row_handlers handlers;
     fleet::stream_records own;
     std::map<service_id, fleet::version_set> sets;
-    /// When this router last saw each version in a row or in the list, without
-    /// a long interruption since it was in the row.
+    /// When this router last saw each version in a row, or in a list that was
+    /// up to date, without a long interruption since it was in the row.
     std::map<service_id, std::map<std::string, instant>> confirmed;
     std::set<service_id> committing;
+    std::map<service_id, instant> retry_at;
+    std::map<std::string, std::uint64_t> seen_rows; ///< versions, by key
+    fleet::server_table* listed{nullptr};
     reading current;
     std::vector<std::function<void(bool)>> waiting_for_next;
     std::int64_t routers{1};
     bool read_once{false};
     bool write_scheduled{false};
+    bool writing{false};
     instant read_at{-1'000'000};
     caperpath::clock now{caperpath::clock::monotonic()};
 };
--- a/src/gateway/requests/stream_version_exchange.cpp
+++ b/src/gateway/requests/stream_version_exchange.cpp
@@ -138,13 +138,18 @@
 
 void stream_version_exchange::end(fleet::stream_key stream)
 {
+    this->own.forget(stream);
     this->rows.records().end(stream);
 }
 
-void stream_version_exchange::invalidate(fleet::stream_key stream)
+void stream_version_exchange::invalidate(fleet::stream_key stream,
+                                         instant deadline)
 {
-    this->known.note(stream, "", this->now.now());
-    this->rows.records().invalidate(stream);
+    auto const at = this->now.now();
+    this->known.note(stream, "", at);
+    this->own.note(stream, "", at);
+    this->keep_elsewhere(stream, "");
+    this->rows.records().invalidate(stream, deadline);
     this->rows.write_soon();
 }
 
@@ -155,6 +160,11 @@
     auto const at = this->now.now();
     this->known.note(stream, version, at);
     this->own.note(stream, version, at);
+    if (this->rows.has_several(service))
+    {
+        this->rows.records().begin(stream, version, at + longest_open_stream);
+        this->rows.write_soon();
+    }
     if (!fleet::only_version(this->history, service, at))
     {
         this->keep_elsewhere(stream, version);
@@ -206,29 +216,38 @@
             fleet::only_version(this->history, service, at).value_or("")};
 }
 
-/// A record of the stream comes first, then the row of the service, as it was
-/// read after the stream began.
+/// A record of the stream comes first. Without one, the row of the service
+/// decides, as it was read after the stream began; what routers have seen
+/// counts only if it could not be read, since they may not have seen each
+/// version yet.
 std::optional<std::string>
 stream_version_exchange::conclude(open_query const& query,
                                   fleet::stream_key stream,
                                   service_id const& service) const
 {
+    if (this->known.is_uncertain(stream, this->now.now()))
+    {
+        return std::nullopt;
+    }
     auto reports = query.reports;
     reports.push_back(this->report_of(stream, service));
     auto const has_record = std::any_of(reports.begin(), reports.end(),
                                         [](fleet::stream_report const& report)
                                         { return !report.version.empty(); });
-    auto const only = query.rows_read.value_or(false)
-                          ? this->rows.only_version(service)
-                          : std::nullopt;
-    return has_record || !only ? fleet::version_to_resume(reports) : only;
+    if (!has_record && query.rows_read.value_or(false))
+    {
+        return this->rows.only_version(service);
+    }
+    return fleet::version_to_resume(reports);
 }
 
 boost::asio::awaitable<std::optional<std::string>>
 stream_version_exchange::find(fleet::stream_key stream, service_id service,
                               duration longest)
 {
-    if (auto const version = this->known.find(stream, this->now.now()))
+    auto const asked_at = this->now.now();
+    auto const version = this->known.find(stream, asked_at);
+    if (version || this->known.is_uncertain(stream, asked_at))
     {
         co_return version;
     }
--- a/src/gateway/requests/stream_version_exchange.hpp
+++ b/src/gateway/requests/stream_version_exchange.hpp
@@ -73,7 +73,7 @@
     void end(fleet::stream_key stream);
 
     /// Records that the version of the stream is not certain any more.
-    void invalidate(fleet::stream_key stream);
+    void invalidate(fleet::stream_key stream, instant deadline);
 
     /// The version at which the stream must go on; empty if neither a router
     /// nor the store knows it. Takes at most `longest`.
--- a/src/gateway/servers/server_call_connect.cpp
+++ b/src/gateway/servers/server_call_connect.cpp
@@ -1,3 +1,4 @@
+#include "fleet/placement_checks.hpp"
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/servers/server_call.hpp"
 
@@ -181,7 +182,10 @@
     {
         return attempt_outcome::caller_gone;
     }
-    if (target == nullptr || fleet::is_closed(*target, now) ||
+    auto const fits = target != nullptr &&
+                      fleet::fits_version(*target, this->current.work) &&
+                      fleet::may_begin_at(*target, this->current.work);
+    if (!fits || fleet::is_closed(*target, now) ||
         now >= this->current.deadline || forbids_send(this->current))
     {
         return attempt_outcome::not_reached;
--- a/tests/fleet/resume_fleet_test.cpp
+++ b/tests/fleet/resume_fleet_test.cpp
@@ -161,7 +161,9 @@
         CPPUNIT_ASSERT(records.has_changed());
         CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
         records.begin(2, "v1", instant{1'000});
-        records.invalidate(2);
+        records.invalidate(2, instant{1'000});
+        CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
+        records.begin(2, "v1", instant{1'000});
         CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
     }
 
--- a/tests/gateway/resumption_test.cpp
+++ b/tests/gateway/resumption_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_stream_of_a_version_that_left_does_not_go_on);
     CPPUNIT_TEST(a_stream_without_a_record_is_rejected);
     CPPUNIT_TEST(a_version_that_the_store_does_not_know_gets_no_stream);
+    CPPUNIT_TEST(a_server_that_restarts_at_another_version_ends_certainty);
     CPPUNIT_TEST(a_complete_stream_leaves_no_record);
     CPPUNIT_TEST_SUITE_END();
 
@@ -236,6 +237,22 @@
         }
     }
 
+    // A server starts again under its id, and its entry tells so late. Guards
+    // against a stream that is resumed at the version that the entry named.
+    void a_server_that_restarts_at_another_version_ends_certainty()
+    {
+        auto site = std::make_unique<fleet_site>();
+        this->add(*site, "i-1", "v1");
+        site->wait_ready();
+        this->begin(*site, "r1");
+        this->add(*site, "i-1", "v2");
+        site->run_for(duration{300});
+        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        site = this->restart(std::move(site), {{"i-2", "v1"}, {"i-3", "v2"}});
+        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT(this->resumed.empty());
+    }
+
     // Guards against records that pile up.
     void a_complete_stream_leaves_no_record()
     {
