Keep a stream uncertain when its first event comes

A server starts again under its id with another version while a request waits there: the request is marked so that it goes on nowhere, and its first event overwrote the mark with the version of the old entry. Found by reading; no test of its own.

--- a/src/gateway/requests/exchange_resume.cpp
+++ b/src/gateway/requests/exchange_resume.cpp
@@ -110,7 +110,9 @@
 
 void note_stream_version(exchange& current)
 {
-    if (current.route->kind != fleet::request_kind::streaming)
+    auto const is_uncertain =
+        current.work.version && current.work.version->empty();
+    if (current.route->kind != fleet::request_kind::streaming || is_uncertain)
     {
         return;
     }
