--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -266,6 +266,32 @@
     }
 }
 
+/// Passes the routers on, as they were read last.
+void gateway_server::note_routers()
+{
+    if (this->shared.membership.completed_reads() == this->membership_reads)
+    {
+        return;
+    }
+    this->membership_reads = this->shared.membership.completed_reads();
+    auto const routers = this->shared.membership.live_routers();
+    this->shared.budgets.set_peers(routers);
+    std::vector<std::string> addresses;
+    addresses.reserve(routers.size());
+    for (auto const& [address, incarnation] : routers)
+    {
+        if (address != this->shared.peer_address)
+        {
+            addresses.push_back(address);
+        }
+    }
+    this->shared.relays.set_routers(addresses);
+    this->shared.send_limits.set_routers(addresses);
+    this->shared.rejections.set_routers(addresses);
+    this->shared.probations.set_routers(addresses);
+    this->shared.streams.set_routers(std::move(addresses));
+}
+
 void gateway_server::tick()
 {
     auto const now = this->shared.now.now();
@@ -293,26 +319,7 @@
     this->shared.uplink = fleet::advance_time(this->shared.uplink, now);
     this->shared.servers.routers = this->shared.membership.alive_vms();
     this->shared.budgets.set_router_count(this->shared.servers.routers);
-    if (this->shared.membership.completed_reads() != this->membership_reads)
-    {
-        this->membership_reads = this->shared.membership.completed_reads();
-        auto const routers = this->shared.membership.live_routers();
-        this->shared.budgets.set_peers(routers);
-        std::vector<std::string> addresses;
-        addresses.reserve(routers.size());
-        for (auto const& [address, incarnation] : routers)
-        {
-            if (address != this->shared.peer_address)
-            {
-                addresses.push_back(address);
-            }
-        }
-        this->shared.relays.set_routers(addresses);
-        this->shared.send_limits.set_routers(addresses);
-        this->shared.rejections.set_routers(addresses);
-        this->shared.probations.set_routers(addresses);
-        this->shared.streams.set_routers(std::move(addresses));
-    }
+    this->note_routers();
     this->shared.metrics.lines_dropped(this->shared.log.dropped());
     this->shared.metrics.crash_causes(
         this->shared.crashes.causes().rejected_causes());
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -113,6 +113,7 @@
     void replace_servers(store::feed_page const& page);
     void record_store_call(bool reachable, error const& why);
     void tick();
+    void note_routers();
     void note_turn_after_events();
     /// Logs a timer run that was `late` by more than usual.
     void report_stall(duration late);
--- a/tests/soak/configurations.cpp
+++ b/tests/soak/configurations.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_site.hpp"
 
 #include <csignal>
+#include <sstream>
 
 namespace caperpath::soak
 {
@@ -18,29 +19,27 @@
 
 std::string more_routes(int count)
 {
-    std::string text;
+    std::ostringstream text;
     for (int i = 0; i < count; ++i)
     {
-        auto const name = "more" + std::to_string(i);
-        text += R"(,{"name":")" + name +
-                R"(","hostname":"more.example","prefix":"/)" + name +
-                R"(/","route-type":"idempotent","attempts":2,"backend":"app",)"
-                R"("timeout-ms":8000,"target-latency-ms":300,"priority":1})";
+        text << R"(,{"name":"more)" << i
+             << R"(","hostname":"more.example","prefix":"/more)" << i
+             << R"(/","route-type":"idempotent","attempts":2,"backend":"app",)"
+             << R"("timeout-ms":8000,"target-latency-ms":300,"priority":1})";
     }
-    return text;
+    return text.str();
 }
 
 std::string more_customers(int count)
 {
     constexpr int routes_per_customer = 10;
-    std::string text;
+    std::ostringstream text;
     for (int i = 0; i < count / routes_per_customer; ++i)
     {
-        auto const name = "more" + std::to_string(i);
-        text += R"(,{"name":")" + name + R"(","api-keys":["key-)" + name +
-                R"(","other-)" + name + R"("],"reserved":1000000})";
+        text << R"(,{"name":"more)" << i << R"(","api-keys":["key-more)" << i
+             << R"(","other-more)" << i << R"("],"reserved":1000000})";
     }
-    return text;
+    return text.str();
 }
 
 asio::awaitable<void> change_configurations(soak_site& site)
