--- a/tests/gateway/resumption_test.cpp
+++ b/tests/gateway/resumption_test.cpp
@@ -258,7 +258,7 @@
         this->add(*site, "i-1", "v1");
         site->wait_ready();
         this->begin(*site, "r1");
-        this->add(*site, "i-1", "v2");
+        site->list_server("i-1", "llm", "127.0.0.1:1", "v2");
         site->run_for(duration{300});
         CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
         site = this->restart(std::move(site), {{"i-2", "v1"}, {"i-3", "v2"}});
