--- a/tests/fleet/resume_fleet.cpp
+++ b/tests/fleet/resume_fleet.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace caperpath::fleet
 {
@@ -52,6 +53,8 @@
             this->open.emplace_back();
         }
         this->rows.resize(routers);
+        this->seen.resize(routers);
+        this->next_end.resize(routers, scenario.killed);
     }
 
     resume_result run()
@@ -106,31 +109,50 @@
     {
         auto const view = now - this->lags[router];
         auto const& step = this->step_at(std::max(view, instant{}));
+        if (std::exchange(this->seen[router], &step) != &step)
+        {
+            this->note_versions(step, now);
+        }
+        if (now >= this->next_end[router])
+        {
+            this->end_streams(router, now);
+        }
+        constexpr std::int64_t per_s = 1'000;
+        if (this->draw(1, per_s) <= this->scenario.streams_per_s * tick.ms)
+        {
+            this->begin(router, step, now);
+        }
+        this->write_row(router, now);
+    }
+
+    /// The first router that sees a version adds it to the row.
+    void note_versions(rollout_step const& step, instant now)
+    {
         auto const listed = versions_of(step);
         auto const had_several = this->set.versions.size() > 1;
-        // The first router that sees a version adds it to the row.
         this->set.versions.insert(listed.begin(), listed.end());
         if (!had_several && this->set.versions.size() > 1)
         {
             this->record_open_streams(now);
         }
+    }
+
+    void end_streams(std::size_t router, instant now)
+    {
         auto& open = this->open[router];
+        this->next_end[router] = this->scenario.killed;
         std::erase_if(open,
                       [&](stream const& each)
                       {
                           if (now < each.ends)
                           {
+                              this->next_end[router] =
+                                  std::min(this->next_end[router], each.ends);
                               return false;
                           }
                           this->records[router].end(each.key);
                           return true;
                       });
-        constexpr std::int64_t per_s = 1'000;
-        if (this->draw(1, per_s) <= this->scenario.streams_per_s * tick.ms)
-        {
-            this->begin(router, step, now);
-        }
-        this->write_row(router, now);
     }
 
     void record_open_streams(instant now)
@@ -157,6 +179,7 @@
                               time_limit.ms)};
         made.version = by_hash(
             step, this->way == resume_way::hash ? made.key : this->random());
+        this->next_end[router] = std::min(this->next_end[router], made.ends);
         this->open[router].push_back(made);
         if (this->set.versions.size() > 1)
         {
@@ -192,10 +215,15 @@
         std::optional<std::string> version;
         auto const from =
             now - time_limit - duration{longest_lag_ms + longest_return_ms};
-        for (auto at = std::max(from, instant{}); at < this->scenario.killed;
-             at = at + tick)
+        auto const& all = this->scenario.rollout;
+        for (auto step = all.begin(); step != all.end(); ++step)
         {
-            auto const given = by_hash(this->step_at(at), key);
+            auto const ended = step + 1 != all.end() && (step + 1)->at <= from;
+            if (ended || step->at >= this->scenario.killed)
+            {
+                continue;
+            }
+            auto const given = by_hash(*step, key);
             if (version && *version != given)
             {
                 return std::nullopt;
@@ -271,7 +299,9 @@
     std::mt19937_64 random;
     std::vector<stream_records> records;
     std::vector<duration> lags;
+    std::vector<rollout_step const*> seen; ///< by each router
     std::vector<instant> next_row;
+    std::vector<instant> next_end; ///< of the first stream to end
     std::vector<std::vector<stream>> open;
     std::vector<streams_by_version> rows;
     std::unordered_map<stream_key, std::string> read;
