Limit the links of the soak's routers while configurations change

The soak of configurations ran on loopback without limits, so a large configuration never delayed what shares its link. Each router now has one bandwidth for the store and all servers, with small windows.

--- a/tests/soak/configurations_test.cpp
+++ b/tests/soak/configurations_test.cpp
@@ -1,13 +1,14 @@
 #include "soak/soak_main.hpp"
 
 // Guards against streams that are cut, and routers that end, while large
-// configurations come into force in quick series.
+// configurations fill their links in quick series.
 
 int main(int argc, char** argv)
 {
     caperpath::soak::soak_options options{20'261'204,        {}, 12, 60,
                                           CAPERPATH_GATEWAY, {}};
     options.configurations = true;
+    options.link_bytes_per_ms = 1'250; // 10 Mbit/s
     return caperpath::soak::run_soak(
         argc, argv,
         "Puts large configurations in quick series while callers read long "
--- a/tests/soak/server_link.cpp
+++ b/tests/soak/server_link.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -14,6 +15,8 @@
 constexpr int usual_backlog = 128;
 constexpr int more_than_no_backlog = 4;
 constexpr std::chrono::milliseconds poll_interval{10};
+/// With limited bandwidth: small, so that the sender notices the limit.
+constexpr int window_bytes = 65'536;
 
 tcp::endpoint endpoint_of(std::string const& address)
 {
@@ -31,9 +34,10 @@
 
 } // namespace
 
-server_link::server_link(asio::io_context& loop, std::string const& server)
-    : loop{loop}, server{endpoint_of(server)}, reserved{loop, tcp::v4()},
-      acceptor{loop}
+server_link::server_link(asio::io_context& loop, std::string const& server,
+                         std::shared_ptr<link_bandwidth> bandwidth)
+    : loop{loop}, server{endpoint_of(server)}, bandwidth{std::move(bandwidth)},
+      reserved{loop, tcp::v4()}, acceptor{loop}
 {
     this->reserved.set_option(tcp::acceptor::reuse_address{true});
     this->reserved.bind({asio::ip::make_address("127.0.0.1"), 0});
@@ -131,6 +135,13 @@
 
 void server_link::begin(connection_ptr const& both)
 {
+    if (this->bandwidth)
+    {
+        asio::socket_base::receive_buffer_size const window{window_bytes};
+        both->requests.socket.set_option(window);
+        both->responses.socket.open(tcp::v4());
+        both->responses.socket.set_option(window);
+    }
     std::erase_if(this->open, [](auto const& each) { return each.expired(); });
     this->open.push_back(both);
     both->responses.socket.async_connect(
@@ -186,6 +197,35 @@
         reset(to);
         return;
     }
+    if (!this->bandwidth)
+    {
+        this->write(both, responses, size);
+        return;
+    }
+    from.timer.expires_at(this->free_at(responses, size));
+    from.timer.async_wait([this, both, responses, size](auto const&)
+                          { this->write(both, responses, size); });
+}
+
+/// When `size` more bytes have passed the link.
+std::chrono::steady_clock::time_point server_link::free_at(bool responses,
+                                                           std::size_t size)
+{
+    auto& limit = *this->bandwidth;
+    auto& free = responses ? limit.responses_free : limit.requests_free;
+    std::chrono::duration<double, std::milli> const span{
+        static_cast<double>(size) / limit.bytes_per_ms};
+    free =
+        std::max(free, std::chrono::steady_clock::now()) +
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(span);
+    return free;
+}
+
+void server_link::write(connection_ptr const& both, bool responses,
+                        std::size_t size)
+{
+    auto& from = responses ? both->responses : both->requests;
+    auto& to = responses ? both->requests.socket : both->responses.socket;
     asio::async_write(
         to, asio::buffer(from.buffer, size),
         [this, both, responses, &from](boost::system::error_code unsent, auto)
--- a/tests/soak/server_link.hpp
+++ b/tests/soak/server_link.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -26,12 +27,24 @@
     one_way, ///< the same, but open connections still carry requests
 };
 
+/// The bandwidth that all links of one router share, in each direction. What
+/// comes while others use it waits behind their bytes. Loop thread only.
+struct link_bandwidth
+{
+    double bytes_per_ms{};
+    /// When the bytes that came before are delivered.
+    std::chrono::steady_clock::time_point requests_free;
+    std::chrono::steady_clock::time_point responses_free;
+};
+
 /// A proxy for the connections of one router to one server, which can be cut.
 /// Loop thread only; must outlive the loop's last run.
 class server_link
 {
 public:
-    server_link(asio::io_context& loop, std::string const& server);
+    /// Without `bandwidth` bytes are delivered at once.
+    server_link(asio::io_context& loop, std::string const& server,
+                std::shared_ptr<link_bandwidth> bandwidth = nullptr);
     server_link(server_link const&) = delete;
     server_link& operator=(server_link const&) = delete;
 
@@ -54,7 +67,7 @@
 
         tcp::socket socket; ///< read by this direction
         asio::steady_timer timer;
-        std::array<char, 8'192> buffer{};
+        std::array<char, 65'536> buffer{};
     };
     struct connection
     {
@@ -76,9 +89,13 @@
     void deliver(connection_ptr const& both, bool responses,
                  boost::system::error_code fault, std::size_t size);
     bool blocks(bool responses) const;
+    void write(connection_ptr const& both, bool responses, std::size_t size);
+    std::chrono::steady_clock::time_point free_at(bool responses,
+                                                  std::size_t size);
 
     asio::io_context& loop;
     tcp::endpoint server;
+    std::shared_ptr<link_bandwidth> bandwidth;
     /// Bound but not listening, so that no other socket can take the port while
     /// the link refuses connections.
     tcp::acceptor reserved;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -144,6 +144,9 @@
         ->check(CLI::PositiveNumber);
     app.add_option("--routers", options.routers)->check(CLI::Range(1, 999));
     app.add_option("--callers", options.callers)->check(CLI::PositiveNumber);
+    app.add_option("--link-bytes-per-ms", options.link_bytes_per_ms,
+                   "bandwidth of each router's links; 0: not limited")
+        ->check(CLI::NonNegativeNumber);
     app.add_flag("--keep-logs", options.keep_logs,
                  "keep the routers' logs of a passed run, too");
     app.add_option("--gateway", options.gateway, "path of the routers' binary")
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -178,8 +178,10 @@
     this->put_configuration();
     for (int i = 0; i < options.routers; ++i)
     {
+        auto const has_links =
+            options.partitions || options.link_bytes_per_ms > 0;
         auto const store =
-            options.partitions ? this->add_links() : this->store.address();
+            has_links ? this->add_links() : this->store.address();
         this->routers.push_back(std::make_unique<router_process>(
             this->loop,
             router_plan{options.gateway, options.folder, store, i, grace_s}));
@@ -211,16 +213,28 @@
 
 std::string soak_site::add_links()
 {
+    auto const rate = this->options.link_bytes_per_ms;
+    auto const bandwidth =
+        rate > 0
+            ? std::make_shared<link_bandwidth>(link_bandwidth{rate, {}, {}})
+            : nullptr;
     auto& links = this->links.emplace_back();
     std::map<std::string, std::string> addresses;
     for (auto const& server : this->servers)
     {
-        links.push_back(
-            std::make_unique<server_link>(this->loop, server.address()));
+        links.push_back(std::make_unique<server_link>(
+            this->loop, server.address(), bandwidth));
         addresses[server.address()] = links.back()->address();
     }
     this->paths.emplace_back();
-    return this->store.add_view(addresses);
+    auto view = this->store.add_view(addresses);
+    if (!bandwidth)
+    {
+        return view;
+    }
+    this->store_links.push_back(
+        std::make_unique<server_link>(this->loop, view, bandwidth));
+    return this->store_links.back()->address();
 }
 
 void soak_site::put_configuration()
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -46,6 +46,8 @@
     /// Large configurations in quick series beside long streams. Servers never
     /// break off, and routers stop only at the end.
     bool configurations{false};
+    /// Of a router's path to the store and to all servers; 0: not limited.
+    double link_bytes_per_ms{0};
     int longest_uptime_ms{3'500}; ///< of a router between two stops
 };
 
@@ -108,10 +110,12 @@
     caller_herd herd;
     site_notices notices; ///< only with the option of this name
 
-    /// Only with `partitions`: by router, a link to each server and the state
-    /// of its paths by service.
+    /// With `partitions` or limited links: by router, a link to each server,
+    /// and the state of its paths by service.
     std::vector<std::vector<std::unique_ptr<server_link>>> links;
     std::vector<std::map<std::string, path_state>> paths;
+    /// With limited links: by router, one to the store.
+    std::vector<std::unique_ptr<server_link>> store_links;
 
 private:
     /// Returns the address of the store for a router.
