--- a/tests/gateway/repeated_resumption_test.cpp
+++ b/tests/gateway/repeated_resumption_test.cpp
@@ -48,13 +48,14 @@
         this->add_silent(*site, "i-3", "v1");
         this->add_silent(*site, "i-4", "v2");
         site->wait_ready();
-        this->caller = site->begin(prompt("r2", "r1"));
+        this->caller = site->begin(resumable_prompt("r2", "r1"));
         CPPUNIT_ASSERT(
             site->run_until([&] { return this->resumed[began] == 1; }));
         site->run_for(duration{300});
         site = this->restart(std::move(site), {{"i-5", "v1"}, {"i-6", "v2"}});
         this->resumed.clear();
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r3", "r1")).status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->resumed.size());
         CPPUNIT_ASSERT_EQUAL(1, this->resumed[began]);
     }
@@ -70,9 +71,11 @@
         site->run_for(duration{400});
         site->store.put("servers", "i-1", std::nullopt);
         site = this->restart(std::move(site), {{"i-2", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r2", "r1")).status);
         site = this->restart(std::move(site), {{"i-2", "v2"}, {"i-3", "v1"}});
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r3", "r1")).status);
         CPPUNIT_ASSERT_EQUAL(1, this->resumed["v1"]);
         CPPUNIT_ASSERT_EQUAL(0, this->resumed["v2"]);
     }
@@ -91,12 +94,14 @@
         site = fleet_site::after_crash(std::move(site));
         site->store.reachable = false;
         site->run_for(duration{500});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r2", "r1")).status);
         site->store.reachable = true;
         this->add(*site, "i-3", "v1");
         this->add(*site, "i-4", "v2");
         site->wait_ready();
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r3", "r1")).status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->resumed.size());
         CPPUNIT_ASSERT_EQUAL(1, this->resumed[began]);
     }
--- a/tests/gateway/resumption_fixture.hpp
+++ b/tests/gateway/resumption_fixture.hpp
@@ -2,6 +2,7 @@
 #define CAPERPATH_TESTS_GATEWAY_RESUMPTION_FIXTURE_HPP
 
 #include "gateway/fleet_site.hpp"
+#include "gateway/resumable_prompt.hpp"
 
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
@@ -57,20 +58,6 @@
             version);
     }
 
-    static std::string prompt(std::string const& id,
-                              std::string const& resumes = "")
-    {
-        auto text = fleet_site::prompt("/resume/1", 500, 20);
-        auto const at = text.find("Request-Id: ");
-        auto const end = text.find("\r\n", at);
-        text.replace(at, end - at,
-                     "Request-Id: " + id +
-                         (resumes.empty()
-                              ? ""
-                              : "\r\nLast-Event-Id: 2\r\nResumes: " + resumes));
-        return text;
-    }
-
     /// Ends the caller's connection, so that no request is open at the end.
     void leave(fleet_site& site)
     {
@@ -88,7 +75,7 @@
         site.route_timeout = duration{5'000};
         this->leave(site);
         auto const before = this->begun;
-        this->caller = site.begin(prompt(id));
+        this->caller = site.begin(resumable_prompt(id));
         CPPUNIT_ASSERT(
             site.run_until([&] { return this->caller->has_input(); }));
         // Its record is written.
--- a/tests/gateway/resumption_test.cpp
+++ b/tests/gateway/resumption_test.cpp
@@ -31,7 +31,7 @@
         site->wait_ready();
         CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, this->begin(*site, "r1"));
         site = this->restart(std::move(site), {{"i-1", "v1"}, {"i-2", "v1"}});
-        auto const got = site->send(prompt("r2", "r1"));
+        auto const got = site->send(resumable_prompt("r2", "r1"));
         CPPUNIT_ASSERT_EQUAL(200, got.status);
         CPPUNIT_ASSERT(got.complete);
     }
@@ -51,7 +51,7 @@
             site = this->restart(
                 std::move(site),
                 {{"i-3", "v1"}, {"i-4", "v1"}, {"i-5", "v2"}, {"i-6", "v2"}});
-            auto const got = site->send(prompt("again", id));
+            auto const got = site->send(resumable_prompt("again", id));
             CPPUNIT_ASSERT_EQUAL(200, got.status);
             CPPUNIT_ASSERT(got.complete);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->resumed.size());
@@ -70,10 +70,12 @@
         site = this->restart(std::move(site), {{"i-1", "v1"}, {"i-2", "v2"}});
         auto const second = this->begin(*site, "r2");
         site = this->restart(std::move(site), {{"i-3", "v1"}, {"i-4", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r3", "r1")).status);
         CPPUNIT_ASSERT_EQUAL(1, this->resumed[first]);
         this->resumed.clear();
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r4", "r2")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r4", "r2")).status);
         CPPUNIT_ASSERT_EQUAL(1, this->resumed[second]);
     }
 
@@ -88,7 +90,8 @@
         this->add(*site, "i-2", "v2");
         site->run_for(duration{400});
         site = this->restart(std::move(site), {{"i-3", "v1"}, {"i-4", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(200, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site->send(resumable_prompt("r2", "r1")).status);
         CPPUNIT_ASSERT_EQUAL(1, this->resumed["v1"]);
         CPPUNIT_ASSERT_EQUAL(0, this->resumed["v2"]);
     }
@@ -105,7 +108,8 @@
         site->run_for(duration{50});
         site->store.put("servers", "i-1", std::nullopt);
         site = this->restart(std::move(site), {{"i-2", "v2"}, {"i-3", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r2", "r1")).status);
         CPPUNIT_ASSERT(this->resumed.empty());
     }
 
@@ -120,7 +124,8 @@
         site->store.rejected_prefix = "streams/";
         this->begin(*site, "r1");
         site = this->restart(std::move(site), {{"i-1", "v1"}, {"i-2", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r2", "r1")).status);
         CPPUNIT_ASSERT(this->resumed.empty());
     }
 
@@ -154,9 +159,11 @@
         this->begin(*site, "r1");
         site->list_server("i-1", "llm", "127.0.0.1:1", "v2");
         site->run_for(duration{300});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r2", "r1")).status);
         site = this->restart(std::move(site), {{"i-2", "v1"}, {"i-3", "v2"}});
-        CPPUNIT_ASSERT_EQUAL(503, site->send(prompt("r3", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(503,
+                             site->send(resumable_prompt("r3", "r1")).status);
         CPPUNIT_ASSERT(this->resumed.empty());
     }
 
@@ -179,7 +186,8 @@
         };
         auto const with_one = size();
         this->caller->close();
-        CPPUNIT_ASSERT_EQUAL(200, site.send(prompt("r2", "r1")).status);
+        CPPUNIT_ASSERT_EQUAL(200,
+                             site.send(resumable_prompt("r2", "r1")).status);
         this->begin(site, "r3");
         site.run_for(duration{300});
         CPPUNIT_ASSERT_EQUAL(with_one, size());
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/fleet_site.hpp"
+#include "gateway/resumable_prompt.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -74,20 +75,6 @@
             [&] { return std::chrono::steady_clock::now() >= until; }));
     }
 
-    static std::string prompt(std::string const& id,
-                              std::string const& resumes = "")
-    {
-        auto text = fleet_site::prompt("/resume/1", 500, 20);
-        auto const at = text.find("Request-Id: ");
-        auto const end = text.find("\r\n", at);
-        text.replace(at, end - at,
-                     "Request-Id: " + id +
-                         (resumes.empty()
-                              ? ""
-                              : "\r\nLast-Event-Id: 2\r\nResumes: " + resumes));
-        return text;
-    }
-
     // Guards against a stream that holds events of two software versions.
     void a_stream_goes_on_at_the_version_that_began_it()
     {
@@ -99,7 +86,8 @@
             add(site, "i-2", "v2", logs[1]);
             add(site, "i-3", i % 2 == 0 ? "v1" : "v2", logs[2]);
             run_until_ready(site);
-            auto const got = site.send(prompt("r" + std::to_string(i)));
+            auto const got =
+                site.send(resumable_prompt("r" + std::to_string(i)));
             std::string began;
             std::string went_on;
             for (auto const& log : logs)
@@ -123,7 +111,7 @@
         add(site, "i-1", "v1", first);
         add(site, "i-2", "v2", second);
         run_until_ready(site);
-        auto const got = site.send(prompt("r1"));
+        auto const got = site.send(resumable_prompt("r1"));
         CPPUNIT_ASSERT(!got.complete);
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), got.body);
         CPPUNIT_ASSERT_EQUAL(0, first.resumed + second.resumed);
@@ -137,7 +125,7 @@
         server_log next;
         add(site, "i-1", "v1", old);
         run_until_ready(site);
-        CPPUNIT_ASSERT(!site.send(prompt("r1")).complete);
+        CPPUNIT_ASSERT(!site.send(resumable_prompt("r1")).complete);
         for (auto const* const id : {"i-2", "i-3", "i-4", "i-5"})
         {
             add(site, id, "v2", next);
@@ -148,7 +136,7 @@
         CPPUNIT_ASSERT(site.run_until(
             [&]
             {
-                got = site.send(prompt("r2", "r1"));
+                got = site.send(resumable_prompt("r2", "r1"));
                 return got.status == 200;
             }));
         CPPUNIT_ASSERT(got.complete);
@@ -187,7 +175,7 @@
                 turn();
                 return std::chrono::steady_clock::now() >= known;
             }));
-        auto caller = first->begin(prompt("r1"));
+        auto caller = first->begin(resumable_prompt("r1"));
         CPPUNIT_ASSERT(first->run_until([&] { return caller->has_input(); }));
         run_for(*first, std::chrono::milliseconds{100});
         caller.reset(); // belongs to the loop of the first site
@@ -197,7 +185,7 @@
             add(second, id, "v2", next);
         }
         run_for(second, std::chrono::milliseconds{200});
-        auto const got = second.send(prompt("r2", "r1"));
+        auto const got = second.send(resumable_prompt("r2", "r1"));
         CPPUNIT_ASSERT_EQUAL(200, got.status);
         CPPUNIT_ASSERT(got.complete);
         CPPUNIT_ASSERT_EQUAL(0, next.resumed);
@@ -211,7 +199,7 @@
         add(site, "i-1", "v1", all);
         add(site, "i-2", "v2", all);
         run_until_ready(site);
-        auto const got = site.send(prompt("r2", "unknown"));
+        auto const got = site.send(resumable_prompt("r2", "unknown"));
         CPPUNIT_ASSERT_EQUAL(503, got.status);
         CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(0, all.resumed);
@@ -225,10 +213,10 @@
         server_log next;
         add(site, "i-1", "v1", old);
         run_until_ready(site);
-        site.send(prompt("r1"));
+        site.send(resumable_prompt("r1"));
         add(site, "i-2", "v2", next);
         run_for(site, std::chrono::milliseconds{200});
-        auto other = prompt("r2", "r1");
+        auto other = resumable_prompt("r2", "r1");
         other.replace(other.find("Bearer key"), 10, "Bearer second");
         CPPUNIT_ASSERT_EQUAL(503, site.send(other).status);
         CPPUNIT_ASSERT_EQUAL(0, old.resumed + next.resumed);
