End a stopped process earlier if its event loop is late

Seen in soaks beside load: a stopped process was still there when its grace time ended, with no request open. Its end is checked by a timer of the loop 300 ms before the kill, and a loop that is later than that misses it. The wait for the return of shares, with a store that does not respond, lasts up to that moment, so every such stop ends at the last one possible.

`may_exit` takes how late the loop runs and ends the process earlier by as much, but not before responses are due and a fifth of the time to transmit them has passed. The return of shares uses half of that time at most.

Tests: `fleet.shutdown`, a_store_that_does_not_respond_does_not_use_up_the_exit and a_late_event_loop_ends_the_process_earlier; both failed with the previous `may_exit`.

--- a/include/caperpath/base/loop_delay.hpp
+++ b/include/caperpath/base/loop_delay.hpp
@@ -63,6 +63,9 @@
 /// positive while the loop has more work than time. Thread safe.
 duration lasting_delay(loop_delay const& of);
 
+/// How late a recent run was at most. Thread safe.
+duration longest_recent_delay(loop_delay const& of);
+
 } // namespace caperpath
 
 #endif
--- a/include/caperpath/fleet/shutdown.hpp
+++ b/include/caperpath/fleet/shutdown.hpp
@@ -31,6 +31,9 @@
     /// The time from which the wait for the return of shares counts; empty once
     /// all are returned.
     std::optional<instant> returning_since;
+    /// How late the event loop runs: the process ends earlier by as much, but
+    /// not before responses are due.
+    duration loop_delay{};
 
     friend bool operator==(shutdown_work const&,
                            shutdown_work const&) = default;
--- a/src/base/loop_delay.cpp
+++ b/src/base/loop_delay.cpp
@@ -46,4 +46,9 @@
     return *std::min_element(of.late.begin(), of.late.end());
 }
 
+duration longest_recent_delay(loop_delay const& of)
+{
+    return *std::max_element(of.late.begin(), of.late.end());
+}
+
 } // namespace caperpath
--- a/src/fleet/shutdown.cpp
+++ b/src/fleet/shutdown.cpp
@@ -24,6 +24,10 @@
 constexpr std::int64_t exit_divisor = 8;
 constexpr std::int64_t flush_divisor = 4;
 constexpr std::int64_t rotation_divisor = 4;
+/// Shares of the flush time: what a late event loop leaves of it at least, and
+/// how much of it the return of shares may use.
+constexpr std::int64_t min_flush_divisor = 5;
+constexpr std::int64_t share_divisor = 2;
 /// An event loop that keeps up runs its timer twice within this many intervals.
 constexpr std::int64_t max_timer_intervals = 3;
 
@@ -68,7 +72,10 @@
 bool may_exit(shutdown_schedule const& stop, instant now,
               shutdown_work const& left)
 {
-    if (now >= stop.exit_due)
+    auto const flush = stop.exit_due - stop.responses_due;
+    auto const earliest =
+        stop.responses_due + fraction_of(flush, min_flush_divisor);
+    if (now >= std::max(earliest, stop.exit_due - left.loop_delay))
     {
         return true;
     }
@@ -79,7 +86,10 @@
     // New connections may keep arriving; those without a request need no
     // response.
     auto const connections = left.connections && now < stop.responses_due;
-    auto const shares = left.returning_since &&
+    // A store that does not respond must not use up the time of the exit.
+    auto const shares_due =
+        stop.responses_due + fraction_of(flush, share_divisor);
+    auto const shares = left.returning_since && now < shares_due &&
                         now < *left.returning_since + max_share_return_time;
     return !connections && !shares;
 }
--- a/tests/fleet/shutdown_test.cpp
+++ b/tests/fleet/shutdown_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(idle_connections_do_not_delay_the_end);
     CPPUNIT_TEST(deadlines_of_a_late_event_loop_count_from_the_signal);
     CPPUNIT_TEST(the_process_waits_for_the_return_of_tokens);
+    CPPUNIT_TEST(a_store_that_does_not_respond_does_not_use_up_the_exit);
+    CPPUNIT_TEST(a_late_event_loop_ends_the_process_earlier);
     CPPUNIT_TEST(the_high_percentile_covers_most_requests);
     CPPUNIT_TEST(old_observations_expire);
     CPPUNIT_TEST(unused_routes_are_evicted);
@@ -87,7 +89,7 @@
     void a_process_does_not_end_with_requests_open()
     {
         auto const stop = schedule_shutdown(start, grace);
-        shutdown_work const open{true, true, std::nullopt};
+        shutdown_work const open{true, true, std::nullopt, {}};
         for (auto at = start; at < stop.exit_due; at = at + duration{10})
         {
             CPPUNIT_ASSERT(!may_exit(stop, at, open));
@@ -98,7 +100,7 @@
     void a_process_ends_before_it_is_killed()
     {
         auto const stop = schedule_shutdown(start, grace);
-        shutdown_work const all{true, true, stop.responses_due};
+        shutdown_work const all{true, true, stop.responses_due, {}};
         CPPUNIT_ASSERT(may_exit(stop, stop.exit_due, all));
         CPPUNIT_ASSERT(stop.exit_due < start + grace);
     }
@@ -107,7 +109,7 @@
     void idle_connections_do_not_delay_the_end()
     {
         auto const stop = schedule_shutdown(start, grace);
-        shutdown_work const idle{false, true, std::nullopt};
+        shutdown_work const idle{false, true, std::nullopt, {}};
         CPPUNIT_ASSERT(!may_exit(stop, stop.out_of_rotation, idle));
         CPPUNIT_ASSERT(may_exit(stop, stop.responses_due, idle));
         CPPUNIT_ASSERT(may_exit(stop, stop.out_of_rotation, {}));
@@ -128,6 +130,30 @@
         CPPUNIT_ASSERT(may_exit(stop, soon, {}));
     }
 
+    // Guards against a process that waits for the store until little time is
+    // left to end.
+    void a_store_that_does_not_respond_does_not_use_up_the_exit()
+    {
+        auto const stop = schedule_shutdown(start, duration{4'000});
+        shutdown_work left;
+        left.returning_since = stop.out_of_rotation;
+        CPPUNIT_ASSERT(!may_exit(stop, stop.responses_due, left));
+        CPPUNIT_ASSERT(may_exit(stop, stop.exit_due - duration{200}, left));
+    }
+
+    // Guards against a process whose last turn of the loop ends after the kill.
+    void a_late_event_loop_ends_the_process_earlier()
+    {
+        constexpr duration delay{300};
+        auto const stop = schedule_shutdown(start, grace);
+        shutdown_work left{true, true, std::nullopt, delay};
+        CPPUNIT_ASSERT(
+            !may_exit(stop, stop.exit_due - delay - duration{1}, left));
+        CPPUNIT_ASSERT(may_exit(stop, stop.exit_due - delay, left));
+        left.loop_delay = grace;
+        CPPUNIT_ASSERT(!may_exit(stop, stop.responses_due, left));
+    }
+
     // Guards against deadlines after the kill if a busy event loop handles the
     // signal late.
     void deadlines_of_a_late_event_loop_count_from_the_signal()
