Answer what lies unread at the end of a stop before closing

Callers saw requests to a stopping router reset over 200 ms after they were sent, and the router had no line of them.

Cause: after the end of the event loop only requests that had been read were ended. Connections and listening sockets were closed by the end of the process, after the log was flushed; input in the kernel and connections in an accept queue were reset. A late last turn of the loop makes that several hundred milliseconds. Besides, a timer that closes idle connections may run before input that has arrived is handled, and closed the connection of that request.

An idle connection is closed only after reads that have ended were handled and if the kernel holds no input. The end comes earlier by the longest delay of the loop since the stop began.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -100,6 +100,14 @@
     return this->input_buffer.size() > 0;
 }
 
+bool connection::has_unread_input()
+{
+    char next{};
+    return this->socket.is_open() &&
+           recv(this->socket.native_handle(), &next, sizeof next,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 time_point connection::input_since() const
 {
     return this->input_read_at;
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -65,6 +65,10 @@
     /// True if unconsumed input is left.
     bool has_input() const;
 
+    /// True if the kernel holds bytes that were not read yet: closing would
+    /// reset the connection.
+    bool has_unread_input();
+
     /// When the oldest unconsumed input was read. @pre `has_input()`.
     time_point input_since() const;
 
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -102,7 +102,10 @@
     /// begin, and again as each reservation ends. Empty before.
     std::optional<instant> returning_since;
     std::int64_t taken_while_stopping{}; ///< requests read since `stop`
-    std::set<waker*> sessions;           ///< wakers, one per caller connection
+    /// The planned stop is at its end: nothing is accepted or begun any more.
+    bool closing_connections{false};
+    std::set<waker*> sessions;     ///< wakers, one per caller connection
+    std::set<connection*> callers; ///< their connections
     std::set<connection const*> idle_callers; ///< connections without a request
     std::set<exchange*> open_requests;
     fleet::service_times service_times;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,8 +28,6 @@
 constexpr duration most_loop_delay{250};
 /// Kept short, so that the process is not killed while it writes its log.
 constexpr duration max_log_wait{100};
-/// The responses only have to be handed to the kernel.
-constexpr duration overdue_run_time{50};
 
 } // namespace
 
@@ -174,6 +172,7 @@
     auto const signalled_at = fleet::signal_time(
         this->tick_before_last, shared.now.now(), tick_interval);
     shared.stop = fleet::schedule_shutdown(signalled_at, shared.settings.grace);
+    this->stop_delay = longest_recent_delay(shared.delay);
     for (auto* const open : shared.open_requests)
     {
         limit_deadline_to_stop(*open);
@@ -188,21 +187,6 @@
                            {{"outcome", "settings count from the next start"}});
 }
 
-void gateway_server::reject_open_requests()
-{
-    if (this->shared.open_requests.empty())
-    {
-        return;
-    }
-    for (auto* const open : this->shared.open_requests)
-    {
-        expire_deadline(*open);
-    }
-    this->wake_sessions();
-    this->loop.restart();
-    this->run([this] { this->loop.run_for(to_chrono(overdue_run_time)); });
-}
-
 void gateway_server::flush_log()
 {
     log_open_requests(this->shared);
@@ -237,6 +221,7 @@
                           return !caller->has_input() && caller->unsent() == 0;
                       });
     fleet::shutdown_work left;
+    left.loop_delay = this->stop_delay;
     left.requests = std::ssize(shared.sessions) > idle || *shared.relayed > 0;
     left.connections = !shared.sessions.empty();
     if (!shared.returning_since || !shared.budgets.closed())
@@ -300,6 +285,7 @@
     this->shared.delay = note_timer_run(this->shared.delay, now);
     this->shared.metrics.loop_delay(late.ms,
                                     lasting_delay(this->shared.delay).ms);
+    this->stop_delay = std::max(this->stop_delay, late);
     this->note_turn_after_events();
     this->report_stall(late);
     this->report_delay();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -65,10 +65,12 @@
     /// start only.
     void reload();
 
-    /// Rejects the requests that are still open: if the loop is behind, the
-    /// process may reach its end before their timers fire. Call after the loop
-    /// has ended; runs it for a short time. @pre `stopped()`.
-    void reject_open_requests();
+    /// Ends all requests and connections: rejects what is still open, and what
+    /// lies unread in connections or has not been accepted, and closes all
+    /// connections of callers and all listening sockets. Input that arrives
+    /// while the process ends would be reset without a line in the log. Call
+    /// after the loop has ended; runs it for a short time. @pre `stopped()`.
+    void close_connections();
 
     /// Writes the rest of the log. Call after the loop has ended.
     void flush_log();
@@ -85,6 +87,10 @@
     result<void> listen(tcp::acceptor& acceptor, std::string const& address);
     void accept_callers();
     void accept_relayed();
+    /// Accepts what is queued, then stops listening.
+    void close_listeners();
+    /// True if a caller waits for a response or has sent input.
+    bool callers_wait() const;
     /// Listens for other routers. A router that cannot still serves callers.
     void listen_to_routers();
     /// Accepts clients of the readiness check and of the metrics.
@@ -92,6 +98,12 @@
     /// Passes each connection that arrives at `acceptor` to `serve`.
     void accept(tcp::acceptor& acceptor,
                 std::function<void(tcp::socket)> serve);
+    /// Passes on up to `most` connections that wait at `acceptor`.
+    boost::system::error_code
+    accept_queued(tcp::acceptor& acceptor,
+                  std::function<void(tcp::socket)> const& serve, int most);
+    std::function<void(tcp::socket)> serve_callers();
+    std::function<void(tcp::socket)> serve_routers();
     void begin_session(std::function<void(tcp::socket)> const& serve,
                        tcp::socket socket);
     void accept_after(boost::system::error_code fault,
@@ -156,6 +168,8 @@
     bool had_cold_servers{false};
     instant last_tick{};
     instant tick_before_last{};
+    /// How late the loop has run at most since just before the stop.
+    duration stop_delay{};
 };
 
 } // namespace caperpath::gateway
--- a/src/gateway/gateway_listeners.cpp
+++ b/src/gateway/gateway_listeners.cpp
@@ -61,15 +61,27 @@
     return {};
 }
 
+std::function<void(tcp::socket)> gateway_server::serve_callers()
+{
+    return [this](tcp::socket socket)
+    {
+        spawn(this->shared.loop, serve_caller(this->shared, std::move(socket)),
+              "serve_caller", this->shared.log);
+    };
+}
+
+std::function<void(tcp::socket)> gateway_server::serve_routers()
+{
+    return [this](tcp::socket socket)
+    {
+        spawn(this->shared.loop, serve_relay(this->shared, std::move(socket)),
+              "serve_relay", this->shared.log);
+    };
+}
+
 void gateway_server::accept_callers()
 {
-    this->accept(this->callers,
-                 [this](tcp::socket socket)
-                 {
-                     spawn(this->shared.loop,
-                           serve_caller(this->shared, std::move(socket)),
-                           "serve_caller", this->shared.log);
-                 });
+    this->accept(this->callers, this->serve_callers());
 }
 
 void gateway_server::listen_to_routers()
@@ -91,13 +103,7 @@
 
 void gateway_server::accept_relayed()
 {
-    this->accept(this->routers,
-                 [this](tcp::socket socket)
-                 {
-                     spawn(this->shared.loop,
-                           serve_relay(this->shared, std::move(socket)),
-                           "serve_relay", this->shared.log);
-                 });
+    this->accept(this->routers, this->serve_routers());
 }
 
 /// A connection that cannot be served must not end the accepting.
@@ -114,6 +120,28 @@
     }
 }
 
+boost::system::error_code
+gateway_server::accept_queued(tcp::acceptor& acceptor,
+                              std::function<void(tcp::socket)> const& serve,
+                              int most)
+{
+    boost::system::error_code fault;
+    for (auto i = 0; i < most && !fault; ++i)
+    {
+        tcp::socket socket{this->loop};
+        acceptor.accept(socket, fault);
+        if (!fault)
+        {
+            this->begin_session(serve, std::move(socket));
+        }
+    }
+    if (fault == asio::error::would_block)
+    {
+        fault.clear();
+    }
+    return fault;
+}
+
 void gateway_server::accept(tcp::acceptor& acceptor,
                             std::function<void(tcp::socket)> serve)
 {
@@ -126,18 +154,9 @@
             {
                 return;
             }
-            for (auto i = 0; i < accepts_per_turn && !fault; ++i)
-            {
-                tcp::socket socket{this->loop};
-                acceptor.accept(socket, fault);
-                if (!fault)
-                {
-                    this->begin_session(serve, std::move(socket));
-                }
-            }
-            if (fault == asio::error::would_block)
+            if (!fault)
             {
-                fault.clear();
+                fault = this->accept_queued(acceptor, serve, accepts_per_turn);
             }
             this->accept_after(fault,
                                [this, &acceptor, serve = std::move(serve)]
--- a/src/gateway/requests/exchange_stop.cpp
+++ b/src/gateway/requests/exchange_stop.cpp
@@ -52,7 +52,7 @@
         current.shared.service_times.usual_longest(current.route->name);
     auto const lacks_tokens =
         current.shared.returning_since && needs_tokens(current);
-    if (lacks_tokens ||
+    if (lacks_tokens || current.shared.closing_connections ||
         !fleet::may_begin(*stop, now, expected, current.deadline))
     {
         co_return rejection{http_unavailable, "stopping", stopping_retry_after};
--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -4,6 +4,8 @@
 
 #include <caperpath/base/http_status.hpp>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
@@ -86,6 +88,7 @@
     asio::awaitable<void> run()
     {
         this->shared.sessions.insert(this->wakeup.get());
+        this->shared.callers.insert(this->caller.get());
         std::exception_ptr thrown;
         try
         {
@@ -100,6 +103,7 @@
         // the sets.
         this->shared.idle_callers.erase(this->caller.get());
         this->shared.sessions.erase(this->wakeup.get());
+        this->shared.callers.erase(this->caller.get());
         this->caller->set_waker(nullptr);
         this->caller->close();
         if (thrown)
@@ -154,10 +158,14 @@
     asio::awaitable<bool> wait_for_request()
     {
         auto const until = this->now() + this->limits().idle_timeout;
+        auto const over = [&]
+        {
+            return this->now() >= until || this->may_close();
+        };
         while (this->caller->input().size() == 0)
         {
-            auto const over = this->now() >= until || this->may_close();
-            if (this->caller->end() != peer_end::open || over)
+            if (this->caller->end() != peer_end::open ||
+                (over() && co_await this->has_no_input() && over()))
             {
                 co_return false;
             }
@@ -168,6 +176,16 @@
         co_return true;
     }
 
+    /// After a late turn of the loop, a timer may run before input that has
+    /// arrived is handled; closing would reset the connection of a request.
+    asio::awaitable<bool> has_no_input()
+    {
+        // Reads that have ended already are handled first.
+        co_await asio::post(this->shared.loop, asio::use_awaitable);
+        co_return !this->caller->has_input() &&
+            !this->caller->has_unread_input();
+    }
+
     /// A stopping process closes idle connections, but not new ones: their
     /// first request may be in flight, and its caller could not know whether it
     /// ran.
@@ -239,7 +257,8 @@
                 co_return result;
             }
             auto const& stop = this->shared.stop;
-            if (stop && this->now() >= stop->responses_due)
+            if (stop && (this->now() >= stop->responses_due ||
+                         this->shared.closing_connections))
             {
                 result.end = read_end::rejected;
                 result.why = {http_unavailable, "stopping",
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -246,7 +246,7 @@
         here.site.router->stop();
         std::this_thread::sleep_for(std::chrono::milliseconds{900});
         CPPUNIT_ASSERT(here.site.router->stopped());
-        here.site.router->reject_open_requests();
+        here.site.router->close_connections();
         CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
     }
 
@@ -314,7 +314,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
         here.site.router->stop();
         CPPUNIT_ASSERT(here.site.router->stopped());
-        here.site.router->reject_open_requests();
+        here.site.router->close_connections();
         CPPUNIT_ASSERT_EQUAL(504, caller->received().status);
     }
 
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -114,7 +114,7 @@
     }
     wait_for_signals(signals, loop, timer, serving);
     serving.run([&loop] { loop.run(); });
-    serving.reject_open_requests();
+    serving.close_connections();
     serving.flush_log();
     // Requests that are still open hold references to the gateway, and the loop
     // holds the requests, so neither can be destroyed first.
