Let the deadline end a request that cannot be sent again, not its peer's silence

What callers saw: a long request or stream was cut although its server and its caller were alive, when packets were delayed or a receive window stayed closed for over 1.5 s (servers) or 5 s (callers). A request that can be sent again survives that; one with a single attempt is lost. This fits what was reported for streams around large configurations, which fill a router's link for seconds, but is not shown to be its cause.

Cause: the kernel's timeout of silent connections decides about requests for which silence proves nothing and an early end gains nothing.

Now a direct attempt that can neither be sent again nor resumed ends by a reset, its deadline, its caller's leaving, or, while its server is silent (two probes or retransmissions unanswered for 1.5 s), by what shows that the server has ended: a probe, or an entry that is gone or names a later start. Attempts that can be sent again keep the 1.5 s. A caller may be silent while its request is open, and take its output until its deadline. Relays keep their timeouts.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -21,13 +23,11 @@
 constexpr std::size_t max_unread = 262'144;
 constexpr int probe_count = 2;
 
-/// Bounds how long a silent peer goes unnoticed. Connections can go silent
-/// without a reset, for example when a firewall drops their state or a machine
-/// freezes; a request would then wait for its whole timeout. Keep-alive probes
-/// detect an idle silent peer, the user timeout one that no longer
-/// acknowledges.
-void set_silence_timeout(tcp::socket& socket,
-                         std::chrono::milliseconds silence_timeout)
+/// Connections can go silent without a reset, for example when a firewall drops
+/// their state or a machine freezes; a request would then wait for its whole
+/// timeout. Keep-alive probes detect an idle silent peer, the user timeout one
+/// that no longer acknowledges.
+void set_options(tcp::socket& socket, std::chrono::milliseconds silence_timeout)
 {
     auto const handle = socket.native_handle();
     auto const set = [handle](int level, int name, int value)
@@ -44,8 +44,6 @@
     set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
     set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
     set(IPPROTO_TCP, TCP_KEEPCNT, probe_count);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT,
-        static_cast<int>(silence_timeout.count()));
     set(IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
@@ -61,7 +59,33 @@
                        std::chrono::milliseconds silence_timeout)
     : socket{std::move(socket)}, last_used{std::chrono::steady_clock::now()}
 {
-    set_silence_timeout(this->socket, silence_timeout);
+    set_options(this->socket, silence_timeout);
+    this->set_silence_timeout(silence_timeout);
+}
+
+void connection::set_silence_timeout(std::chrono::milliseconds timeout)
+{
+    auto const value = static_cast<int>(timeout.count());
+    // If it cannot be set, the timeout before applies.
+    static_cast<void>(setsockopt(this->socket.native_handle(), IPPROTO_TCP,
+                                 TCP_USER_TIMEOUT, &value, sizeof value));
+}
+
+bool connection::is_silent(duration least)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    auto const failed = getsockopt(this->socket.native_handle(), IPPROTO_TCP,
+                                   TCP_INFO, &info, &size) != 0;
+    return !failed && info.tcpi_probes + info.tcpi_retransmits >= probe_count &&
+           info.tcpi_last_ack_recv >= least.ms;
+}
+
+bool connection::is_acknowledged()
+{
+    int size{};
+    return ioctl(this->socket.native_handle(), SIOCOUTQ, &size) == 0 &&
+           size == 0;
 }
 
 void connection::start()
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -43,6 +44,18 @@
     connection(connection const&) = delete;
     connection& operator=(connection const&) = delete;
 
+    /// Sets how long a peer may leave bytes or probes unacknowledged, or keep
+    /// its receive window closed.
+    void set_silence_timeout(std::chrono::milliseconds timeout);
+
+    /// True if the peer has left probes or retransmissions unanswered and sent
+    /// nothing for `least`. A peer that keeps its receive window closed is not
+    /// silent.
+    bool is_silent(duration least);
+
+    /// True if the peer has acknowledged all bytes sent.
+    bool is_acknowledged();
+
     /// Reads what has arrived and starts to read on. Call once.
     void start();
 
--- a/src/gateway/crashes/crash_handling.cpp
+++ b/src/gateway/crashes/crash_handling.cpp
@@ -152,8 +152,18 @@
             {"parts", parts_text(current)}};
 }
 
-/// Keeps what a crash would say of the request, until the server's entry shows
-/// whether it still runs.
+/// True if another process has the server's place than the one that got the
+/// request.
+bool has_restarted(exchange const& current, backend_server_id const& server)
+{
+    auto const& all = current.shared.servers.servers;
+    auto const found = all.find(server);
+    return found != all.end() && current.server_born_ms != 0 &&
+           found->second.entry.born_ms != current.server_born_ms;
+}
+
+} // namespace
+
 void watch_for_crash(exchange& current, backend_server_id const& server)
 {
     auto& shared = current.shared;
@@ -174,18 +184,6 @@
     }
 }
 
-/// True if another process has the server's place than the one that got the
-/// request.
-bool has_restarted(exchange const& current, backend_server_id const& server)
-{
-    auto const& all = current.shared.servers.servers;
-    auto const found = all.find(server);
-    return found != all.end() && current.server_born_ms != 0 &&
-           found->second.entry.born_ms != current.server_born_ms;
-}
-
-} // namespace
-
 std::optional<rejection> check_crash_evidence(exchange& current)
 {
     auto& shared = current.shared;
--- a/src/gateway/crashes/crash_handling.hpp
+++ b/src/gateway/crashes/crash_handling.hpp
@@ -44,6 +44,10 @@
 asio::awaitable<void> probe_for_crash(exchange& current,
                                       backend_server_id const& server);
 
+/// Keeps what a crash of `server` would say of the request, until its entry
+/// shows whether it still runs.
+void watch_for_crash(exchange& current, backend_server_id const& server);
+
 /// Call when the entry of `server` shows that another process runs there now,
 /// one that was started at `born_ms`, or that none runs any more (empty),
 /// though it did not say that it leaves. Records the crashes that probes did
--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,11 @@
 /// can take them at once.
 inline constexpr duration stopping_retry_after{50};
 
+/// Silence timeout of connections to callers of open requests, and to servers
+/// of those that cannot be sent again: longer than any request may take, so
+/// that the deadline ends them.
+inline constexpr std::chrono::milliseconds longest_silence{900'000};
+
 /// A response by the gateway itself instead of a server.
 struct rejection
 {
--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/session.hpp"
 
 #include "gateway/requests/exchange.hpp"
+#include "gateway/run_after.hpp"
 
 #include <caperpath/base/http_status.hpp>
 
@@ -31,8 +32,8 @@
 constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int request_timeout = 408;
 constexpr int header_too_large = 431;
-/// A caller that accepts no bytes of its response for this long is treated as
-/// disconnected.
+/// A caller that accepts no bytes of its response for this long after its
+/// deadline is treated as disconnected.
 constexpr duration output_timeout{500};
 constexpr int max_idle_checks = 2;
 constexpr duration output_check_interval{output_timeout.ms / max_idle_checks};
@@ -311,7 +312,11 @@
                  {"status", std::to_string(current.status)}});
             co_return false;
         }
+        this->caller->set_silence_timeout(longest_silence);
         co_await serve(current);
+        this->deadline = current.deadline;
+        this->caller->set_silence_timeout(std::max(
+            caller_silence_timeout, to_chrono(current.deadline - this->now())));
         co_return current.keep_connection;
     }
 
@@ -324,8 +329,16 @@
         }
     }
 
-    /// Waits until the caller has taken all output, as long as it makes
-    /// progress.
+    /// Until then the caller of the latest response may pause.
+    instant output_due() const
+    {
+        auto const& stop = this->shared.stop;
+        return stop ? std::min(this->deadline, stop->responses_due)
+                    : this->deadline;
+    }
+
+    /// Waits until the caller has taken all output, after its deadline only as
+    /// long as it makes progress.
     asio::awaitable<void> drain_output()
     {
         // If the loop is behind, the timer can fire before writes that
@@ -339,7 +352,8 @@
             auto const before = this->caller->unsent();
             auto const raised =
                 co_await this->wait(this->now() + output_check_interval);
-            auto const idle = !raised && this->caller->unsent() == before;
+            auto const idle = !raised && this->caller->unsent() == before &&
+                              this->now() >= this->output_due();
             idle_checks = idle ? idle_checks + 1 : 0;
         }
     }
@@ -363,6 +377,7 @@
     waker_ptr wakeup;
     connection_ptr caller;
     instant began;
+    instant deadline{}; ///< of the latest request
     /// A rejection was sent before the whole request was read.
     bool rejected_early{false};
 };
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -3,6 +3,7 @@
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/requests/head_text.hpp"
 #include "gateway/servers/server_notice.hpp"
+#include "gateway/servers/timed_connect.hpp"
 
 #include <caperpath/base/http_status.hpp>
 
@@ -85,6 +86,11 @@
     if (this->reusable && !this->relayed && this->connection->unsent() == 0 &&
         keep_idle > duration{0})
     {
+        // A server that has not read a long body yet may still do so.
+        if (this->connection->is_acknowledged())
+        {
+            this->connection->set_silence_timeout(peer_silence_timeout);
+        }
         this->current.shared.pool.release(this->where.server, this->connection,
                                           keep_idle);
         return;
@@ -133,11 +139,6 @@
     co_return co_await this->relay_whole();
 }
 
-bool server_call::lost_connection() const
-{
-    return this->connection && this->connection->end() != peer_end::open;
-}
-
 void server_call::send()
 {
     auto& shared = this->current.shared;
@@ -176,6 +177,10 @@
     // Counted first: what fails from here on may have been sent.
     auto const is_retry = this->current.possible_deliveries > 0;
     this->current.possible_deliveries += 1;
+    this->outlasts_silence =
+        !this->relayed && !fleet::may_run_again(this->current.attempts);
+    this->connection->set_silence_timeout(
+        this->outlasts_silence ? longest_silence : peer_silence_timeout);
     this->connection->send(bytes);
     shared.metrics.sent(is_retry, this->relayed);
     this->current.retry_charged = false;
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -14,6 +14,17 @@
 namespace caperpath::gateway
 {
 
+/// The result of a probe whether a server runs.
+struct presence_result
+{
+    std::optional<server_presence> presence; ///< empty until it is known
+    waker_ptr wakeup;
+};
+
+/// Probes `server` and raises the waker of `result`.
+asio::awaitable<void> find_presence(core& shared, backend_server_id server,
+                                    std::shared_ptr<presence_result> result);
+
 /// One attempt of a request at one server: sends it, reads the response and
 /// relays it to the caller. Loop thread only; used for a single attempt.
 class server_call
@@ -30,7 +41,8 @@
     /// after `current.events.last_id()`.
     asio::awaitable<fleet::attempt_outcome> run();
 
-    /// True if the connection to the server has ended.
+    /// True if the connection to the server has ended, or a probe shows that
+    /// the server has.
     bool lost_connection() const;
 
     /// True if the server may have no room for the request at the moment.
@@ -50,6 +62,9 @@
     void postpone(duration wait);
     void report_outcome(fleet::send_outcome outcome);
     void send();
+    asio::awaitable<bool> wait_for_more();
+    void check_silence();
+    bool has_ended_in_silence();
     asio::awaitable<std::optional<fleet::attempt_outcome>> read_head();
     std::optional<fleet::attempt_outcome> evaluate_head();
     asio::awaitable<fleet::attempt_outcome> relay_whole();
@@ -90,6 +105,11 @@
     bool counted_open{false};
     bool reusable{false}; ///< the connection can carry another request
     bool relayed{false};  ///< another router relays the connection
+    /// The server's silence alone does not end the attempt.
+    bool outlasts_silence{false};
+    instant silence_check_due{};
+    std::shared_ptr<presence_result> silent_presence; ///< null: not silent
+    bool crash_watched{false};
     /// Of a send to a brittle server whose outcome is not known yet.
     std::optional<send_permit> permit;
     bool denied{false};              ///< no permit was given
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -68,7 +68,8 @@
     {
         return attempt_outcome::expired;
     }
-    return this->connection->end() == peer_end::open
+    return this->connection->end() == peer_end::open &&
+                   !this->has_ended_in_silence()
                ? std::nullopt
                : std::optional{attempt_outcome::in_doubt};
 }
@@ -203,8 +204,7 @@
         {
             co_return end;
         }
-        static_cast<void>(
-            co_await wait_until(this->current, this->current.deadline));
+        static_cast<void>(co_await this->wait_for_more());
     }
 }
 
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -49,20 +49,6 @@
 /// a response is taken for complete, since its server closed it in order.
 constexpr duration max_presence_wait{250};
 
-struct presence_result
-{
-    std::optional<server_presence> presence;
-    waker_ptr wakeup;
-};
-
-asio::awaitable<void> find_presence(core& shared, backend_server_id server,
-                                    std::shared_ptr<presence_result> result)
-{
-    result->presence =
-        co_await shared.crash_checks.check(server, shared.now.now());
-    result->wakeup->raise();
-}
-
 } // namespace
 
 void server_call::record_first_part()
@@ -114,8 +100,7 @@
         {
             co_return *end;
         }
-        static_cast<void>(
-            co_await wait_until(this->current, this->current.deadline));
+        static_cast<void>(co_await this->wait_for_more());
     }
     if (co_await this->broken_off())
     {
@@ -258,8 +243,7 @@
             this->drop_incomplete_event();
             co_return *end;
         }
-        auto const in_time =
-            co_await wait_until(this->current, this->current.deadline);
+        auto const in_time = co_await this->wait_for_more();
         if (!in_time || caller_disconnected(this->current))
         {
             this->drop_incomplete_event();
--- a/src/gateway/servers/timed_connect.cpp
+++ b/src/gateway/servers/timed_connect.cpp
@@ -12,15 +12,6 @@
 namespace caperpath::gateway
 {
 
-namespace
-{
-
-/// Peers in the same region acknowledge within a few ms; one or two lost
-/// packets add some hundred ms.
-constexpr std::chrono::milliseconds peer_silence_timeout{1'500};
-
-} // namespace
-
 asio::awaitable<connect_result>
 timed_connect(asio::any_io_executor const& executor, std::string const& address,
               duration limit)
--- a/src/gateway/servers/timed_connect.hpp
+++ b/src/gateway/servers/timed_connect.hpp
@@ -9,11 +9,17 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace caperpath::gateway
 {
 
+/// Silence timeout of connections to servers and routers. Peers in the same
+/// region acknowledge within a few ms; one or two lost packets add some hundred
+/// ms.
+inline constexpr std::chrono::milliseconds peer_silence_timeout{1'500};
+
 /// A new connection, or why there is none.
 struct connect_result
 {
