Read the rows of new budgets in turns

A version of the configuration with many new customers held the event loop: 42 to 115 ms for 280 of them were seen. Applying it (or the first tick after the own spend row, at a start) called the store for the row of each new budget at once, 280 calls in one handler, and all but four of them open a connection of their own.

The accounts themselves still open at once, so no request meets a customer without an account. Only the first reads are queued: eight a turn, 2 ms apart, 70 ms for 280. A reservation that comes meanwhile reads its row at once.

The loop's time was not measured again.

--- a/src/gateway/budgets/budget_share_manager.cpp
+++ b/src/gateway/budgets/budget_share_manager.cpp
@@ -54,8 +54,8 @@
     std::string peer_address,
     std::function<void(std::string const& to, std::string const& bytes)> send,
     decision_log& log)
-    : executor{executor}, timer{executor}, port{port}, vm{vm},
-      incarnation{incarnation}, log{log},
+    : executor{executor}, timer{executor}, first_read_timer{executor},
+      port{port}, vm{vm}, incarnation{incarnation}, log{log},
       spend_writer{executor,
                    std::move(port),
                    std::move(vm),
@@ -324,6 +324,11 @@
     {
         return;
     }
+    if (of.first_read_queued && !of.share.waiting.empty())
+    {
+        this->read_rows(of);
+        return;
+    }
     this->allocate(of);
     this->update_draw_mode(of, at);
     auto next = budget::next_step(std::move(of.share), of.holder, at);
@@ -333,7 +338,7 @@
     case budget::step_kind::none:
         break;
     case budget::step_kind::read:
-        this->read_rows(of);
+        this->begin_read(of);
         break;
     case budget::step_kind::write:
         this->write(of, next.txn);
--- a/src/gateway/budgets/budget_share_manager.hpp
+++ b/src/gateway/budgets/budget_share_manager.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -119,6 +120,7 @@
     struct account
     {
         budget::share_state share;
+        bool first_read_queued{false};
         token_count paid{};
         budget::holder_view holder;
         instant first_draw_at{}; ///< draws earlier only if a reservation waits
@@ -185,6 +187,8 @@
     void settle_all_waiting();
     void request_limit_raise(account const& of);
     void step(budget_id const& budget);
+    void begin_read(account& of);
+    void begin_first_reads();
     void read_rows(account& of);
     void write(account& of, store::transaction const& txn);
     void log_write(account const& of, store::commit_result const& result);
@@ -193,6 +197,8 @@
 
     boost::asio::any_io_executor executor;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer first_read_timer;
+    std::deque<budget_id> first_reads; ///< queued, oldest first
     store::async_port port;
     vm_id vm;
     incarnation_id incarnation;
--- a/src/gateway/budgets/budget_share_store.cpp
+++ b/src/gateway/budgets/budget_share_store.cpp
@@ -1,4 +1,5 @@
 #include "gateway/budgets/budget_share_manager.hpp"
+#include "gateway/run_after.hpp"
 
 #include <caperpath/budget/rows.hpp>
 
@@ -9,10 +10,57 @@
 namespace caperpath::gateway
 {
 
+namespace
+{
+
+/// A read takes up to 0.1 ms of the event loop, most of it for a connection.
+constexpr int first_reads_per_turn = 8;
+constexpr duration first_read_pause{2};
+
+} // namespace
+
+/// Reads the budget row, the first time when its turn comes: a configuration
+/// may bring hundreds of new budgets, and reading all their rows in one turn
+/// would delay the events of open streams. A reservation does not wait for it.
+void budget_share_manager::begin_read(account& of)
+{
+    if (of.share.seen || !of.share.waiting.empty())
+    {
+        this->read_rows(of);
+        return;
+    }
+    of.first_read_queued = true;
+    this->first_reads.push_back(of.share.budget);
+    if (this->first_reads.size() == 1)
+    {
+        run_after(this->first_read_timer, first_read_pause,
+                  [this] { this->begin_first_reads(); });
+    }
+}
+
+void budget_share_manager::begin_first_reads()
+{
+    for (int i = 0; i < first_reads_per_turn && !this->first_reads.empty(); ++i)
+    {
+        auto& of = this->accounts.at(this->first_reads.front());
+        this->first_reads.pop_front();
+        if (of.first_read_queued)
+        {
+            this->read_rows(of);
+        }
+    }
+    if (!this->first_reads.empty())
+    {
+        run_after(this->first_read_timer, first_read_pause,
+                  [this] { this->begin_first_reads(); });
+    }
+}
+
 /// Reads the budget row. The share row has no other writer, so it is read as
 /// well only if the response to a write of it was lost.
 void budget_share_manager::read_rows(account& of)
 {
+    of.first_read_queued = false;
     auto const id = of.share.budget;
     auto const share_name = budget::share_key(id, of.holder.incarnation);
     auto const finish_read =
