Parse rows beside a configuration, not after it

One worker thread took all long texts in order, so a page of servers waited while a large configuration was parsed and built. The worker now has a lane for the configuration (the pages of its table and its build, in order) and one for the rows of all other tables, each with a thread that its first text starts.

--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -203,7 +203,7 @@
         }
         this->reading_configurations += 1;
         this->background->run<built_site>(
-            "read configuration",
+            worker_lane::configuration, "read configuration",
             [read_site, text = row.value]
             { return build_site(read_site, text); },
             [this, use](std::variant<built_site, error> const& result)
--- a/src/gateway/worker.hpp
+++ b/src/gateway/worker.hpp
@@ -10,7 +10,7 @@
 #include <cstddef>
 #include <exception>
 #include <functional>
-#include <optional>
+#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -22,10 +22,18 @@
 /// more than it saves.
 inline constexpr std::size_t longest_inline_text = 16'384;
 
+/// What a computation belongs to. Those of one lane run in order, and none
+/// waits for another lane.
+enum class worker_lane
+{
+    configuration, ///< hundreds of milliseconds, if it is large
+    rows           ///< of the store's other tables, which callers wait for
+};
+
 /// Runs computations that would hold the event loop for more than a few
-/// milliseconds on a thread of its own, one after the other. They get values
-/// and return values; all state stays with the loop thread. The thread is
-/// started by the first computation. Loop thread only.
+/// milliseconds on threads of their own, one for each lane. They get values
+/// and return values; all state stays with the loop thread. A thread is
+/// started by the first computation of its lane. Loop thread only.
 class worker
 {
 public:
@@ -34,18 +42,15 @@
     {
     }
 
-    /// Calls `job` on the worker's thread, then `done` with its result on the
+    /// Calls `job` on the thread of `lane`, then `done` with its result on the
     /// loop. An exception of `job` becomes an `internal` error with `step`.
     template <class Result>
-    void run(std::string step, std::function<Result()> job,
+    void run(worker_lane lane, std::string step, std::function<Result()> job,
              std::function<void(std::variant<Result, error>)> done)
     {
-        if (!this->thread)
-        {
-            this->thread.emplace(1);
-        }
+        auto& thread = this->threads.try_emplace(lane, 1).first->second;
         boost::asio::post(
-            *this->thread,
+            thread,
             [loop = this->loop, step = std::move(step), job = std::move(job),
              done = std::move(done)]() mutable
             {
@@ -75,7 +80,7 @@
     }
 
     boost::asio::any_io_executor loop;
-    std::optional<boost::asio::thread_pool> thread;
+    std::map<worker_lane, boost::asio::thread_pool> threads;
 };
 
 } // namespace caperpath::gateway
--- a/tests/platform/store_port_test.cpp
+++ b/tests/platform/store_port_test.cpp
@@ -1,10 +1,13 @@
 #include "gateway/fake_server.hpp"
 #include "gateway/http_client.hpp"
+#include "gateway/worker.hpp"
 #include "platform/store_port.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <chrono>
+#include <future>
 #include <memory>
 #include <optional>
 
@@ -19,6 +22,7 @@
     CPPUNIT_TEST(list_reads_all_pages_and_has_the_first_version);
     CPPUNIT_TEST(interrupted_scan_returns_an_error);
     CPPUNIT_TEST(scan_without_progress_returns_an_error);
+    CPPUNIT_TEST(servers_are_read_while_a_configuration_is_parsed);
     CPPUNIT_TEST_SUITE_END();
 
     /// A store with rows `a` to `e` that returns at most two rows per response.
@@ -28,6 +32,8 @@
         int responses_left{100};
         std::string fixed_body; ///< body of each response, if not empty
         int calls{};
+        std::shared_ptr<gateway::worker> background{
+            std::make_shared<gateway::worker>(loop.get_executor())};
         fake_server server{loop, [this](fake_server::request const& got)
                            {
                                return this->respond(got);
@@ -35,7 +41,7 @@
         store::async_port port{platform::make_store_port(
             std::make_shared<gateway::http_client>(loop.get_executor(),
                                                    server.address()),
-            server.address(), duration{1'000})};
+            server.address(), duration{1'000}, background)};
 
         script respond(fake_server::request const& got)
         {
@@ -153,6 +159,45 @@
             CPPUNIT_ASSERT_MESSAGE(body, fake.calls <= 2);
         }
     }
+
+    // Guards against a list of servers that waits until a large configuration
+    // is parsed and built.
+    void servers_are_read_while_a_configuration_is_parsed()
+    {
+        fake_store fake;
+        fake.fixed_body = R"({"rows":[{"key":"a","part":"","data":")" +
+                          std::string(2 * gateway::longest_inline_text, 'A') +
+                          R"("}],"schema-version":7})";
+        std::promise<void> built;
+        fake.background->run<int>(
+            gateway::worker_lane::configuration, "build",
+            [done = built.get_future().share()]
+            {
+                constexpr std::chrono::seconds bound{10};
+                return static_cast<int>(done.wait_for(bound));
+            },
+            [](std::variant<int, error> const&) {});
+        std::string read;
+        auto const list = [&fake, &read](std::string const& table)
+        {
+            fake.port.list(
+                table, duration{1'000},
+                [&read, table](std::variant<store::feed_page, error> const& got)
+                {
+                    auto const& page = std::get<store::feed_page>(got);
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, page.version);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.rows.size());
+                    read += table + " ";
+                });
+        };
+        list("op");
+        list("servers");
+        fake.run_until([&read] { return !read.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string{"servers "}, read);
+        built.set_value();
+        fake.run_until([&read] { return read.ends_with("op "); });
+        CPPUNIT_ASSERT_EQUAL(std::string{"servers op "}, read);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_port_test);
