--- a/src/gateway/budgets/budget_share_store.cpp
+++ b/src/gateway/budgets/budget_share_store.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-/// A read takes up to 0.1 ms of the event loop, most of it for a connection.
 constexpr int first_reads_per_turn = 8;
 constexpr duration first_read_pause{2};
 
