Wait until a soak's router has closed the inherited sockets

A forked router that had not run yet still held the listening sockets of the soak, so a link or server of it could not listen at its port again. No check changes.

--- a/tests/soak/router_process.cpp
+++ b/tests/soak/router_process.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <fstream>
@@ -42,6 +43,17 @@
     ::_exit(exec_failed);
 }
 
+/// Waits until no process can write to the pipe. A child that has not run yet
+/// still holds the listening sockets of this process, whose ports could not be
+/// bound again.
+void wait_for_end(int pipe)
+{
+    char unused{};
+    while (::read(pipe, &unused, 1) < 0 && errno == EINTR)
+    {
+    }
+}
+
 } // namespace
 
 router_process::router_process(asio::io_context& loop, router_plan plan)
@@ -100,7 +112,9 @@
 {
     auto const descriptor =
         ::open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    this->pid = descriptor < 0 ? -1 : ::fork();
+    std::array<int, 2> closed{-1, -1}; // ends when the child has closed it
+    auto const ready = descriptor >= 0 && ::pipe(closed.data()) == 0;
+    this->pid = ready ? ::fork() : -1;
     if (this->pid == 0)
     {
         exec_router(this->plan.gateway.c_str(), this->settings.c_str(),
@@ -108,6 +122,12 @@
     }
     auto const fault = errno;
     ::close(descriptor);
+    ::close(closed[1]);
+    if (this->pid > 0)
+    {
+        wait_for_end(closed[0]);
+    }
+    ::close(closed[0]);
     if (this->pid < 0)
     {
         throw std::system_error{fault, std::system_category(), "start router"};
