Show that configurations which take things away cut no open stream

One of the suspects of streams that are cut around a new configuration: what the configuration or the list of servers no longer has while a stream runs.

--- a/tests/gateway/fake_server.cpp
+++ b/tests/gateway/fake_server.cpp
@@ -110,6 +110,13 @@
         auto const reply = this->respond(got);
         for (auto const& piece : reply.pieces)
         {
+            while (&piece == &reply.pieces.back() && reply.may_complete &&
+                   !reply.may_complete())
+            {
+                timer.expires_after(piece_pause);
+                co_await timer.async_wait(
+                    asio::redirect_error(asio::use_awaitable, fault));
+            }
             co_await asio::async_write(
                 socket, asio::buffer(piece),
                 asio::redirect_error(asio::use_awaitable, fault));
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -31,6 +31,8 @@
     ending after{ending::keep};
     /// Sent again and again after `pieces`, until the connection ends.
     std::string endless{};
+    /// If set, the last piece is sent once this returns true.
+    std::function<bool()> may_complete{};
 };
 
 /// A backend server that responds by a script. Loop thread only.
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -142,6 +142,12 @@
 }
 
 void fleet_site::put_configuration(std::int64_t version, std::int64_t paid)
+{
+    this->store.put("op", "config", this->configuration(version, paid));
+}
+
+std::string fleet_site::configuration(std::int64_t version,
+                                      std::int64_t paid) const
 {
     auto const limit = this->route_timeout;
     auto const regions = R"(,"allowed-regions":)" + this->allowed_regions;
@@ -163,7 +169,7 @@
          << paid << R"(},{"name":"otro","api-keys":["second"],"reserved":)"
          << paid << R"(}],"padding":")" << std::string(this->padding_bytes, 'x')
          << R"("})";
-    this->store.put("op", "config", text.str());
+    return text.str();
 }
 
 fake_server& fleet_site::add_server(std::string const& id,
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -68,6 +68,9 @@
 
     void put_configuration(std::int64_t version, std::int64_t paid = 100'000);
 
+    /// The configuration that `put_configuration` would put.
+    std::string configuration(std::int64_t version, std::int64_t paid) const;
+
     /// Returns a site with the store and the address of `crashed`, whose router
     /// has crashed. Its servers have to be added again.
     static std::unique_ptr<fleet_site>
