Go on after store calls that throw, and after callbacks that do

What callers saw: after one exception in a call to the store, or in what follows its response, a part of the router stood still until its next start: customers whose share counted as busy were rejected, spend limits ended and with them all reservations, tokens of a crashed router stayed with nobody, evidence of crashes was no longer written, a table (configuration, servers, budgets) was no longer followed, rows of crashes were never read, so that the router never took callers, and no datagram was received any more.

Cause: each of these goes on only from the end of its latest call. The flag (`busy`, `writing`) was set before the call and taken back, or the next timer set, at the end of the callback; an exception of the call itself or in the callback skipped that.

Changed: - `make_nonthrowing_port`, around the store's port for all of a router: a call that throws ends with an error later, a commit as `unknown`; no callback is called twice. Each caller already goes on after an error. - `run_part` logs the exception of one of several independent parts. The owners use it where a callback can fail: the result of a draw that cannot be applied counts as unknown and a read as failed, from a copy of the share, so that open reservations are not lost; a takeover is tried again unless its tokens were added; replies, accounts, rows, and the functions of the spend row are parts of their own. A dead router is inherited once. - A row that cannot be merged is not written, since this would replace what the other router knows, and a row's version counts as known only after the merge. - A page that a follower cannot apply makes it read the whole table again; before, the rows were missing until the next full read.

Why it holds: what sets a flag and what takes it back are in the same function as the guard, and the retry is the one that exists for a failed call.

`table_follower_test` only passes the log to the constructor; `fake_store` can throw at the begin of a call. Membership is guarded in the same way, but no test makes its rows throw.

--- a/src/gateway/budgets/budget_share_allocation.cpp
+++ b/src/gateway/budgets/budget_share_allocation.cpp
@@ -1,5 +1,6 @@
 #include "gateway/budgets/budget_share_manager.hpp"
 #include "gateway/budgets/share_sizes.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/fleet/membership.hpp>
@@ -116,7 +117,7 @@
     auto const salt = fleet::stable_hash(this->vm.value);
     this->holding_rows = std::make_unique<table_follower>(
         this->executor, this->port, store::table_for_kind("holding"),
-        std::move(holdings), salt);
+        std::move(holdings), salt, this->log);
     this->holding_rows->start();
 
     table_listener budgets;
@@ -138,7 +139,7 @@
     };
     this->budget_rows = std::make_unique<table_follower>(
         this->executor, this->port, store::table_for_kind("budget"),
-        std::move(budgets), salt);
+        std::move(budgets), salt, this->log);
     this->budget_rows->start();
 }
 
@@ -165,27 +166,32 @@
     this->expire_holdings(at);
     for (auto const& row : page.rows)
     {
-        auto const from = budget::vm_of_holding_key(row.key);
-        if (!from || *from == this->vm || row.deleted)
-        {
-            continue;
-        }
-        auto const read =
-            value_or_error([&] { return budget::decode_holdings(row.value); });
-        if (auto const* fault = std::get_if<error>(&read))
-        {
-            this->log.write_error(*fault);
-            continue;
-        }
-        this->holdings_received_at[*from] = at;
-        for (auto const& [id, reported] :
-             std::get<std::map<budget_id, budget::holding>>(read))
+        run_part(this->log, row.key, [&] { this->note_holdings(row, at); });
+    }
+}
+
+void budget_share_manager::note_holdings(store::feed_row const& row, instant at)
+{
+    auto const from = budget::vm_of_holding_key(row.key);
+    if (!from || *from == this->vm || row.deleted)
+    {
+        return;
+    }
+    auto const read =
+        value_or_error([&] { return budget::decode_holdings(row.value); });
+    if (auto const* fault = std::get_if<error>(&read))
+    {
+        this->log.write_error(*fault);
+        return;
+    }
+    this->holdings_received_at[*from] = at;
+    for (auto const& [id, reported] :
+         std::get<std::map<budget_id, budget::holding>>(read))
+    {
+        auto const found = this->accounts.find(id);
+        if (found != this->accounts.end())
         {
-            auto const found = this->accounts.find(id);
-            if (found != this->accounts.end())
-            {
-                found->second.other_holdings[*from] = {reported, at};
-            }
+            found->second.other_holdings[*from] = {reported, at};
         }
     }
 }
@@ -195,27 +201,40 @@
     auto const at = this->now.now();
     for (auto const& row : page.rows)
     {
-        auto const id = budget_id{row.key.substr(row.key.find('/') + 1)};
-        auto const found = this->accounts.find(id);
-        if (found != this->accounts.end() && !row.deleted)
-        {
-            auto& share = found->second.share;
-            share = budget::after_feed_update(
-                std::move(share), {row.key, row.version, row.value}, at);
-            found->second.raise_paid();
-        }
+        run_part(this->log, row.key, [&] { this->note_budget_row(row, at); });
     }
     for (auto& [id, of] : this->accounts)
     {
-        if (of.share.seen && of.share.seen->at >= this->rows_current_since)
-        {
-            of.share = budget::after_feed_unchanged(std::move(of.share), at);
-        }
-        if (!of.share.waiting.empty() || of.share.current_allocation)
-        {
-            this->settle_waiting(of);
-            this->step(id);
-        }
+        run_part(this->log, id.value,
+                 [&, &budget = id, &account = of]
+                 {
+                     if (account.share.seen &&
+                         account.share.seen->at >= this->rows_current_since)
+                     {
+                         account.share = budget::after_feed_unchanged(
+                             std::move(account.share), at);
+                     }
+                     if (!account.share.waiting.empty() ||
+                         account.share.current_allocation)
+                     {
+                         this->settle_waiting(account);
+                         this->step(budget);
+                     }
+                 });
+    }
+}
+
+void budget_share_manager::note_budget_row(store::feed_row const& row,
+                                           instant at)
+{
+    auto const id = budget_id{row.key.substr(row.key.find('/') + 1)};
+    auto const found = this->accounts.find(id);
+    if (found != this->accounts.end() && !row.deleted)
+    {
+        auto& share = found->second.share;
+        store::row const current{row.key, row.version, row.value};
+        share = budget::after_feed_update(std::move(share), current, at);
+        found->second.raise_paid();
     }
 }
 
--- a/src/gateway/budgets/budget_share_manager.cpp
+++ b/src/gateway/budgets/budget_share_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/budgets/share_sizes.hpp"
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/fleet/placement.hpp>
@@ -226,28 +227,6 @@
     this->settle_waiting(of);
 }
 
-std::vector<log_field>
-budget_share_manager::log_fields(budget_id const& budget) const
-{
-    auto const found = this->accounts.find(budget);
-    if (found == this->accounts.end())
-    {
-        return {{"budget", "unknown"}};
-    }
-    auto const& share = found->second.share;
-    auto const limit = share.spend_limit.value_or(0);
-    auto const age = share.seen ? (this->now.now() - share.seen->at).ms : -1;
-    return {{"free", std::to_string(budget::free_tokens(share))},
-            {"below_line", std::to_string(limit - budget::used_tokens(share))},
-            {"paid", std::to_string(found->second.paid)},
-            {"left", std::to_string(
-                         share.seen ? budget::ungranted(share.seen->row) : 0)},
-            {"wanted", std::to_string(share.seen ? share.seen->row.wanted : 0)},
-            {"row_age_ms", std::to_string(age)},
-            {"busy", share.busy ? "yes" : "no"},
-            {"store_failures", std::to_string(share.failures)}};
-}
-
 void budget_share_manager::close()
 {
     this->closing = true;
@@ -341,7 +320,13 @@
         this->begin_read(of);
         break;
     case budget::step_kind::write:
-        this->write(of, next.txn);
+        if (!run_part(this->log, "write share",
+                      [&] { this->write(of, next.txn); }))
+        {
+            of.share = budget::after_write(
+                std::move(of.share), of.holder,
+                {store::commit_outcome::unknown, {}, {}}, at);
+        }
         break;
     }
 }
@@ -368,7 +353,8 @@
         }
         auto const done = std::move(found->second);
         this->waiting.erase(found);
-        done(one.reply);
+        // The others wait for their replies, too.
+        run_part(this->log, "reservation", [&] { done(one.reply); });
     }
 }
 
@@ -376,12 +362,16 @@
 {
     for (auto& [id, of] : this->accounts)
     {
-        this->settle_waiting(of);
-        if (of.pending_takeover)
-        {
-            this->try_takeover(of);
-        }
-        this->step(id);
+        run_part(this->log, id.value,
+                 [&, &budget = id, &account = of]
+                 {
+                     this->settle_waiting(account);
+                     if (account.pending_takeover)
+                     {
+                         this->try_takeover(account);
+                     }
+                     this->step(budget);
+                 });
     }
     if (this->is_large_fleet() && this->spend_writer.ready() && !this->closing)
     {
--- a/src/gateway/budgets/budget_share_manager.hpp
+++ b/src/gateway/budgets/budget_share_manager.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <variant>
 
 namespace caperpath::gateway
 {
@@ -167,6 +168,8 @@
     void receive_holdings(store::feed_page const& page);
     void expire_holdings(instant at);
     void receive_budget_rows(store::feed_page const& page);
+    void note_holdings(store::feed_row const& row, instant at);
+    void note_budget_row(store::feed_row const& row, instant at);
     void allocate(account& of);
     std::int64_t fleet_size() const;
     bool knows_fleet(instant at) const;
@@ -175,13 +178,19 @@
     void inherit(incarnation_id const& dead,
                  std::map<budget_id, budget::spend_limit_curve> const& limits);
     void try_takeover(account& of);
+    void read_inherited(budget_id const& budget);
+    void find_renamed(budget_id const& budget,
+                      std::variant<store::row, error> const& reply);
     void rename_share(budget_id const& budget, store::row const& found);
     void takeover_failed(budget_id const& budget);
     void finish_takeover(budget_id const& budget, store::row const& row,
                          std::uint64_t version);
     void finish_without_share(account& of);
     void adopt_tokens(account& of, token_count granted, std::uint64_t version);
-    void log_takeover(account const& of, token_count granted);
+    void finish_takeover_call(budget_id const& budget,
+                              std::function<void()> const& part);
+    void log_takeover(budget_id const& budget, share_takeover const& of,
+                      token_count granted);
     void update_spend_limit(account& of) const;
     budget::held_tokens held(account const& of) const;
     void settle_all_waiting();
@@ -190,7 +199,13 @@
     void begin_read(account& of);
     void begin_first_reads();
     void read_rows(account& of);
+    void send_reads(account& of);
+    void finish_read(budget_id const& budget,
+                     std::variant<store::row, error> const& budget_reply,
+                     store::row const& share);
     void write(account& of, store::transaction const& txn);
+    void finish_write(budget_id const& budget,
+                      store::commit_result const& result);
     void log_write(account const& of, store::commit_result const& result);
     void settle_waiting(account& of);
     void tick();
--- a/src/gateway/budgets/budget_share_takeover.cpp
+++ b/src/gateway/budgets/budget_share_takeover.cpp
@@ -1,5 +1,7 @@
 #include "gateway/budgets/budget_share_manager.hpp"
 
+#include "gateway/run_part.hpp"
+
 #include <caperpath/budget/rows.hpp>
 #include <caperpath/fleet/placement.hpp>
 
@@ -27,15 +29,31 @@
 {
     for (auto const& [budget, limit] : limits)
     {
-        auto& of = this->open_account(budget);
-        of.pending_takeover = share_takeover{dead, limit.spent, limit.received,
-                                             limit.given, this->now.now()};
+        // All of them before the first call: each bounds what may be spent.
+        this->open_account(budget).pending_takeover = share_takeover{
+            dead, limit.spent, limit.received, limit.given, this->now.now()};
+    }
+    for (auto const& [budget, limit] : limits)
+    {
+        auto& of = this->accounts.at(budget);
         if (limit.has_share)
         {
             this->try_takeover(of);
             continue;
         }
-        this->finish_without_share(of);
+        run_part(this->log, "inherit", [&] { this->finish_without_share(of); });
+    }
+}
+
+/// Handles the end of a call of a takeover. One that could not be handled is
+/// made again, unless it had its effect: tokens must not be added twice.
+void budget_share_manager::finish_takeover_call(
+    budget_id const& budget, std::function<void()> const& part)
+{
+    if (!run_part(this->log, "inherit", part) &&
+        this->accounts.at(budget).pending_takeover)
+    {
+        this->takeover_failed(budget);
     }
 }
 
@@ -50,14 +68,13 @@
 void budget_share_manager::adopt_tokens(account& of, token_count granted,
                                         std::uint64_t version)
 {
-    auto const all = granted + of.pending_takeover->received;
-    auto const spent = std::min(of.pending_takeover->spent, all);
-    of.share = budget::add_received(std::move(of.share),
-                                    of.pending_takeover->received);
+    auto const from = *std::exchange(of.pending_takeover, std::nullopt);
+    auto const all = granted + from.received;
+    auto const spent = std::min(from.spent, all);
+    of.share = budget::add_received(std::move(of.share), from.received);
     of.share = budget::inherit(std::move(of.share), granted, spent, version);
-    of.share.given += std::min(of.pending_takeover->given, spent);
-    this->log_takeover(of, granted);
-    of.pending_takeover.reset();
+    of.share.given += std::min(from.given, spent);
+    this->log_takeover(of.share.budget, from, granted);
 }
 
 void budget_share_manager::try_takeover(account& of)
@@ -70,17 +87,29 @@
     takeover.busy = true;
     takeover.tries += 1;
     auto const id = of.share.budget;
-    this->port.read(budget::share_key(id, takeover.dead),
-                    [this, id](auto const& reply)
+    this->finish_takeover_call(id, [&] { this->read_inherited(id); });
+}
+
+void budget_share_manager::read_inherited(budget_id const& budget)
+{
+    auto const& takeover = *this->accounts.at(budget).pending_takeover;
+    this->port.read(
+        budget::share_key(budget, takeover.dead),
+        [this, budget](std::variant<store::row, error> const& reply)
+        {
+            this->finish_takeover_call(
+                budget,
+                [&]
+                {
+                    if (auto const* fault = std::get_if<error>(&reply))
                     {
-                        if (auto const* fault = std::get_if<error>(&reply))
-                        {
-                            this->log.write_error(*fault);
-                            this->takeover_failed(id);
-                            return;
-                        }
-                        this->rename_share(id, std::get<store::row>(reply));
-                    });
+                        this->takeover_failed(budget);
+                        this->log.write_error(*fault);
+                        return;
+                    }
+                    this->rename_share(budget, std::get<store::row>(reply));
+                });
+        });
 }
 
 void budget_share_manager::rename_share(budget_id const& budget,
@@ -92,34 +121,44 @@
     {
         // The share was returned at a planned stop, or renamed by an attempt
         // whose response was lost.
-        this->port.read(own,
-                        [this, budget](auto const& reply)
-                        {
-                            if (auto const* fault = std::get_if<error>(&reply))
-                            {
-                                this->log.write_error(*fault);
-                                this->takeover_failed(budget);
-                                return;
-                            }
-                            auto const& row = std::get<store::row>(reply);
-                            this->finish_takeover(budget, row, row.version);
-                        });
+        this->port.read(
+            own,
+            [this, budget](std::variant<store::row, error> const& reply)
+            {
+                this->finish_takeover_call(
+                    budget, [&] { this->find_renamed(budget, reply); });
+            });
         return;
     }
     store::transaction txn;
     txn.conditions = {{found.key, found.version}, {own, 0}};
     txn.writes = {{own, found.value}, {found.key, std::nullopt}};
-    this->port.commit(txn,
-                      [this, budget, found](store::commit_result const& result)
-                      {
-                          if (result.outcome == store::commit_outcome::applied)
-                          {
-                              this->finish_takeover(budget, found,
-                                                    result.version);
-                              return;
-                          }
-                          this->takeover_failed(budget);
-                      });
+    this->port.commit(
+        txn,
+        [this, budget, found](store::commit_result const& result)
+        {
+            if (result.outcome != store::commit_outcome::applied)
+            {
+                this->takeover_failed(budget);
+                return;
+            }
+            this->finish_takeover_call(
+                budget,
+                [&] { this->finish_takeover(budget, found, result.version); });
+        });
+}
+
+void budget_share_manager::find_renamed(
+    budget_id const& budget, std::variant<store::row, error> const& reply)
+{
+    if (auto const* fault = std::get_if<error>(&reply))
+    {
+        this->takeover_failed(budget);
+        this->log.write_error(*fault);
+        return;
+    }
+    auto const& row = std::get<store::row>(reply);
+    this->finish_takeover(budget, row, row.version);
 }
 
 void budget_share_manager::takeover_failed(budget_id const& budget)
@@ -151,15 +190,16 @@
     this->step(budget);
 }
 
-void budget_share_manager::log_takeover(account const& of, token_count granted)
+void budget_share_manager::log_takeover(budget_id const& budget,
+                                        share_takeover const& of,
+                                        token_count granted)
 {
-    this->log.write(
-        log_weight::notable, "inherit",
-        {{"budget", of.share.budget.value},
-         {"granted", std::to_string(granted)},
-         {"received", std::to_string(of.pending_takeover->received)},
-         {"spent", std::to_string(of.pending_takeover->spent)},
-         {"tries", std::to_string(of.pending_takeover->tries)}});
+    this->log.write(log_weight::notable, "inherit",
+                    {{"budget", budget.value},
+                     {"granted", std::to_string(granted)},
+                     {"received", std::to_string(of.received)},
+                     {"spent", std::to_string(of.spent)},
+                     {"tries", std::to_string(of.tries)}});
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/budgets/spend_row_writer.cpp
+++ b/src/gateway/budgets/spend_row_writer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/budgets/spend_row_writer.hpp"
 
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <chrono>
 #include <utility>
@@ -37,19 +38,45 @@
     run_after(this->timer, pause, std::move(next));
 }
 
+/// Without a next write the spend limits would end, and with them all
+/// reservations, so one is scheduled whatever `part` throws.
+void spend_row_writer::go_on_after(std::function<void()> const& part)
+{
+    if (run_part(this->log, "spend_row", part) || this->journal.address_lost)
+    {
+        return;
+    }
+    this->writing = false;
+    this->schedule(retry_pause,
+                   [this]
+                   {
+                       if (this->first_row_written)
+                       {
+                           this->write();
+                           return;
+                       }
+                       this->read_previous();
+                   });
+}
+
 void spend_row_writer::read_previous()
 {
     this->port.read(budget::spend_key(this->vm),
                     [this](std::variant<store::row, error> const& reply)
                     {
-                        if (auto const* fault = std::get_if<error>(&reply))
-                        {
-                            this->log.write_error(*fault);
-                            this->schedule(retry_pause,
-                                           [this] { this->read_previous(); });
-                            return;
-                        }
-                        this->use_previous(std::get<store::row>(reply));
+                        this->go_on_after(
+                            [&]
+                            {
+                                if (auto const* fault =
+                                        std::get_if<error>(&reply))
+                                {
+                                    this->log.write_error(*fault);
+                                    this->schedule(retry_pause, [this]
+                                                   { this->read_previous(); });
+                                    return;
+                                }
+                                this->use_previous(std::get<store::row>(reply));
+                            });
                     });
 }
 
@@ -85,10 +112,14 @@
     store::transaction txn;
     txn.conditions.push_back({key, this->journal.version});
     txn.writes.push_back({key, budget::encode(row)});
-    if (auto extra_write = this->listener.extra_write())
-    {
-        txn.writes.push_back(std::move(*extra_write));
-    }
+    run_part(this->log, "row beside spend_row",
+             [&]
+             {
+                 if (auto extra_write = this->listener.extra_write())
+                 {
+                     txn.writes.push_back(std::move(*extra_write));
+                 }
+             });
     this->port.commit(txn, std::move(done));
 }
 
@@ -97,8 +128,10 @@
 void spend_row_writer::first_write()
 {
     this->first_sent_at = this->now.now();
-    this->send({}, [this](store::commit_result const& result)
-               { this->finish_first_write(result); });
+    this->send({},
+               [this](store::commit_result const& result) {
+                   this->go_on_after([&] { this->finish_first_write(result); });
+               });
 }
 
 void spend_row_writer::finish_first_write(store::commit_result const& result)
@@ -131,7 +164,10 @@
          {"age_ms", std::to_string(age)}});
     if (spent)
     {
-        this->listener.inherit(this->previous->router, *spent);
+        // Not called again, since a part of the shares may be inherited.
+        run_part(this->log, "inherit",
+                 [&]
+                 { this->listener.inherit(this->previous->router, *spent); });
     }
     this->first_row_written = true;
     this->write();
@@ -160,6 +196,11 @@
     {
         return;
     }
+    this->go_on_after([this] { this->send_limits(); });
+}
+
+void spend_row_writer::send_limits()
+{
     auto const required = this->listener.required();
     this->writing = true;
     // A pending row makes this write a retry. A retry sends the old row again,
@@ -168,12 +209,15 @@
     // A retry has the limits of its first attempt, and so keeps its send time.
     this->sent_at = this->write_again ? this->sent_at : this->now.now();
     this->send(required,
-               [this](auto const& result) { this->finish_write(result); });
+               [this](store::commit_result const& result)
+               {
+                   this->writing = false;
+                   this->go_on_after([&] { this->finish_write(result); });
+               });
 }
 
 void spend_row_writer::finish_write(store::commit_result const& result)
 {
-    this->writing = false;
     if (result.outcome != store::commit_outcome::applied)
     {
         this->retry_rejected(result);
@@ -183,7 +227,7 @@
         budget::acknowledged(std::move(this->journal), result.version,
                              result.store_ms, this->now.now());
     this->acknowledged_sent_at = this->sent_at;
-    this->listener.changed();
+    this->report_change();
     if (this->write_again)
     {
         this->write();
@@ -213,7 +257,7 @@
         }
         was_applied = was_applied || is_own;
     }
-    this->listener.changed();
+    this->report_change();
     if (this->journal.address_lost)
     {
         this->log.write(log_weight::notable, "spend_row",
@@ -228,6 +272,11 @@
     this->schedule(retry_pause, [this] { this->write(); });
 }
 
+void spend_row_writer::report_change()
+{
+    run_part(this->log, "spend limits", this->listener.changed);
+}
+
 token_count spend_row_writer::limit(budget_id const& budget,
                                     budget::held_tokens const& held,
                                     instant at) const
--- a/src/gateway/budgets/spend_row_writer.hpp
+++ b/src/gateway/budgets/spend_row_writer.hpp
@@ -19,7 +19,7 @@
 {
 
 /// Callbacks through which the spend row is filled and its changes are
-/// reported.
+/// reported. An exception of one of them is logged.
 struct spend_listener
 {
     /// Returns the spend limits that the budgets need now.
@@ -84,8 +84,11 @@
     void send(std::map<budget_id, budget::spend_limit_curve> const& limits,
               std::function<void(store::commit_result const&)> done);
     void write();
+    void send_limits();
     void finish_write(store::commit_result const& result);
     void retry_rejected(store::commit_result const& result);
+    void report_change();
+    void go_on_after(std::function<void()> const& part);
     void schedule(duration pause, std::function<void()> next);
 
     boost::asio::steady_timer timer;
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -1,5 +1,7 @@
 #include "gateway/core.hpp"
 
+#include "gateway/nonthrowing_port.hpp"
+
 #include <string>
 #include <utility>
 
@@ -23,18 +25,19 @@
 core::core(asio::any_io_executor const& loop, gateway::settings const& settings,
            protocol_adapter adapter, store::async_port const& store,
            incarnation_id incarnation, int log_descriptor)
-    : loop{loop}, settings{settings},
-      peer_address{peer_address_of(settings)}, adapter{std::move(adapter)},
+    : loop{loop}, settings{settings}, peer_address{peer_address_of(settings)},
+      adapter{std::move(adapter)}, store_port{make_nonthrowing_port(store,
+                                                                    loop)},
       log{loop, log_descriptor, settings.vm}, prompts{max_remembered_prefixes},
       retries{settings.retries}, peers{loop, this->peer_address, this->log},
       membership{loop,
-                 store,
+                 this->store_port,
                  incarnation,
                  this->peer_address,
                  settings.retries.window,
                  this->log},
       budgets{loop,
-              store,
+              this->store_port,
               settings.vm,
               settings.callers,
               std::move(incarnation),
@@ -53,7 +56,7 @@
                                                              this->relays,
                                                              this->uplink,
                                                              this->log},
-      crashes{loop, store, fleet::stable_hash(settings.vm),
+      crashes{loop, this->store_port, fleet::stable_hash(settings.vm),
               [this](crash_row_values const& values)
               { this->send_to_routers(encode_crash_rows(values)); },
               this->log},
@@ -61,7 +64,7 @@
       streams{loop,
               [this](std::string const& to, std::string const& bytes)
               { this->peers.send(to, bytes); },
-              store,
+              this->store_port,
               settings.vm,
               settings.store_writes_per_s,
               this->log},
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -58,6 +58,7 @@
     gateway::settings const settings;
     std::string const peer_address; ///< "IP:port" for other routers
     protocol_adapter const adapter;
+    store::async_port const store_port; ///< its calls do not throw
     caperpath::clock const now{caperpath::clock::monotonic()};
     /// For the retry limit: includes time in suspend, so that the limit of the
     /// fleet holds in real time.
--- a/src/gateway/crashes/crash_cause_tracker.cpp
+++ b/src/gateway/crashes/crash_cause_tracker.cpp
@@ -147,13 +147,13 @@
 {
     if (is_report_key(row.key))
     {
-        this->writer.note_row(row);
         this->merge_report(row, earlier);
+        this->writer.note_row(row);
     }
     else if (is_cause_key(row.key))
     {
-        this->writer.note_row(row);
         this->merge_cause(row);
+        this->writer.note_row(row);
     }
 }
 
--- a/src/gateway/crashes/crash_tracker.cpp
+++ b/src/gateway/crashes/crash_tracker.cpp
@@ -22,7 +22,6 @@
 /// that, and another lost store call makes the follower replace its own.
 constexpr duration poll_hold{2'000};
 constexpr duration max_poll_hold{15'000};
-constexpr duration read_retry_delay{500};
 constexpr duration sweep_interval{10'000};
 /// Each router adds its own delay to the age at which it removes rows, so that
 /// usually only one of them tries to remove a row.
@@ -81,7 +80,8 @@
                 {},
                 poll_hold,
                 max_poll_hold},
-               salt}
+               salt,
+               log}
 {
 }
 
@@ -240,107 +240,6 @@
     this->log.write(log_weight::notable, step, fields);
 }
 
-void crash_tracker::read_rows()
-{
-    auto const before = this->writer.stored_keys();
-    auto const causes_before = this->cause_tracker.stored_keys();
-    this->port.scan(
-        crash_range_begin, crash_range_end,
-        [this, before, causes_before](
-            std::variant<std::vector<store::row>, error> const& reply)
-        {
-            if (auto const* fault = std::get_if<error>(&reply))
-            {
-                this->log.write_error(*fault);
-                run_after(this->read_timer, read_retry_delay,
-                          [this] { this->read_rows(); });
-                return;
-            }
-            std::set<std::string> found;
-            for (auto const& row : std::get<std::vector<store::row>>(reply))
-            {
-                found.insert(row.key);
-                this->merge(row);
-            }
-            this->remove_missing(before, found);
-            this->remove_missing(causes_before, found);
-            this->rows_read = true;
-        });
-}
-
-/// Rows may be removed while the changes of the table cannot be followed.
-void crash_tracker::remove_missing(std::vector<std::string> const& before,
-                                   std::set<std::string> const& found)
-{
-    for (auto const& key : before)
-    {
-        if (!found.contains(key))
-        {
-            this->writer.note_removed(key);
-            this->cause_tracker.remove(key);
-        }
-    }
-}
-
-void crash_tracker::merge(std::vector<store::feed_row> const& rows)
-{
-    for (auto const& row : rows)
-    {
-        if (row.deleted)
-        {
-            this->writer.note_removed(row.key);
-            this->cause_tracker.remove(row.key);
-            continue;
-        }
-        this->merge(store::row{row.key, row.version, row.value});
-    }
-}
-
-void crash_tracker::merge(store::row const& row)
-{
-    auto const request = crash_request(row.key);
-    if (!request)
-    {
-        this->cause_tracker.merge(row, !this->rows_read);
-        return;
-    }
-    this->writer.note_row(row);
-    this->merge_evidence(*request, row.value, "store");
-}
-
-void crash_tracker::merge_evidence(fleet::fingerprint const& request,
-                                   std::string const& value,
-                                   std::string const& source)
-{
-    auto const received = decode_evidence(value);
-    if (received && fleet::merge_evidence(this->record, request, *received,
-                                          this->now.now()))
-    {
-        this->log_evidence("crash_told", request, source);
-    }
-}
-
-void crash_tracker::receive(std::string const& bytes)
-{
-    auto const decoded =
-        value_or_error([&bytes] { return decode_crash_rows(bytes); });
-    if (auto const* fault = std::get_if<error>(&decoded))
-    {
-        this->log.write_error(*fault);
-        return;
-    }
-    for (auto const& [key, value] : std::get<crash_row_values>(decoded))
-    {
-        if (auto const request = crash_request(key))
-        {
-            this->announced.insert(*request);
-            this->merge_evidence(*request, value, "router");
-            continue;
-        }
-        this->cause_tracker.merge_announced(key, value);
-    }
-}
-
 void crash_tracker::schedule_write(fleet::fingerprint const& request)
 {
     this->writer.schedule(crash_key(request));
--- a/src/gateway/crashes/crash_tracker.hpp
+++ b/src/gateway/crashes/crash_tracker.hpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace caperpath::gateway
@@ -91,6 +92,10 @@
 
 private:
     void read_rows();
+    bool take_rows(std::variant<std::vector<store::row>, error> const& reply,
+                   std::vector<std::string> const& before,
+                   std::vector<std::string> const& causes_before);
+    void remove(std::string const& key);
     void remove_missing(std::vector<std::string> const& before,
                         std::set<std::string> const& found);
     void merge(std::vector<store::feed_row> const& rows);
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -80,8 +80,21 @@
                  {"detail", what.detail}});
 }
 
-void decision_log::write_exception(std::string const& task,
-                                   std::exception_ptr const& thrown)
+void decision_log::write_exception(std::string_view task,
+                                   std::exception_ptr const& thrown) noexcept
+{
+    try
+    {
+        this->write_thrown(task, thrown);
+    }
+    catch (...)
+    {
+        this->lines_dropped += 1;
+    }
+}
+
+void decision_log::write_thrown(std::string_view task,
+                                std::exception_ptr const& thrown)
 {
     std::string detail{"not a standard exception"};
     try
--- a/src/gateway/decision_log.hpp
+++ b/src/gateway/decision_log.hpp
@@ -48,9 +48,10 @@
     /// Writes an error with its step, peer and kind.
     void write_error(error const& what);
 
-    /// Writes that an exception ended `task`.
-    void write_exception(std::string const& task,
-                         std::exception_ptr const& thrown);
+    /// Writes that an exception ended `task`. A line for which there is no
+    /// memory counts as dropped.
+    void write_exception(std::string_view task,
+                         std::exception_ptr const& thrown) noexcept;
 
     /// Writes as much as the descriptor accepts now.
     void flush();
@@ -65,6 +66,7 @@
 private:
     void tick();
     bool allows(log_weight weight, std::size_t size);
+    void write_thrown(std::string_view task, std::exception_ptr const& thrown);
 
     boost::asio::steady_timer timer;
     int descriptor;
--- a/src/gateway/followers/membership_tracker.cpp
+++ b/src/gateway/followers/membership_tracker.cpp
@@ -1,6 +1,7 @@
 #include "gateway/followers/membership_tracker.hpp"
 
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <chrono>
 #include <optional>
@@ -125,7 +126,6 @@
     run_after(this->heartbeat_timer, pause, [this] { this->send_heartbeat(); });
 }
 
-/// Retries a failed read soon, since the view of the fleet expires.
 void membership_tracker::read_members()
 {
     auto const sent = this->now.now();
@@ -133,21 +133,33 @@
         range_begin, range_end,
         [this, sent](std::variant<std::vector<store::row>, error> const& reply)
         {
-            if (auto const* fault = std::get_if<error>(&reply))
-            {
-                this->log.write_error(*fault);
-                // Without a first read no router can relay for this one.
-                this->read_members_after(this->read_count == 0
-                                             ? first_read_retry
-                                             : fleet::heartbeat_interval);
-                return;
-            }
-            this->apply(std::get<std::vector<store::row>>(reply),
-                        {sent, this->now.now()});
-            this->read_members_after(fleet::read_interval(this->known));
+            auto applied = false;
+            run_part(this->log, "heartbeat rows",
+                     [&] { applied = this->take_rows(reply, sent); });
+            // A failed read is retried soon, since the view of the fleet
+            // expires. Without a first one no router can relay for this one.
+            auto const retry = this->read_count == 0
+                                   ? first_read_retry
+                                   : fleet::heartbeat_interval;
+            this->read_members_after(applied ? fleet::read_interval(this->known)
+                                             : retry);
         });
 }
 
+/// Returns false if the read has failed.
+bool membership_tracker::take_rows(
+    std::variant<std::vector<store::row>, error> const& reply, instant sent)
+{
+    if (auto const* fault = std::get_if<error>(&reply))
+    {
+        this->log.write_error(*fault);
+        return false;
+    }
+    this->apply(std::get<std::vector<store::row>>(reply),
+                {sent, this->now.now()});
+    return true;
+}
+
 void membership_tracker::read_members_after(duration pause)
 {
     run_after(this->read_timer, pause, [this] { this->read_members(); });
@@ -165,8 +177,8 @@
             heartbeats.push_back({*router, row.value, row.version});
         }
     }
-    this->known =
-        fleet::update_membership(std::move(this->known), heartbeats, times);
+    // From a copy: an exception must not lose the known routers.
+    this->known = fleet::update_membership(this->known, heartbeats, times);
     this->read_count += 1;
     this->remove_dead_rows();
     auto const count = fleet::live_router_count(this->known);
--- a/src/gateway/followers/membership_tracker.hpp
+++ b/src/gateway/followers/membership_tracker.hpp
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace caperpath::gateway
 {
@@ -56,6 +58,8 @@
     void read_members();
     void read_members_after(duration pause);
     void remove_dead_rows();
+    bool take_rows(std::variant<std::vector<store::row>, error> const& reply,
+                   instant sent);
     void apply(std::vector<store::row> const& rows,
                fleet::call_times const& times);
 
--- a/src/gateway/followers/merged_row_writer.cpp
+++ b/src/gateway/followers/merged_row_writer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/followers/merged_row_writer.hpp"
 
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/base/follow_backoff.hpp>
 #include <caperpath/fleet/placement.hpp>
@@ -48,7 +49,7 @@
     values all;
     for (auto const& key : std::exchange(this->unannounced, {}))
     {
-        if (auto value = this->rows.value(key))
+        if (auto value = this->value_of(key))
         {
             all[key] = std::move(*value);
         }
@@ -59,6 +60,16 @@
     }
 }
 
+/// A row whose value cannot be found must not keep the others from being
+/// written.
+std::optional<std::string>
+merged_row_writer::value_of(std::string const& key) const
+{
+    std::optional<std::string> value;
+    run_part(this->log, key, [&] { value = this->rows.value(key); });
+    return value;
+}
+
 void merged_row_writer::note_row(store::row const& row)
 {
     auto& known = this->stored[row.key];
@@ -128,7 +139,7 @@
          each != this->unwritten.end() && sent.size() < max_rows_per_write;)
     {
         auto const& key = *each;
-        auto const value = this->rows.value(key);
+        auto const value = this->value_of(key);
         auto const known = this->stored.find(key);
         auto const is_stored = known != this->stored.end();
         if (!value || (is_stored &&
@@ -147,8 +158,30 @@
         this->writing = false;
         return;
     }
-    this->port.commit(txn, [this, sent](store::commit_result const& result)
-                      { this->handle_result(sent, result); });
+    this->port.commit(
+        txn,
+        [this, sent](store::commit_result const& result)
+        {
+            // Nothing else would write what is still queued.
+            if (!run_part(this->log, "written rows",
+                          [&] { this->handle_result(sent, result); }))
+            {
+                this->failures += 1;
+                this->write_after(retry_backoff(this->failures, this->salt));
+            }
+        });
+}
+
+/// A row that cannot be merged is not written: this would remove what the other
+/// router knows.
+void merged_row_writer::merge(store::row const& row)
+{
+    if (run_part(this->log, row.key, [&] { this->rows.merge(row); }))
+    {
+        this->note_row(row);
+        return;
+    }
+    this->unwritten.erase(row.key);
 }
 
 /// Also repairs a write whose response was lost: its condition fails the next
@@ -175,8 +208,7 @@
             this->stored.erase(row.key);
             continue;
         }
-        this->note_row(row);
-        this->rows.merge(row);
+        this->merge(row);
     }
     if (result.failed.empty() && this->failures == 1)
     {
--- a/src/gateway/followers/merged_row_writer.hpp
+++ b/src/gateway/followers/merged_row_writer.hpp
@@ -75,6 +75,8 @@
         std::uint64_t value_hash{};
     };
 
+    std::optional<std::string> value_of(std::string const& key) const;
+    void merge(store::row const& row);
     void write_after(duration pause);
     void write();
     void handle_result(values const& sent, store::commit_result const& result);
--- a/src/gateway/followers/table_follower.cpp
+++ b/src/gateway/followers/table_follower.cpp
@@ -1,12 +1,12 @@
 #include "gateway/followers/table_follower.hpp"
 
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/base/follow_backoff.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <exception>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -45,9 +45,10 @@
 
 table_follower::table_follower(boost::asio::any_io_executor const& executor,
                                store::async_port port, std::string table,
-                               table_listener listener, std::size_t salt)
+                               table_listener listener, std::size_t salt,
+                               decision_log& log)
     : port{std::move(port)}, table{std::move(table)},
-      listener{std::move(listener)}, salt{salt}, timer{executor}
+      listener{std::move(listener)}, salt{salt}, log{log}, timer{executor}
 {
 }
 
@@ -72,33 +73,32 @@
                             return;
                         }
                         auto const& page = std::get<store::feed_page>(reply);
-                        this->failures = 0;
-                        this->is_current = true;
                         this->version = page.version;
-                        this->listener.on_reachability(true, {});
-                        this->deliver(this->listener.on_snapshot, page);
-                        this->follow(this->hold);
+                        if (this->deliver(this->listener.on_snapshot, page))
+                        {
+                            this->is_current = true;
+                            this->follow(this->hold);
+                        }
                     });
 }
 
-/// A page that cannot be applied must not end the following of the table.
-void table_follower::deliver(
+/// After an exception the page may be applied in part, so the whole table is
+/// read again, and the function returns false.
+bool table_follower::deliver(
     std::function<void(store::feed_page const&)> const& handler,
     store::feed_page const& page)
 {
-    try
-    {
-        handler(page);
-    }
-    catch (std::exception const& fault)
+    run_part(this->log, this->table,
+             [this] { this->listener.on_reachability(true, {}); });
+    if (run_part(this->log, this->table, [&] { handler(page); }))
     {
-        if (this->listener.on_first_failure)
-        {
-            this->listener.on_first_failure({error_kind::internal,
-                                             "apply " + this->table, "store",
-                                             fault.what()});
-        }
+        this->failures = 0;
+        return true;
     }
+    this->failures += 1;
+    this->is_current = false;
+    this->schedule_retry();
+    return false;
 }
 
 void table_follower::restart_poll()
@@ -133,11 +133,12 @@
                               return;
                           }
                           auto const& page = std::get<store::feed_page>(reply);
-                          this->failures = 0;
                           this->lost_polls = 0;
                           this->version = page.version;
-                          this->listener.on_reachability(true, {});
-                          this->deliver(this->listener.on_change, page);
+                          if (!this->deliver(this->listener.on_change, page))
+                          {
+                              return;
+                          }
                           if (page.rows.empty() && hold == this->hold)
                           {
                               this->hold = next_hold(this->hold,
@@ -159,8 +160,10 @@
         this->follow(this->hold);
         return;
     }
-    this->schedule(this->listener.poll_delay(),
-                   [this] { this->follow(this->hold); });
+    auto pause = poll_timeout;
+    run_part(this->log, this->table,
+             [&] { pause = this->listener.poll_delay(); });
+    this->schedule(pause, [this] { this->follow(this->hold); });
 }
 
 void table_follower::schedule(duration pause, std::function<void()> next)
@@ -174,11 +177,13 @@
     // A dropped history is not an outage, and neither is a single lost call.
     if (!history_gone && this->failures > 0)
     {
-        this->listener.on_reachability(false, why);
+        run_part(this->log, this->table,
+                 [&] { this->listener.on_reachability(false, why); });
     }
     if (this->failures == 0 && this->listener.on_first_failure)
     {
-        this->listener.on_first_failure(why);
+        run_part(this->log, this->table,
+                 [&] { this->listener.on_first_failure(why); });
     }
     this->failures += 1;
     this->hold = this->listener.hold;
@@ -186,6 +191,11 @@
     {
         this->is_current = false;
     }
+    this->schedule_retry();
+}
+
+void table_follower::schedule_retry()
+{
     auto const seed = this->salt + static_cast<std::size_t>(this->version) +
                       static_cast<std::size_t>(this->failures);
     auto const pause =
--- a/src/gateway/followers/table_follower.hpp
+++ b/src/gateway/followers/table_follower.hpp
@@ -1,6 +1,8 @@
 #ifndef CAPERPATH_SRC_GATEWAY_FOLLOWERS_TABLE_FOLLOWER_HPP
 #define CAPERPATH_SRC_GATEWAY_FOLLOWERS_TABLE_FOLLOWER_HPP
 
+#include "gateway/decision_log.hpp"
+
 #include <caperpath/store/async_port.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,7 +20,9 @@
 /// leaves time to read the change anew.
 inline constexpr duration default_hold{600};
 
-/// Callbacks and options of a `table_follower`.
+/// Callbacks and options of a `table_follower`. An exception of a callback is
+/// logged. After one of `on_snapshot` or `on_change` the whole table is read
+/// again.
 struct table_listener
 {
     /// The whole table was read; rows that are not in the page do not exist.
@@ -30,8 +34,7 @@
     /// The store responded, or failed to do so twice in a row.
     std::function<void(bool reachable, error const& why)> on_reachability;
 
-    /// A call failed after one that succeeded, or a page could not be applied.
-    /// Optional.
+    /// A call failed after one that succeeded. Optional.
     std::function<void(error const& why)> on_first_failure{};
 
     /// Delay before the next call for changes, so that a table that changes
@@ -54,14 +57,15 @@
 /// whole table again: an unnoticed gap would leave a revoked key or a stopped
 /// server in use.
 ///
-/// Loop thread only; must outlive its calls.
+/// Loop thread only; must outlive its calls, and `log` must outlive it.
 class table_follower
 {
 public:
     /// `salt` differs between routers, to spread their retries.
     table_follower(boost::asio::any_io_executor const& executor,
                    store::async_port port, std::string table,
-                   table_listener listener, std::size_t salt);
+                   table_listener listener, std::size_t salt,
+                   decision_log& log);
 
     /// Starts to follow the table; call once.
     void start();
@@ -72,17 +76,19 @@
 
 private:
     void list();
-    void deliver(std::function<void(store::feed_page const&)> const& handler,
+    bool deliver(std::function<void(store::feed_page const&)> const& handler,
                  store::feed_page const& page);
     void follow(duration hold);
     void follow_next();
     void schedule(duration pause, std::function<void()> next);
     void retry(error const& why);
+    void schedule_retry();
 
     store::async_port port;
     std::string table;
     table_listener listener;
     std::size_t salt;
+    decision_log& log;
     boost::asio::steady_timer timer;
     std::uint64_t version{};
     duration hold{};              ///< for the next call for changes
@@ -92,7 +98,8 @@
     std::uint64_t calls_sent{}; ///< calls for changes; responses to older ones
                                 ///< are ignored
     bool is_current{false};     ///< all changes up to `version` are known
-    int failures{};             ///< consecutive calls without a response
+    int failures{}; ///< consecutive calls without a response, or with one that
+                    ///< could not be applied
     int lost_polls{}; ///< consecutive calls for changes without a response
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,7 +42,7 @@
       background{std::move(background)}, callers{loop}, readiness{loop},
       metrics{loop}, routers{loop}, timer{loop}
 {
-    this->follow_store(store);
+    this->follow_store();
 }
 
 gateway_server::~gateway_server() = default;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -109,7 +109,7 @@
     void accept_after(boost::system::error_code fault,
                       std::function<void()> accept);
     asio::awaitable<void> serve_status(tcp::socket socket);
-    void follow_store(store::async_port const& store);
+    void follow_store();
     void apply_operators_page(store::feed_page const& page, bool whole);
     void apply_evacuations(store::feed_page const& page, bool whole);
     void set_evacuated(std::set<failure_domain_id> const& evacuated,
--- a/src/gateway/gateway_reports.cpp
+++ b/src/gateway/gateway_reports.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr duration retry_report_interval{2'000};
+constexpr duration reach_report_interval{500};
 /// A single turn of the loop that takes longer delays events noticeably.
 constexpr duration longest_usual_stall{100};
 
@@ -108,4 +109,41 @@
     asio::post(this->loop, [this, note] { asio::post(this->loop, note); });
 }
 
+void gateway_server::report_reach()
+{
+    auto const now = this->shared.now.now();
+    if (now - this->reach_reported_at < reach_report_interval)
+    {
+        return;
+    }
+    this->reach_reported_at = now;
+    for (auto const& [service, reach] :
+         fleet::reach_by_service(this->shared.servers, now))
+    {
+        auto const known = this->cut_off_since.find(service);
+        auto const was_cut_off = known != this->cut_off_since.end();
+        if (fleet::is_cut_off(reach) == was_cut_off)
+        {
+            continue;
+        }
+        auto const since = was_cut_off ? known->second : now;
+        this->shared.log.write(
+            log_weight::notable, "reach",
+            {{"service", service.value},
+             {"direct_path", was_cut_off ? "regained" : "lost"},
+             {"servers", std::to_string(reach.servers)},
+             {"relayed", std::to_string(reach.relayed)},
+             {"ms", std::to_string((now - since).ms)}});
+        if (was_cut_off)
+        {
+            this->cut_off_since.erase(known);
+        }
+        else
+        {
+            this->cut_off_since[service] = now;
+        }
+    }
+    this->shared.metrics.services_cut_off(this->cut_off_since.size());
+}
+
 } // namespace caperpath::gateway
--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr duration reach_report_interval{500};
-
 struct built_site
 {
     std::shared_ptr<fleet::site const> site; ///< null if `fault` says why
@@ -49,8 +47,9 @@
 
 } // namespace
 
-void gateway_server::follow_store(store::async_port const& store)
+void gateway_server::follow_store()
 {
+    auto const& port = this->shared.store_port;
     auto const& adapter = this->shared.adapter;
     auto const on_reachability = [this](bool reachable, error const& why)
     {
@@ -64,13 +63,13 @@
         this->shared.crashes.note_lost_store_call();
     };
     this->configuration_follower = std::make_unique<table_follower>(
-        this->loop.get_executor(), store, adapter.site_table,
+        this->loop.get_executor(), port, adapter.site_table,
         table_listener{[this](store::feed_page const& page)
                        { this->apply_operators_page(page, true); },
                        [this](store::feed_page const& page)
                        { this->apply_operators_page(page, false); },
                        on_reachability, on_call_lost},
-        salt);
+        salt, this->shared.log);
     auto const on_servers = [this](store::feed_page const& page)
     {
         for (auto const& row : page.rows)
@@ -79,11 +78,11 @@
         }
     };
     this->server_follower = std::make_unique<table_follower>(
-        this->loop.get_executor(), store, adapter.server_table,
+        this->loop.get_executor(), port, adapter.server_table,
         table_listener{[this](store::feed_page const& page)
                        { this->replace_servers(page); },
                        on_servers, on_reachability, on_call_lost},
-        salt);
+        salt, this->shared.log);
 }
 
 /// Evacuations come first: a router takes callers once it has a configuration,
@@ -360,41 +359,4 @@
     }
 }
 
-void gateway_server::report_reach()
-{
-    auto const now = this->shared.now.now();
-    if (now - this->reach_reported_at < reach_report_interval)
-    {
-        return;
-    }
-    this->reach_reported_at = now;
-    for (auto const& [service, reach] :
-         fleet::reach_by_service(this->shared.servers, now))
-    {
-        auto const known = this->cut_off_since.find(service);
-        auto const was_cut_off = known != this->cut_off_since.end();
-        if (fleet::is_cut_off(reach) == was_cut_off)
-        {
-            continue;
-        }
-        auto const since = was_cut_off ? known->second : now;
-        this->shared.log.write(
-            log_weight::notable, "reach",
-            {{"service", service.value},
-             {"direct_path", was_cut_off ? "regained" : "lost"},
-             {"servers", std::to_string(reach.servers)},
-             {"relayed", std::to_string(reach.relayed)},
-             {"ms", std::to_string((now - since).ms)}});
-        if (was_cut_off)
-        {
-            this->cut_off_since.erase(known);
-        }
-        else
-        {
-            this->cut_off_since[service] = now;
-        }
-    }
-    this->shared.metrics.services_cut_off(this->cut_off_since.size());
-}
-
 } // namespace caperpath::gateway
--- a/src/gateway/peer_socket.cpp
+++ b/src/gateway/peer_socket.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_socket.hpp"
 
+#include "gateway/run_part.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
@@ -123,8 +125,14 @@
             // After a send to a closed port, the next receive reports an error.
             if (!fault)
             {
-                this->handler(text_of(this->sender),
-                              std::string{this->buffer.data(), size});
+                // One that cannot be handled must not be the last one received.
+                run_part(this->log, "datagram",
+                         [&]
+                         {
+                             this->handler(
+                                 text_of(this->sender),
+                                 std::string{this->buffer.data(), size});
+                         });
             }
             this->receive();
         });
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -170,12 +170,21 @@
     }
 }
 
+void fake_store::begin_call() const
+{
+    if (this->before_call)
+    {
+        this->before_call();
+    }
+}
+
 store::async_port fake_store::port()
 {
     store::async_port port;
     port.commit = [this](store::transaction const& txn,
                          std::function<void(store::commit_result)> const& done)
     {
+        this->begin_call();
         auto const is_rejected =
             !this->rejected_prefix.empty() && !txn.writes.empty() &&
             txn.writes.front().key.starts_with(this->rejected_prefix);
@@ -198,6 +207,7 @@
     port.read = [this](std::string const& key,
                        store::result_callback<store::row> const& done)
     {
+        this->begin_call();
         auto const found = this->rows.find(key);
         auto const row =
             found == this->rows.end() ? store::row{key, 0, ""} : found->second;
@@ -211,6 +221,7 @@
         [this](std::string const& first, std::string const& last,
                store::result_callback<std::vector<store::row>> const& done)
     {
+        this->begin_call();
         std::vector<store::row> found;
         for (auto const& [key, row] : this->rows)
         {
@@ -228,6 +239,7 @@
     port.list = [this](std::string const& table, duration,
                        store::result_callback<store::feed_page> const& done)
     {
+        this->begin_call();
         auto const lost = !this->reachable;
         this->post_reply([done, page = this->list(table), lost]
                          { lost ? done(no_response) : done(page); });
@@ -236,6 +248,7 @@
                          duration, duration,
                          store::result_callback<store::feed_page> const& done)
     {
+        this->begin_call();
         if (!this->reachable)
         {
             this->post_reply([done] { done(no_response); });
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -62,6 +62,9 @@
     /// While true, commits are applied and their responses are lost.
     bool loses_responses{false};
 
+    /// Called at the begin of each call if it is set; may throw.
+    std::function<void()> before_call;
+
     std::int64_t now_ms{1'000};
 
 private:
@@ -84,6 +87,7 @@
                              std::uint64_t since) const;
     void reply_to_follows();
     void post_reply(std::function<void()> reply);
+    void begin_call() const;
 
     boost::asio::io_context& loop;
     std::uint64_t version{1};
--- a/tests/gateway/table_follower_test.cpp
+++ b/tests/gateway/table_follower_test.cpp
@@ -5,6 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -63,6 +66,10 @@
         {
             this->follower.start();
         }
+        ~scenario()
+        {
+            ::close(this->null_device);
+        }
 
         bool run_until_seen(std::string const& key)
         {
@@ -94,6 +101,8 @@
         }
 
         boost::asio::io_context loop;
+        int null_device{::open("/dev/null", O_WRONLY | O_CLOEXEC)};
+        decision_log log{loop.get_executor(), null_device, "vm-1"};
         fake_server server;
         std::vector<std::string> seen;
         table_follower follower{
@@ -107,7 +116,8 @@
              [this](store::feed_page const& from) { this->take(from); },
              [](bool, error const&) {
              }},
-            salt};
+            salt,
+            log};
     };
 
     static bool is_list(fake_server::request const& got)
