Apply the rows of a page one by one

What callers saw: one entry of a server that makes its reader throw hid all others of its page. On the first page the router then took no requests (503) until the whole table was read again; on a later one new servers got no requests, and a server whose new entry was the bad one kept getting them. A configuration that throws hid a newer one in the same page, so a revoked key stayed in force.

Cause: the rows of a page were read and applied in one go, and `servers_listed` was set at its end.

Changed: each entry is read and applied as a part of its own (`run_part`); one that throws counts as one that is not valid, so its server is not used. `servers_listed` is set once the table is replaced. An exception while a configuration is built becomes its fault, on the loop as on the worker's thread.

Why it holds: after the handler of a page returns, each row but the bad ones is applied. If the handler itself throws, the follower reads the whole table again.

`fleet_site::after_crash` keeps the adapter of the crashed site.

--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -1,8 +1,10 @@
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/requests/exchange.hpp"
+#include "gateway/run_part.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <memory>
 #include <utility>
@@ -29,8 +31,6 @@
 built_site build_site(site_reader read_site, std::string const& text)
 {
     built_site built;
-    auto const time = caperpath::clock::monotonic();
-    auto const began = time.now();
     auto read = read_site(text);
     if (auto* fault = std::get_if<error>(&read))
     {
@@ -41,6 +41,25 @@
         built.site = std::make_shared<fleet::site const>(
             std::move(std::get<fleet::site_parts>(read)));
     }
+    return built;
+}
+
+/// One that throws is a fault of this configuration only; a page may hold a
+/// newer one.
+built_site try_build_site(site_reader read_site, std::string const& text)
+{
+    auto const time = caperpath::clock::monotonic();
+    auto const began = time.now();
+    built_site built;
+    try
+    {
+        built = build_site(read_site, text);
+    }
+    catch (std::exception const& thrown)
+    {
+        built.fault = {error_kind::internal, "read configuration", "store",
+                       thrown.what()};
+    }
     built.time = time.now() - began;
     return built;
 }
@@ -74,7 +93,8 @@
     {
         for (auto const& row : page.rows)
         {
-            this->apply_server(row);
+            run_part(this->shared.log, row.key,
+                     [&] { this->apply_server(row); });
         }
     };
     this->server_follower = std::make_unique<table_follower>(
@@ -197,14 +217,14 @@
         auto const read_site = this->shared.adapter.read_site;
         if (row.value.size() <= longest_inline_text)
         {
-            use(build_site(read_site, row.value));
+            use(try_build_site(read_site, row.value));
             continue;
         }
         this->reading_configurations += 1;
         this->background->run<built_site>(
             worker_lane::configuration, "read configuration",
             [read_site, text = row.value]
-            { return build_site(read_site, text); },
+            { return try_build_site(read_site, text); },
             [this, use](std::variant<built_site, error> const& result)
             {
                 this->reading_configurations -= 1;
@@ -259,13 +279,20 @@
 std::optional<fleet::server_entry>
 gateway_server::read_entry(store::feed_row const& row)
 {
-    auto const read = this->shared.adapter.read_server(row.key, row.value);
-    if (auto const* fault = std::get_if<error>(&read))
-    {
-        this->shared.log.write_error(*fault);
-        return std::nullopt;
-    }
-    return std::get<fleet::server_entry>(read);
+    std::optional<fleet::server_entry> entry;
+    run_part(this->shared.log, row.key,
+             [&]
+             {
+                 auto read =
+                     this->shared.adapter.read_server(row.key, row.value);
+                 if (auto const* fault = std::get_if<error>(&read))
+                 {
+                     this->shared.log.write_error(*fault);
+                     return;
+                 }
+                 entry = std::get<fleet::server_entry>(std::move(read));
+             });
+    return entry;
 }
 
 void gateway_server::handle_listed(fleet::server_entry const& entry,
@@ -336,12 +363,16 @@
     }
     auto const added = fleet::replace_servers(this->shared.servers, entries,
                                               this->shared.now.now());
+    this->shared.servers_listed = true;
     for (auto const& id : added)
     {
-        this->handle_listed(this->shared.servers.servers.at(id).entry, true);
+        run_part(this->shared.log, id.value,
+                 [&] {
+                     this->handle_listed(
+                         this->shared.servers.servers.at(id).entry, true);
+                 });
     }
     this->shared.streams.note_servers(this->shared.servers);
-    this->shared.servers_listed = true;
     this->shared.metrics.servers_listed(entries.size());
 }
 
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -203,6 +203,7 @@
     std::unique_ptr<fleet_site> next{
         new fleet_site{without_router{crashed->retries, crashed->grace}}};
     next->store.copy_contents(crashed->store);
+    next->adapter = crashed->adapter;
     next->callers_reserved = crashed->callers_reserved;
     next->router_starts = crashed->router_starts;
     crashed.reset();
