Deliver a worker's result also after an exception in its thread

What callers saw: nothing yet; found by reading. Without memory for the post to the loop, or for the text of an error, the worker's thread throws, which ends the process with all that is open. If no thread can be started, the exception reaches the handler of a response of the store, and whoever waits for the result waits for ever.

Changed: the result, the handler and the error of a computation have their memory before it begins. A post that fails is made again after 10 ms until it succeeds: a result that is lost would leave a table without its follower. A job for which there is no thread is computed on the loop.

Runs: `gateway.worker` on the code before: the process ends in the first new case (`std::terminate` after `std::bad_alloc`), the other two were not reached there. With the change all four cases pass, in four runs. The way without a thread has no test.

--- a/src/gateway/worker.hpp
+++ b/src/gateway/worker.hpp
@@ -7,11 +7,14 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <exception>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <variant>
 
@@ -43,42 +46,104 @@
     }
 
     /// Calls `job` on the thread of `lane`, then `done` with its result on the
-    /// loop. An exception of `job` becomes an `internal` error with `step`.
+    /// loop. An exception of `job` becomes an `internal` error with `step`. If
+    /// no thread can be started, `job` is called at once.
     template <class Result>
     void run(worker_lane lane, std::string step, std::function<Result()> job,
              std::function<void(std::variant<Result, error>)> done)
     {
-        auto& thread = this->threads.try_emplace(lane, 1).first->second;
-        boost::asio::post(
-            thread,
-            [loop = this->loop, step = std::move(step), job = std::move(job),
-             done = std::move(done)]() mutable
-            {
-                boost::asio::post(loop, [result = result_of(step, job),
-                                         done = std::move(done)]() mutable
-                                  { done(std::move(result)); });
-            });
+        auto const task = std::make_shared<computation<Result>>(
+            std::move(step), std::move(job), std::move(done));
+        try
+        {
+            auto& thread = this->threads.try_emplace(lane, 1).first->second;
+            boost::asio::post(thread, [loop = this->loop, task]
+                              { compute_and_deliver(loop, task); });
+        }
+        catch (std::exception const&)
+        {
+            compute_and_deliver(this->loop, task);
+        }
     }
 
 private:
+    /// Has all memory that its delivery needs before the computation begins.
+    template <class Result>
+    struct computation
+    {
+        computation(std::string step, std::function<Result()> job,
+                    std::function<void(std::variant<Result, error>)> done)
+            : job{std::move(job)}, done{std::move(done)},
+              result{error{error_kind::internal, std::move(step), "",
+                           "unknown exception"}}
+        {
+        }
+
+        std::function<Result()> job;
+        std::function<void(std::variant<Result, error>)> done;
+        std::variant<Result, error> result;
+    };
+
+    /// An exception here would end the process, and a lost result would leave
+    /// its receiver waiting for ever.
+    template <class Result>
+    static void
+    compute_and_deliver(boost::asio::any_io_executor const& loop,
+                        std::shared_ptr<computation<Result>> const& task)
+    {
+        compute(*task);
+        while (!try_deliver(loop, task))
+        {
+            std::this_thread::sleep_for(delivery_pause);
+        }
+    }
+
     template <class Result>
-    static std::variant<Result, error>
-    result_of(std::string const& step, std::function<Result()> const& job)
+    static void compute(computation<Result>& task) noexcept
     {
         try
         {
-            return job();
+            task.result = std::exchange(task.job, nullptr)();
         }
         catch (std::exception const& fault)
         {
-            return error{error_kind::internal, step, "", fault.what()};
+            try
+            {
+                std::get<error>(task.result).detail = fault.what();
+            }
+            catch (...) // NOLINT(bugprone-empty-catch): the detail is missing
+            {
+            }
+        }
+        catch (...) // NOLINT(bugprone-empty-catch): the result says so
+        {
+        }
+    }
+
+    template <class Result>
+    static bool
+    try_deliver(boost::asio::any_io_executor const& loop,
+                std::shared_ptr<computation<Result>> const& task) noexcept
+    {
+        try
+        {
+            boost::asio::post(loop,
+                              [task]
+                              {
+                                  auto const done =
+                                      std::exchange(task->done, nullptr);
+                                  done(std::move(task->result));
+                              });
+            return true;
         }
         catch (...)
         {
-            return error{error_kind::internal, step, "", "unknown exception"};
+            return false;
         }
     }
 
+    static constexpr std::chrono::milliseconds delivery_pause{10};
+
     boost::asio::any_io_executor loop;
     std::map<worker_lane, boost::asio::thread_pool> threads;
 };
