End an attempt at a server without exceptions of its destructor

What callers saw: nothing yet; found by reading. The end of an attempt reports the outcome of a send, builds the text of how the connection ended and hands it to the pool; all of these allocate. One that throws there, in a destructor, ends the process with all that is open, most likely when an exception for lack of memory is already on its way.

Changed: each of these steps is logged and ended on its own (`run_part`). A connection that cannot go to the pool is closed. The counts of open requests are kept in any case.

--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/requests/head_text.hpp"
+#include "gateway/run_part.hpp"
 #include "gateway/servers/server_notice.hpp"
 #include "gateway/servers/timed_connect.hpp"
 
@@ -45,9 +46,15 @@
 
 server_call::~server_call()
 {
-    this->report_outcome(this->sent_at == instant{}
-                             ? fleet::send_outcome::not_sent
-                             : fleet::send_outcome::unknown);
+    // An exception of a destructor would end the process.
+    auto& log = this->current.shared.log;
+    run_part(log, "report outcome",
+             [this]
+             {
+                 this->report_outcome(this->sent_at == instant{}
+                                          ? fleet::send_outcome::not_sent
+                                          : fleet::send_outcome::unknown);
+             });
     auto* const target = this->server();
     if (this->counted_open && target != nullptr)
     {
@@ -67,8 +74,16 @@
     if (this->connection)
     {
         this->current.left_unsent = this->connection->unsent();
-        this->current.server_end = this->connection->end_detail();
-        this->release_connection();
+        run_part(log, "end of connection",
+                 [this] {
+                     this->current.server_end = this->connection->end_detail();
+                 });
+        if (!run_part(log, "release connection",
+                      [this] { this->release_connection(); }))
+        {
+            run_part(log, "close connection",
+                     [this] { this->connection->close(true); });
+        }
     }
 }
 
