Answer a request whose head cannot be read

What callers saw: an exception while the facts of a request's head were read closed their connection at once: no response, no line of the request, and output of earlier requests on the connection was lost if the caller had not taken it yet.

Cause: it ended the coroutine of the connection, past the rejection, the line and the wait for output.

Changed: it is a rejection like that of a head which is not valid: 503 with `reason=internal_error`, since nothing was run, and the connection ends in order after its output and a line. The exception itself is logged as before, as `step=exception`, now with `task=read request`.

Runs: the case of `gateway.exception` that required only the end of the connection now requires 503, an orderly end and the line too; `closed` of a response is not usable with this, since the response comes before the end. That earlier output is waited for has no case of its own. An exception in the parser of the head still closes the connection without a line.

--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/requests/exchange.hpp"
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/base/http_status.hpp>
 
@@ -297,7 +298,13 @@
         current.arrived = result.arrived;
         current.unread = result.unread;
         this->shared.metrics.unread(result.unread.ms);
-        current.facts = this->shared.adapter.read_request(current.request);
+        auto const read = this->shared.adapter.read_request;
+        if (!run_part(this->shared.log, "read request",
+                      [&] { current.facts = read(current.request); }))
+        {
+            result.end = read_end::rejected;
+            result.why = {http_unavailable, "internal_error"};
+        }
         current.keep_connection = current.request.keep_alive() &&
                                   current.request.version() == http_11 &&
                                   result.end == read_end::whole;
@@ -378,7 +385,7 @@
     connection_ptr caller;
     instant began;
     instant deadline{}; ///< of the latest request
-    /// A rejection was sent before the whole request was read.
+    /// Input that was not read may follow the rejection that was sent.
     bool rejected_early{false};
 };
 
--- a/tests/gateway/exception_test.cpp
+++ b/tests/gateway/exception_test.cpp
@@ -4,7 +4,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <stdexcept>
+#include <string>
 
 using namespace caperpath;
 using namespace caperpath::gateway;
@@ -155,13 +160,37 @@
             200, site.send(fleet_site::request("GET", "/read/1")).status);
     }
 
-    // Guards against a connection that stays open and is never read again.
+    // Guards against a connection that stays open and is never read again, and
+    // against one that closes without a response and a line in the log.
     void a_caller_whose_request_cannot_be_read_is_disconnected()
     {
         fleet_site site{throwing_adapter()};
         site.wait_ready();
-        auto const got = site.send(throwing("read"));
-        CPPUNIT_ASSERT(got.closed);
+        std::array<int, 2> log{};
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(log.data()));
+        CPPUNIT_ASSERT_EQUAL(0, ::fcntl(log[0], F_SETFL, O_NONBLOCK));
+        CPPUNIT_ASSERT_EQUAL(0, ::fcntl(log[1], F_SETFL, O_NONBLOCK));
+        CPPUNIT_ASSERT(::dup2(log[1], site.log_descriptor) >= 0);
+        ::close(log[1]);
+        auto const caller = site.begin(throwing("read"));
+        CPPUNIT_ASSERT(
+            site.run_until([&] { return caller->end() != peer_end::open; }));
+        CPPUNIT_ASSERT(peer_end::finished == caller->end());
+        auto const bytes = caller->input().data();
+        std::string const got{static_cast<char const*>(bytes.data()),
+                              bytes.size()};
+        CPPUNIT_ASSERT(got.starts_with("HTTP/1.1 503 "));
+        std::string logged;
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                std::array<char, 4'096> part{};
+                auto const size = ::read(log[0], part.data(), part.size());
+                logged.append(part.data(), size > 0 ? size : 0);
+                return logged.find(" step=request reason=internal_error "
+                                   "status=503") != std::string::npos;
+            }));
+        ::close(log[0]);
     }
 
     // Guards against a configuration that walks requests which no longer exist.
