--- a/src/gateway/gateway_views.cpp
+++ b/src/gateway/gateway_views.cpp
@@ -1,8 +1,10 @@
 #include "gateway/crashes/crash_handling.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/requests/exchange.hpp"
+#include "gateway/run_part.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <memory>
 #include <utility>
@@ -16,8 +18,6 @@
 namespace
 {
 
-constexpr duration reach_report_interval{500};
-
 struct built_site
 {
     std::shared_ptr<fleet::site const> site; ///< null if `fault` says why
@@ -31,8 +31,6 @@
 built_site build_site(site_reader read_site, std::string const& text)
 {
     built_site built;
-    auto const time = caperpath::clock::monotonic();
-    auto const began = time.now();
     auto read = read_site(text);
     if (auto* fault = std::get_if<error>(&read))
     {
@@ -43,14 +41,34 @@
         built.site = std::make_shared<fleet::site const>(
             std::move(std::get<fleet::site_parts>(read)));
     }
+    return built;
+}
+
+/// One that throws is a fault of this configuration only; a page may hold a
+/// newer one.
+built_site try_build_site(site_reader read_site, std::string const& text)
+{
+    auto const time = caperpath::clock::monotonic();
+    auto const began = time.now();
+    built_site built;
+    try
+    {
+        built = build_site(read_site, text);
+    }
+    catch (std::exception const& thrown)
+    {
+        built.fault = {error_kind::internal, "read configuration", "store",
+                       thrown.what()};
+    }
     built.time = time.now() - began;
     return built;
 }
 
 } // namespace
 
-void gateway_server::follow_store(store::async_port const& store)
+void gateway_server::follow_store()
 {
+    auto const& port = this->shared.store_port;
     auto const& adapter = this->shared.adapter;
     auto const on_reachability = [this](bool reachable, error const& why)
     {
@@ -64,26 +82,27 @@
         this->shared.crashes.note_lost_store_call();
     };
     this->configuration_follower = std::make_unique<table_follower>(
-        this->loop.get_executor(), store, adapter.site_table,
+        this->loop.get_executor(), port, adapter.site_table,
         table_listener{[this](store::feed_page const& page)
                        { this->apply_operators_page(page, true); },
                        [this](store::feed_page const& page)
                        { this->apply_operators_page(page, false); },
                        on_reachability, on_call_lost},
-        salt);
+        salt, this->shared.log);
     auto const on_servers = [this](store::feed_page const& page)
     {
         for (auto const& row : page.rows)
         {
-            this->apply_server(row);
+            run_part(this->shared.log, row.key,
+                     [&] { this->apply_server(row); });
         }
     };
     this->server_follower = std::make_unique<table_follower>(
-        this->loop.get_executor(), store, adapter.server_table,
+        this->loop.get_executor(), port, adapter.server_table,
         table_listener{[this](store::feed_page const& page)
                        { this->replace_servers(page); },
                        on_servers, on_reachability, on_call_lost},
-        salt);
+        salt, this->shared.log);
 }
 
 /// Evacuations come first: a router takes callers once it has a configuration,
@@ -198,14 +217,14 @@
         auto const read_site = this->shared.adapter.read_site;
         if (row.value.size() <= longest_inline_text)
         {
-            use(build_site(read_site, row.value));
+            use(try_build_site(read_site, row.value));
             continue;
         }
         this->reading_configurations += 1;
         this->background->run<built_site>(
             worker_lane::configuration, "read configuration",
             [read_site, text = row.value]
-            { return build_site(read_site, text); },
+            { return try_build_site(read_site, text); },
             [this, use](std::variant<built_site, error> const& result)
             {
                 this->reading_configurations -= 1;
@@ -260,13 +279,20 @@
 std::optional<fleet::server_entry>
 gateway_server::read_entry(store::feed_row const& row)
 {
-    auto const read = this->shared.adapter.read_server(row.key, row.value);
-    if (auto const* fault = std::get_if<error>(&read))
-    {
-        this->shared.log.write_error(*fault);
-        return std::nullopt;
-    }
-    return std::get<fleet::server_entry>(read);
+    std::optional<fleet::server_entry> entry;
+    run_part(this->shared.log, row.key,
+             [&]
+             {
+                 auto read =
+                     this->shared.adapter.read_server(row.key, row.value);
+                 if (auto const* fault = std::get_if<error>(&read))
+                 {
+                     this->shared.log.write_error(*fault);
+                     return;
+                 }
+                 entry = std::get<fleet::server_entry>(std::move(read));
+             });
+    return entry;
 }
 
 void gateway_server::handle_listed(fleet::server_entry const& entry,
@@ -337,12 +363,16 @@
     }
     auto const added = fleet::replace_servers(this->shared.servers, entries,
                                               this->shared.now.now());
+    this->shared.servers_listed = true;
     for (auto const& id : added)
     {
-        this->handle_listed(this->shared.servers.servers.at(id).entry, true);
+        run_part(this->shared.log, id.value,
+                 [&] {
+                     this->handle_listed(
+                         this->shared.servers.servers.at(id).entry, true);
+                 });
     }
     this->shared.streams.note_servers(this->shared.servers);
-    this->shared.servers_listed = true;
     this->shared.metrics.servers_listed(entries.size());
 }
 
@@ -360,41 +390,4 @@
     }
 }
 
-void gateway_server::report_reach()
-{
-    auto const now = this->shared.now.now();
-    if (now - this->reach_reported_at < reach_report_interval)
-    {
-        return;
-    }
-    this->reach_reported_at = now;
-    for (auto const& [service, reach] :
-         fleet::reach_by_service(this->shared.servers, now))
-    {
-        auto const known = this->cut_off_since.find(service);
-        auto const was_cut_off = known != this->cut_off_since.end();
-        if (fleet::is_cut_off(reach) == was_cut_off)
-        {
-            continue;
-        }
-        auto const since = was_cut_off ? known->second : now;
-        this->shared.log.write(
-            log_weight::notable, "reach",
-            {{"service", service.value},
-             {"direct_path", was_cut_off ? "regained" : "lost"},
-             {"servers", std::to_string(reach.servers)},
-             {"relayed", std::to_string(reach.relayed)},
-             {"ms", std::to_string((now - since).ms)}});
-        if (was_cut_off)
-        {
-            this->cut_off_since.erase(known);
-        }
-        else
-        {
-            this->cut_off_since[service] = now;
-        }
-    }
-    this->shared.metrics.services_cut_off(this->cut_off_since.size());
-}
-
 } // namespace caperpath::gateway
