Keep a request at a silent server if it cannot be sent to another one

What callers saw: a request of a kind that may run again was lost after 1.5 s of its server's silence although the server lived: the only server, the last attempt of the route, or one that the limit on retries then kept from another server.

Cause: whether silence may end an attempt was decided before the send and by the kind of the request alone. The limit on retries was asked only after the connection had ended.

Now the kernel's timeout is long for all direct attempts, and each is checked every 250 ms. If its server has left two probes or retransmissions unanswered for 1.5 s, or has acknowledged nothing of what is in flight for as long (also with a closed window, as the kernel's timeout did), the attempt is given up only if another one may follow: attempts are left, another server can respond in time, and the limit allows it, which is charged in the same turn, so that requests that share what is left of it are not given up together. Otherwise it waits on and is checked again, and ends as those that may not run again: by a reset, its deadline, or what shows that the server has ended. Where the kernel does not tell these times, its timeout of 1.5 s still ends attempts that may be retried as of the latest check; there several that share the last retry can still be lost.

The test's silent server moved to a header; its checks are the same.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -88,6 +88,14 @@
            size == 0;
 }
 
+std::size_t connection::unacknowledged()
+{
+    int size{};
+    auto const failed =
+        ioctl(this->socket.native_handle(), SIOCOUTQ, &size) != 0;
+    return this->unsent() + (failed ? 0 : static_cast<std::size_t>(size));
+}
+
 void connection::start()
 {
     this->read_available();
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -56,6 +56,10 @@
     /// True if the peer has acknowledged all bytes sent.
     bool is_acknowledged();
 
+    /// Bytes that the peer has not acknowledged yet, as far as the kernel
+    /// tells, with those that it does not have yet.
+    std::size_t unacknowledged();
+
     /// Reads what has arrived and starts to read on. Call once.
     void start();
 
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -177,10 +177,7 @@
     // Counted first: what fails from here on may have been sent.
     auto const is_retry = this->current.possible_deliveries > 0;
     this->current.possible_deliveries += 1;
-    this->outlasts_silence =
-        !this->relayed && !fleet::may_run_again(this->current.attempts);
-    this->connection->set_silence_timeout(
-        this->outlasts_silence ? longest_silence : peer_silence_timeout);
+    this->prepare_for_silence(bytes.size());
     this->connection->send(bytes);
     shared.metrics.sent(is_retry, this->relayed);
     this->current.retry_charged = false;
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -21,6 +21,13 @@
     waker_ptr wakeup;
 };
 
+/// What the peer of a connection had not acknowledged when that changed last.
+struct output_progress
+{
+    std::size_t unacknowledged{};
+    instant since{};
+};
+
 /// Probes `server` and raises the waker of `result`.
 asio::awaitable<void> find_presence(core& shared, backend_server_id server,
                                     std::shared_ptr<presence_result> result);
@@ -41,8 +48,8 @@
     /// after `current.events.last_id()`.
     asio::awaitable<fleet::attempt_outcome> run();
 
-    /// True if the connection to the server has ended, or a probe shows that
-    /// the server has.
+    /// True if the connection to the server has ended or was given up for its
+    /// silence, or a probe shows that the server has ended.
     bool lost_connection() const;
 
     /// True if the server may have no room for the request at the moment.
@@ -63,7 +70,14 @@
     void report_outcome(fleet::send_outcome outcome);
     void send();
     asio::awaitable<bool> wait_for_more();
+    void prepare_for_silence(std::size_t request_bytes);
+    void set_silence_timeout();
     void check_silence();
+    bool accepts_nothing();
+    bool may_be_retried();
+    bool has_alternative();
+    bool give_up_in_silence();
+    void probe_presence();
     bool has_ended_in_silence();
     asio::awaitable<std::optional<fleet::attempt_outcome>> read_head();
     std::optional<fleet::attempt_outcome> evaluate_head();
@@ -105,9 +119,12 @@
     bool counted_open{false};
     bool reusable{false}; ///< the connection can carry another request
     bool relayed{false};  ///< another router relays the connection
-    /// The server's silence alone does not end the attempt.
-    bool outlasts_silence{false};
     instant silence_check_due{};
+    output_progress progress;
+    bool given_up{false}; ///< for its silence, to be sent elsewhere
+    /// The kernel does not tell how long the server is silent, and another one
+    /// could have taken the request when it was sent.
+    bool kernel_may_end{false};
     std::shared_ptr<presence_result> silent_presence; ///< null: not silent
     bool crash_watched{false};
     /// Of a send to a brittle server whose outcome is not known yet.
--- a/src/gateway/servers/server_choice.cpp
+++ b/src/gateway/servers/server_choice.cpp
@@ -56,6 +56,14 @@
     return choose_among(current, current.tried);
 }
 
+std::optional<fleet::placement>
+find_other_server(exchange const& current, backend_server_id const& latest)
+{
+    auto tried = current.tried;
+    tried.push_back(latest);
+    return choose_among(current, tried);
+}
+
 bool lacks_servers(exchange const& current)
 {
     return current.attempts.runs == 0 && !current.response_started &&
--- a/tests/gateway/silence_timeout_test.cpp
+++ b/tests/gateway/silence_timeout_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_site.hpp"
 #include "gateway/standalone_client.hpp"
+#include "gateway/unreachable_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,8 +11,6 @@
 #include <boost/beast/http/read.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <linux/filter.h>
-#include <sys/socket.h>
 
 #include <chrono>
 #include <cstddef>
@@ -97,80 +96,6 @@
     tcp::acceptor acceptor;
 };
 
-/// A server whose machine drops all packets for some time within a stream.
-class unreachable_server
-{
-public:
-    unreachable_server(asio::io_context& loop, std::chrono::milliseconds pause)
-        : loop{loop}, pause{pause},
-          acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}}
-    {
-        this->accept();
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" +
-               std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept(
-            [this](boost::system::error_code fault, tcp::socket socket)
-            {
-                if (fault)
-                {
-                    return;
-                }
-                asio::co_spawn(this->loop, this->serve(std::move(socket)),
-                               asio::detached);
-                this->accept();
-            });
-    }
-
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        boost::system::error_code fault;
-        boost::beast::flat_buffer buffer;
-        fake_server::request got;
-        co_await boost::beast::http::async_read(
-            socket, buffer, got,
-            asio::redirect_error(asio::use_awaitable, fault));
-        if (fault)
-        {
-            co_return;
-        }
-        auto const begin = stream_head(got) + chunk_of("id: 1\ndata: a\n\n");
-        co_await asio::async_write(
-            socket, asio::buffer(begin),
-            asio::redirect_error(asio::use_awaitable, fault));
-        asio::steady_timer timer{this->loop, std::chrono::milliseconds{100}};
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, fault));
-        sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
-        sock_fprog const filter{1, &drop_all};
-        auto const handle = socket.native_handle();
-        CPPUNIT_ASSERT_EQUAL(0, setsockopt(handle, SOL_SOCKET, SO_ATTACH_FILTER,
-                                           &filter, sizeof filter));
-        timer.expires_after(this->pause);
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, fault));
-        int const unused{};
-        setsockopt(handle, SOL_SOCKET, SO_DETACH_FILTER, &unused,
-                   sizeof unused);
-        auto const end = chunk_of("id: 2\ndata: b\n\n") + chunk_of("");
-        co_await asio::async_write(
-            socket, asio::buffer(end),
-            asio::redirect_error(asio::use_awaitable, fault));
-    }
-
-    asio::io_context& loop;
-    std::chrono::milliseconds pause;
-    tcp::acceptor acceptor;
-};
-
 std::string with_time_limit(std::string text, duration limit)
 {
     std::string const usual{"Deadline-Ms: 1500"};
@@ -292,14 +217,15 @@
     {
         fleet_site site;
         prepare(site);
-        unreachable_server server{site.loop, std::chrono::milliseconds{5'000}};
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
         site.list_server("i-1", "llm", server.address());
         site.wait_ready();
         auto const got = site.send(with_time_limit(
             fleet_site::prompt("/chat/1", 500, 20), time_limit));
         CPPUNIT_ASSERT(got.complete);
-        CPPUNIT_ASSERT_EQUAL(
-            std::string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, got.body);
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan), got.body);
     }
 
     // Guards against a caller that waits until its deadline for a server whose
@@ -308,7 +234,8 @@
     {
         fleet_site site;
         prepare(site);
-        unreachable_server server{site.loop, std::chrono::minutes{1}};
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::minutes{1}, plan};
         site.list_server("i-1", "llm", server.address());
         site.wait_ready();
         auto const caller = site.begin(with_time_limit(
