Count a caller's silence from its request, not from the end of the response

What callers saw: a stream was cut after its server had ended it and within the caller's time, if the caller had acknowledged nothing for a while.

Cause: after a response the silence timeout became what was left of the caller's time, 5 s at least. The kernel counts from the first byte without acknowledgement, which may have been sent long before the end of the response, so the connection ended at once or soon after.

Now the timeout is the time from the oldest request whose output the caller may not have acknowledged to the deadline (5 s at least). No byte of its output was sent before that request, so the kernel cannot end the connection before the deadline. A dead caller is noticed later by as much after a response; nothing works for it then.

--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -312,11 +312,16 @@
                  {"status", std::to_string(current.status)}});
             co_return false;
         }
+        this->output_begins = this->caller->unacknowledged() == 0
+                                  ? current.arrived
+                                  : this->output_begins;
         this->caller->set_silence_timeout(longest_silence);
         co_await serve(current);
         this->deadline = current.deadline;
-        this->caller->set_silence_timeout(std::max(
-            caller_silence_timeout, to_chrono(current.deadline - this->now())));
+        // The kernel counts from the first byte without acknowledgement.
+        this->caller->set_silence_timeout(
+            std::max(caller_silence_timeout,
+                     to_chrono(this->deadline - this->output_begins)));
         co_return current.keep_connection;
     }
 
@@ -377,7 +382,8 @@
     waker_ptr wakeup;
     connection_ptr caller;
     instant began;
-    instant deadline{}; ///< of the latest request
+    instant deadline{};      ///< of the latest request
+    instant output_begins{}; ///< earlier output is acknowledged
     /// A rejection was sent before the whole request was read.
     bool rejected_early{false};
 };
--- a/tests/gateway/silence_timeout_test.cpp
+++ b/tests/gateway/silence_timeout_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(a_server_that_reads_a_long_body_late_gets_all_of_it);
     CPPUNIT_TEST(a_caller_that_reads_a_stream_late_gets_all_of_it);
     CPPUNIT_TEST(a_caller_that_reads_a_last_response_late_gets_all_of_it);
+    CPPUNIT_TEST(a_caller_that_is_silent_around_a_streams_end_gets_all_of_it);
     CPPUNIT_TEST(a_stream_outlasts_the_silence_of_its_server);
     CPPUNIT_TEST(a_stream_at_a_silent_server_that_is_unlisted_ends);
     CPPUNIT_TEST_SUITE_END();
@@ -211,6 +212,28 @@
         CPPUNIT_ASSERT_EQUAL(body.size(), got.body.size());
     }
 
+    // Guards against a stream that is cut after its server has ended it, since
+    // its caller had acknowledged nothing for longer than was left of its time.
+    void a_caller_that_is_silent_around_a_streams_end_gets_all_of_it()
+    {
+        constexpr duration limit{14'000};
+        unreachable_plan plan;
+        plan.drops_packets = false;
+        plan.first_event = "data: " + std::string(100'000, 'x') + "\n\n";
+        fleet_site site;
+        prepare(site);
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
+        site.list_server("i-1", "llm", server.address());
+        site.wait_ready();
+        auto const got = read_late(
+            site,
+            with_time_limit(fleet_site::prompt("/chat/1", 500, 20), limit),
+            duration{9'500});
+        CPPUNIT_ASSERT(got.complete);
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan), got.body);
+    }
+
     // Guards against a stream that is cut because the path to its server loses
     // all packets for a while.
     void a_stream_outlasts_the_silence_of_its_server()
