Let relayed requests outlast silence as direct ones do

What callers saw: a request through another router that could not be sent again was lost after 1.5 s of silence between the routers, or between the relay and the server.

Cause: relays and the routers that use them kept the kernel's timeout of 1.5 s on both sides, whatever the request.

Now the router that has the request decides as for a direct attempt. It tells the relay with its request for a connection whether silence may end it. If not, the relay's timeout is that of the longest route, and it watches the server: a probe or the entry that shows that its process has ended ends the connection with a reset. Requests that can be sent again keep 1.5 s at the relay, so a server that is gone is found as soon as before. The new field stands at the end of the message: older relays ignore it, and without it the old timeouts apply (relay_message has a test for the latter).

What shows the end of a silent server moved to `silence_watch`, which both use.

--- a/src/gateway/relays/relay_client.cpp
+++ b/src/gateway/relays/relay_client.cpp
@@ -67,8 +67,7 @@
 }
 
 asio::awaitable<relayed_connection>
-relay_client::connect(backend_server_id const& server,
-                      service_id const& service, bool probe_only)
+relay_client::connect(relay_request const& request, service_id const& service)
 {
     relayed_connection result;
     std::vector<std::string> tried;
@@ -84,7 +83,6 @@
         result.any_asked = true;
         tried.push_back(*address);
         auto use = this->count_use(*address);
-        relay_request const request{server, probe_only};
         auto const got = co_await this->ask(*address, request, until);
         if (!got.message)
         {
--- a/src/gateway/relays/relay_client.hpp
+++ b/src/gateway/relays/relay_client.hpp
@@ -48,12 +48,11 @@
     /// True if other routers are known, or were recently.
     bool has_relays() const;
 
-    /// Asks one router after the other, until one reaches `server` or one whose
-    /// other paths work does not, for at most `relay_limit`. All arguments must
-    /// outlive the call.
-    asio::awaitable<relayed_connection> connect(backend_server_id const& server,
-                                                service_id const& service,
-                                                bool probe_only);
+    /// Asks one router after the other, until one reaches the server or one
+    /// whose other paths work does not, for at most `relay_limit`. All
+    /// arguments must outlive the call.
+    asio::awaitable<relayed_connection> connect(relay_request const& request,
+                                                service_id const& service);
 
 private:
     struct reply
--- a/src/gateway/relays/relay_message.cpp
+++ b/src/gateway/relays/relay_message.cpp
@@ -3,7 +3,9 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 
+#include <istream>
 #include <sstream>
+#include <type_traits>
 
 namespace caperpath::gateway
 {
@@ -32,9 +34,26 @@
     std::ostringstream bytes;
     cereal::PortableBinaryOutputArchive archive{bytes};
     archive(format, message);
+    if constexpr (std::is_same_v<Message, relay_request>)
+    {
+        archive(message.outlasts_silence);
+    }
     return with_length(bytes.str());
 }
 
+/// Reads the fields that other versions of the sender leave out.
+template <class Message, class Archive>
+void decode_optional(Message& message, std::istream& from, Archive& archive)
+{
+    if constexpr (std::is_same_v<Message, relay_request>)
+    {
+        if (from.peek() != std::istream::traits_type::eof())
+        {
+            archive(message.outlasts_silence);
+        }
+    }
+}
+
 template <class Message>
 result<Message> decode(std::string const& bytes)
 {
@@ -48,6 +67,7 @@
         if (found == format)
         {
             archive(message);
+            decode_optional(message, from, archive);
             return message;
         }
     }
--- a/src/gateway/relays/relay_message.hpp
+++ b/src/gateway/relays/relay_message.hpp
@@ -22,6 +22,9 @@
 {
     backend_server_id server;
     bool probe_only{false}; ///< close the connection after the reply
+    /// The request could not be sent again: silence alone must not end it.
+    /// Routers that do not know this field leave it out.
+    bool outlasts_silence{false};
 
     friend bool operator==(relay_request const&,
                            relay_request const&) = default;
--- a/src/gateway/relays/relay_session.cpp
+++ b/src/gateway/relays/relay_session.cpp
@@ -1,12 +1,15 @@
 #include "gateway/relays/relay_session.hpp"
 
 #include "gateway/relays/relay_message.hpp"
+#include "gateway/requests/exchange.hpp"
 #include "gateway/run_after.hpp"
+#include "gateway/servers/silence_watch.hpp"
 
 #include <caperpath/fleet/server_path.hpp>
 
 #include <boost/beast/core/buffers_to_string.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <optional>
@@ -27,6 +30,21 @@
 /// Reading from one side pauses while the other has more unsent bytes.
 constexpr std::size_t max_unsent = 65'536;
 
+/// No request lasts for longer.
+std::chrono::milliseconds longest_request(core const& shared)
+{
+    if (!shared.site)
+    {
+        return longest_silence;
+    }
+    auto longest = longest_usual_silence;
+    for (auto const& each : shared.site->routes())
+    {
+        longest = std::max(longest, each.timeout);
+    }
+    return to_chrono(longest);
+}
+
 /// Moves received bytes on, unless the receiver is behind.
 void move_bytes(connection& from, connection& to)
 {
@@ -103,7 +121,7 @@
         this->router->send(encode(reply));
         if (this->server && !request->probe_only)
         {
-            co_await this->forward();
+            co_await this->forward(request->outlasts_silence);
             co_return;
         }
         co_await this->finish();
@@ -198,10 +216,18 @@
                               proven};
     }
 
-    asio::awaitable<void> forward()
+    asio::awaitable<void> forward(bool outlasts_silence)
     {
         // A relay that fails must not look like a server that has finished.
         this->router->reset_unless_shut_down();
+        silence_watch silence{this->shared, this->server_id, this->wakeup};
+        if (outlasts_silence)
+        {
+            auto const timeout = longest_request(this->shared);
+            this->router->set_silence_timeout(timeout);
+            this->server->set_silence_timeout(timeout);
+            silence.begin();
+        }
         while (true)
         {
             // Bytes of a request must not follow the end of its router.
@@ -225,7 +251,7 @@
                 this->router->close();
                 co_return;
             }
-            if (this->server->end() == peer_end::broken)
+            if (this->server->end() == peer_end::broken || silence.shows_end())
             {
                 break;
             }
@@ -236,7 +262,12 @@
                 co_await this->finish_forwarding();
                 co_return;
             }
-            co_await this->wait(longest_wait);
+            co_await this->wait(outlasts_silence ? silence_check_interval
+                                                 : longest_wait);
+            if (outlasts_silence)
+            {
+                silence.note(silence.is_silent(*this->server));
+            }
         }
         this->router->close(true);
         this->server->close();
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -39,7 +39,8 @@
 } // namespace
 
 server_call::server_call(exchange& current, fleet::placement const& where)
-    : current{current}, where{where}
+    : current{current}, where{where}, silence{current.shared, where.server,
+                                              current.wakeup}
 {
 }
 
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/requests/exchange.hpp"
 #include "gateway/servers/rejection_limiter.hpp"
+#include "gateway/servers/silence_watch.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,13 +15,6 @@
 namespace caperpath::gateway
 {
 
-/// The result of a probe whether a server runs.
-struct presence_result
-{
-    std::optional<server_presence> presence; ///< empty until it is known
-    waker_ptr wakeup;
-};
-
 /// What the peer of a connection had not acknowledged when that changed last.
 struct output_progress
 {
@@ -28,10 +22,6 @@
     instant since{};
 };
 
-/// Probes `server` and raises the waker of `result`.
-asio::awaitable<void> find_presence(core& shared, backend_server_id server,
-                                    std::shared_ptr<presence_result> result);
-
 /// One attempt of a request at one server: sends it, reads the response and
 /// relays it to the caller. Loop thread only; used for a single attempt.
 class server_call
@@ -77,8 +67,7 @@
     bool may_be_retried();
     bool has_alternative();
     bool give_up_in_silence();
-    void probe_presence();
-    bool has_ended_in_silence();
+    bool has_ended_in_silence() const;
     asio::awaitable<std::optional<fleet::attempt_outcome>> read_head();
     std::optional<fleet::attempt_outcome> evaluate_head();
     asio::awaitable<fleet::attempt_outcome> relay_whole();
@@ -125,7 +114,7 @@
     /// The kernel does not tell how long the server is silent, and another one
     /// could have taken the request when it was sent.
     bool kernel_may_end{false};
-    std::shared_ptr<presence_result> silent_presence; ///< null: not silent
+    silence_watch silence;
     bool crash_watched{false};
     /// Of a send to a brittle server whose outcome is not known yet.
     std::optional<send_permit> permit;
--- a/src/gateway/servers/server_call_connect.cpp
+++ b/src/gateway/servers/server_call_connect.cpp
@@ -66,9 +66,13 @@
                               ? max_idle_repeatable
                               : max_idle_non_repeatable;
     auto const began = shared.now.now();
+    auto const* const target = this->server();
+    auto const is_relayed = target != nullptr && target->path.direct_failed;
+    auto const outlasts_silence =
+        !this->may_be_retried() || (is_relayed && !this->has_alternative());
     auto link = co_await shared.connector.connect(
         this->where.server, max_idle, this->current.deadline - began,
-        this->current.work.may_be_relayed);
+        relay_terms{this->current.work.may_be_relayed, outlasts_silence});
     this->connection = std::move(link.connection);
     this->current.relay = link.relay;
     this->relayed = !link.relay.empty();
--- a/src/gateway/servers/server_call_silence.cpp
+++ b/src/gateway/servers/server_call_silence.cpp
@@ -2,15 +2,13 @@
 #include "gateway/servers/server_call.hpp"
 #include "gateway/servers/server_choice.hpp"
 #include "gateway/servers/timed_connect.hpp"
-#include "gateway/spawn.hpp"
 
 #include <algorithm>
-#include <memory>
-#include <utility>
 
-/// Servers that acknowledge nothing. The link may only be full, so silence ends
-/// an attempt only if the request can be sent to another server at once. Any
-/// other one would be lost; what shows that the server has ended ends it.
+/// Attempts at servers that acknowledge nothing. The link may only be full, so
+/// silence ends an attempt only if the request can be sent to another server at
+/// once. Any other one would be lost; what shows that the server has ended ends
+/// it.
 namespace caperpath::gateway
 {
 
@@ -19,27 +17,13 @@
 
 using fleet::attempt_outcome;
 
-/// Bounds what the checks add to the time until a silent server is given up.
-constexpr duration silence_check_interval{250};
-constexpr duration longest_usual_silence{peer_silence_timeout.count()};
-
 } // namespace
 
-asio::awaitable<void> find_presence(core& shared, backend_server_id server,
-                                    std::shared_ptr<presence_result> result)
-{
-    result->presence =
-        co_await shared.crash_checks.check(server, shared.now.now());
-    result->wakeup->raise();
-}
-
 bool server_call::lost_connection() const
 {
-    auto const was_found_gone =
-        this->silent_presence &&
-        this->silent_presence->presence == server_presence::gone;
-    return this->connection && (this->connection->end() != peer_end::open ||
-                                was_found_gone || this->given_up);
+    return this->connection &&
+           (this->connection->end() != peer_end::open || this->given_up ||
+            this->silence.presence() == server_presence::gone);
 }
 
 /// Waits for input, the end of a connection, or the next check of the server's
@@ -47,12 +31,11 @@
 asio::awaitable<bool> server_call::wait_for_more()
 {
     auto const& shared = this->current.shared;
-    auto const until = this->relayed ? this->current.deadline
-                                     : std::min(this->current.deadline,
-                                                this->silence_check_due);
+    auto const until =
+        std::min(this->current.deadline, this->silence_check_due);
     auto const raised = co_await wait_until(this->current, until);
     auto const now = shared.now.now();
-    if (!this->relayed && now >= this->silence_check_due)
+    if (now >= this->silence_check_due)
     {
         this->silence_check_due = now + silence_check_interval;
         this->check_silence();
@@ -87,6 +70,7 @@
 {
     auto const now = this->current.shared.now.now();
     this->silence_check_due = now + silence_check_interval;
+    this->silence.begin();
     this->progress = {request_bytes, now};
     this->kernel_may_end = !this->current.shared.packet_times_known &&
                            this->may_be_retried() && this->has_alternative();
@@ -97,8 +81,7 @@
 {
     this->kernel_may_end =
         this->kernel_may_end && !this->current.shared.packet_times_known;
-    auto const kernel_ends =
-        this->relayed || (this->kernel_may_end && this->may_be_retried());
+    auto const kernel_ends = this->kernel_may_end && this->may_be_retried();
     this->connection->set_silence_timeout(kernel_ends ? peer_silence_timeout
                                                       : longest_silence);
 }
@@ -134,38 +117,16 @@
     {
         this->set_silence_timeout();
     }
-    // The times of the kernel may be those of an earlier request.
-    auto const sent_for = this->current.shared.now.now() - this->sent_at;
-    auto const silent = sent_for >= longest_usual_silence &&
-                        this->connection->is_silent(longest_usual_silence);
+    auto const silent = this->silence.is_silent(*this->connection);
     if ((this->accepts_nothing() || silent) && this->give_up_in_silence())
     {
         return;
     }
-    if (silent)
-    {
-        this->probe_presence();
-    }
-    else
-    {
-        this->silent_presence = nullptr;
-    }
-}
-
-void server_call::probe_presence()
-{
-    auto& shared = this->current.shared;
-    if (!this->silent_presence)
-    {
-        this->silent_presence = std::make_shared<presence_result>();
-        this->silent_presence->wakeup = this->current.wakeup;
-        spawn(shared.loop,
-              find_presence(shared, this->where.server, this->silent_presence),
-              "find_presence", shared.log);
-        return;
-    }
-    auto const& found = this->silent_presence->presence;
-    if (found && *found != server_presence::gone && !this->crash_watched)
+    this->silence.note(silent);
+    auto const found = this->silence.presence();
+    auto const may_have_crashed =
+        found && *found != server_presence::gone && !this->relayed;
+    if (may_have_crashed && !this->crash_watched)
     {
         // Its entry may show later that it had crashed.
         this->crash_watched = true;
@@ -173,26 +134,11 @@
     }
 }
 
-/// True if the server is silent, and the request is sent elsewhere for it, or a
-/// probe or the list of servers shows that its process has ended.
-bool server_call::has_ended_in_silence()
+/// True if the server is silent, and the request is sent elsewhere for it or
+/// the server is known to have ended.
+bool server_call::has_ended_in_silence() const
 {
-    if (this->given_up)
-    {
-        return true;
-    }
-    if (!this->silent_presence)
-    {
-        return false;
-    }
-    auto const* const target = this->server();
-    auto const born_ms = this->current.server_born_ms;
-    auto const is_unlisted =
-        target == nullptr ||
-        (target->gone_from &&
-         this->current.shared.now.now() >= *target->gone_from) ||
-        (born_ms != 0 && target->entry.born_ms != born_ms);
-    return is_unlisted || this->lost_connection();
+    return this->given_up || this->silence.shows_end();
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/servers/server_connector.cpp
+++ b/src/gateway/servers/server_connector.cpp
@@ -39,13 +39,16 @@
 /// the result of the slower one still tells about its path.
 struct server_connector::race
 {
-    race(asio::any_io_executor const& executor, backend_server_id server)
-        : wakeup{std::make_shared<waker>(executor)}, server{std::move(server)}
+    race(asio::any_io_executor const& executor, backend_server_id server,
+         relay_terms terms)
+        : wakeup{std::make_shared<waker>(executor)}, server{std::move(server)},
+          terms{terms}
     {
     }
 
     waker_ptr wakeup;
     backend_server_id server;
+    relay_terms terms;
     connection_ptr direct;
     relayed_connection relayed;
     bool direct_pending{false};
@@ -71,7 +74,7 @@
 
 asio::awaitable<server_link>
 server_connector::connect(backend_server_id const& server, duration max_idle,
-                          duration longest, bool may_be_relayed)
+                          duration longest, relay_terms terms)
 {
     server_link link;
     auto const* target = this->find(server);
@@ -91,7 +94,7 @@
     }
     auto const began = this->now.now();
     auto const until = began + std::min(longest, connect_limit);
-    auto const all = std::make_shared<race>(this->executor, server);
+    auto const all = std::make_shared<race>(this->executor, server, terms);
     if (!target->path.direct_failed)
     {
         all->direct_pending = true;
@@ -103,7 +106,7 @@
     {
         auto const at = this->now.now();
         auto const wait_is_over = at - began >= relay_delay;
-        if (!all->direct && !all->relay_tried && may_be_relayed &&
+        if (!all->direct && !all->relay_tried && terms.allowed &&
             (!all->direct_pending || wait_is_over) && this->relays.has_relays())
         {
             all->relay_tried = true;
@@ -132,7 +135,7 @@
         co_return link;
     }
     if (!all->relayed.link && !all->direct_pending && !all->relay_tried &&
-        may_be_relayed)
+        terms.allowed)
     {
         this->relays_missing(server);
     }
@@ -159,7 +162,9 @@
 asio::awaitable<void>
 server_connector::race_through_relay(std::shared_ptr<race> shared)
 {
-    shared->relayed = co_await this->relay(shared->server, false);
+    relay_request const request{shared->server, false,
+                                shared->terms.outlasts_silence};
+    shared->relayed = co_await this->relay(request);
     shared->relay_pending = false;
     if (shared->over && shared->relayed.link)
     {
@@ -221,16 +226,17 @@
 }
 
 asio::awaitable<relayed_connection>
-server_connector::relay(backend_server_id const& server, bool probe_only)
+server_connector::relay(relay_request request)
 {
     relayed_connection result;
+    auto const& server = request.server;
     auto const* target = this->find(server);
     if (target == nullptr)
     {
         co_return result;
     }
     auto const service = target->entry.service;
-    result = co_await this->relays.connect(server, service, probe_only);
+    result = co_await this->relays.connect(request, service);
     auto* const after = this->find(server);
     if (after != nullptr && after->path.direct_failed)
     {
@@ -309,7 +315,8 @@
     {
         co_return refused ? server_presence::gone : server_presence::unknown;
     }
-    auto const relayed = co_await this->relay(server, false);
+    relay_request const request{server};
+    auto const relayed = co_await this->relay(request);
     if (relayed.link)
     {
         relayed.link->close();
@@ -345,7 +352,8 @@
     if (target != nullptr && target->path.relay_failed &&
         this->relays.has_relays())
     {
-        static_cast<void>(co_await this->relay(server, true));
+        relay_request const request{server, true};
+        static_cast<void>(co_await this->relay(request));
     }
     auto const direct =
         co_await this->connect_directly(server, connect_timeout);
--- a/src/gateway/servers/server_connector.hpp
+++ b/src/gateway/servers/server_connector.hpp
@@ -42,6 +42,13 @@
 /// A single word, for logs. Thread safe.
 std::string_view to_text(server_presence presence);
 
+/// How a request may be relayed.
+struct relay_terms
+{
+    bool allowed{true};
+    bool outlasts_silence{false}; ///< see `relay_request`
+};
+
 /// Connects to backend servers: over an idle connection, directly, or through
 /// another router while the direct path has failed. Keeps the paths in the
 /// server table up to date. Loop thread only; outlives its calls, and all
@@ -56,11 +63,11 @@
 
     /// Connects to `server`, over a connection idle for at most `max_idle` if
     /// there is one. Takes at most `longest`, and at most `connect_limit`. If
-    /// the direct path does not respond soon, a relay is tried beside it if
-    /// `may_be_relayed`.
+    /// the direct path does not respond soon, a relay is tried beside it as
+    /// `terms` allow.
     asio::awaitable<server_link> connect(backend_server_id const& server,
                                          duration max_idle, duration longest,
-                                         bool may_be_relayed);
+                                         relay_terms terms);
 
     /// Connects directly and records the result, also that of a failure.
     asio::awaitable<connect_result>
@@ -89,8 +96,7 @@
                                         duration limit);
     asio::awaitable<void> race_through_relay(std::shared_ptr<race> shared);
     asio::awaitable<void> probe(backend_server_id server);
-    asio::awaitable<relayed_connection> relay(backend_server_id const& server,
-                                              bool probe_only);
+    asio::awaitable<relayed_connection> relay(relay_request request);
     void record(backend_server_id const& server, fleet::connect_outcome outcome,
                 instant began);
     void relays_missing(backend_server_id const& server);
--- a/tests/gateway/fleet_site.cpp
+++ b/tests/gateway/fleet_site.cpp
@@ -92,10 +92,23 @@
     this->start_router();
 }
 
+fleet_site::fleet_site(std::string const& peer_address)
+    : fleet_site{without_router{{10, 50, {10'000}}}}
+{
+    this->put_peer(peer_address);
+    this->put_configuration(1);
+    this->start_router();
+}
+
 void fleet_site::add_peer(fleet_site const& peer)
+{
+    this->put_peer(peer.peer_address());
+}
+
+void fleet_site::put_peer(std::string const& address)
 {
     store::transaction txn;
-    txn.writes.push_back({peer_row, peer.peer_address()});
+    txn.writes.push_back({peer_row, address});
     this->store.port().commit(txn, [](store::commit_result const&) {});
 }
 
--- a/tests/gateway/fleet_site.hpp
+++ b/tests/gateway/fleet_site.hpp
@@ -53,6 +53,9 @@
 
     /// The same with the heartbeat row of another site's router.
     explicit fleet_site(fleet_site const& peer);
+
+    /// The same for a router that is reached at `peer_address`.
+    explicit fleet_site(std::string const& peer_address);
     ~fleet_site();
 
     /// Adds a server of `service` ("app" or "llm") that responds by `respond`.
@@ -141,6 +144,7 @@
         duration grace{8'000};
     };
     explicit fleet_site(without_router);
+    void put_peer(std::string const& address);
     void start_router();
     connection_ptr connect(std::uint16_t to);
     received_response call(std::uint16_t port, std::string const& bytes);
--- a/tests/gateway/relay_message_test.cpp
+++ b/tests/gateway/relay_message_test.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(relay_message_test);
     CPPUNIT_TEST(a_message_is_read_once_it_is_complete);
+    CPPUNIT_TEST(a_request_without_the_newest_field_is_read);
     CPPUNIT_TEST(malformed_bytes_are_rejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +48,25 @@
             });
     }
 
+    // Guards against a relay that rejects the requests of older routers.
+    void a_request_without_the_newest_field_is_read()
+    {
+        for (auto const length_of_field : {std::size_t{0}, std::size_t{1}})
+        {
+            auto bytes = encode(relay_request{{"i-1"}, true, true});
+            bytes.resize(bytes.size() - length_of_field);
+            bytes[1] = static_cast<char>(bytes.size() - 2);
+            boost::beast::flat_buffer input;
+            append(input, bytes);
+            auto const read =
+                value_or_error([&] { return take_relay_request(input); });
+            relay_request const expected{{"i-1"}, true, length_of_field == 0};
+            CPPUNIT_ASSERT(std::get<std::optional<relay_request>>(read) ==
+                           expected);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, input.size());
+        }
+    }
+
     // Guards against a router that crashes on another protocol at its port.
     void malformed_bytes_are_rejected()
     {
