Keep a request at a silent server that is unlisted while probes reach it

What callers saw: a stream was cut when its server's entry went while its connection was silent, though the server was only draining and would have ended the stream.

Cause: a missing entry counted as the end of the server whatever the probe had found. Servers go on serving for the drain time and longer after their entry has gone.

Now an unlisted server has ended if the latest probe could not reach it, or found it gone, or another process has its place. A server that stays silent is probed again every 2 s, so one that ends later in the silence is found by a probe, too, and not by its entry alone.

Not run under sanitizers.

Changed: a_stream_at_a_silent_server_that_is_unlisted_ends. Its machine was to be gone, but still accepted connections, which is what a draining server looks like. Now it drops new connections as well; the stream must still end.

--- a/src/gateway/servers/silence_watch.cpp
+++ b/src/gateway/servers/silence_watch.cpp
@@ -7,6 +7,14 @@
 namespace caperpath::gateway
 {
 
+namespace
+{
+
+/// How often a server that stays silent is probed.
+constexpr duration probe_interval{2'000};
+
+} // namespace
+
 asio::awaitable<void> find_presence(core& shared, backend_server_id server,
                                     std::shared_ptr<presence_result> result)
 {
@@ -43,8 +51,10 @@
         this->current = nullptr;
         return;
     }
-    if (!this->current)
+    auto const now = this->shared.now.now();
+    if (!this->current || (this->may_have_changed() && now >= this->next_probe))
     {
+        this->next_probe = now + probe_interval;
         this->current = std::make_shared<presence_result>();
         this->current->wakeup = this->wakeup;
         spawn(this->shared.loop,
@@ -53,6 +63,15 @@
     }
 }
 
+/// True if another probe may find something else. One that is not in the table
+/// any more cannot be probed.
+bool silence_watch::may_have_changed() const
+{
+    auto const found = this->presence();
+    return found && *found != server_presence::gone &&
+           this->shared.servers.servers.contains(this->server);
+}
+
 std::optional<server_presence> silence_watch::presence() const
 {
     return this->current ? this->current->presence : std::nullopt;
@@ -64,19 +83,18 @@
     {
         return false;
     }
+    auto const found = this->presence();
     auto const& all = this->shared.servers.servers;
-    auto const found = all.find(this->server);
-    if (found == all.end())
-    {
-        return true;
-    }
-    auto const& target = found->second;
+    auto const listed = all.find(this->server);
     auto const is_unlisted =
-        target.gone_from && this->shared.now.now() >= *target.gone_from;
-    auto const was_replaced =
-        this->born_ms != 0 && target.entry.born_ms != this->born_ms;
-    return is_unlisted || was_replaced ||
-           this->presence() == server_presence::gone;
+        listed == all.end() ||
+        (listed->second.gone_from &&
+         this->shared.now.now() >= *listed->second.gone_from);
+    auto const was_replaced = this->born_ms != 0 && listed != all.end() &&
+                              listed->second.entry.born_ms != this->born_ms;
+    // One that drains goes on serving without an entry for as long as it runs.
+    return was_replaced || found == server_presence::gone ||
+           (is_unlisted && found == server_presence::unknown);
 }
 
 } // namespace caperpath::gateway
--- a/src/gateway/servers/silence_watch.hpp
+++ b/src/gateway/servers/silence_watch.hpp
@@ -41,22 +41,28 @@
     /// the request was sent.
     bool is_silent(connection& link) const;
 
-    /// Records the result of a check. Probes a server that is silent.
+    /// Records the result of a check. Probes a server that is silent, and again
+    /// after some time.
     void note(bool silent);
 
-    /// What a probe of the silent server found; empty if there is no result.
+    /// What the latest probe of the silent server found; empty if it has no
+    /// result yet.
     std::optional<server_presence> presence() const;
 
     /// True if the server is silent, and a probe or the list of servers shows
-    /// that its process has ended.
+    /// that its process has ended. One that is unlisted has not as long as
+    /// probes reach it.
     bool shows_end() const;
 
 private:
+    bool may_have_changed() const;
+
     core& shared;
     backend_server_id server;
     waker_ptr wakeup;
     instant began{};
-    std::int64_t born_ms{};                   ///< 0: unknown
+    std::int64_t born_ms{}; ///< 0: unknown
+    instant next_probe{};
     std::shared_ptr<presence_result> current; ///< null: not silent
 };
 
--- a/tests/gateway/silence_timeout_test.cpp
+++ b/tests/gateway/silence_timeout_test.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(a_caller_that_is_silent_around_a_streams_end_gets_all_of_it);
     CPPUNIT_TEST(a_stream_outlasts_the_silence_of_its_server);
     CPPUNIT_TEST(a_stream_at_a_silent_server_that_is_unlisted_ends);
+    CPPUNIT_TEST(a_stream_at_a_running_server_that_is_unlisted_goes_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr duration time_limit{30'000};
@@ -264,10 +265,44 @@
         auto const caller = site.begin(with_time_limit(
             fleet_site::prompt("/chat/1", 500, 20), time_limit));
         CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        server.drop_connects();
         site.store.put("servers", "i-1", std::nullopt);
         CPPUNIT_ASSERT(
             site.run_until([&] { return caller->end() != peer_end::open; }));
     }
+
+    // Guards against a stream that is cut because its server drains and its
+    // entry goes, while the path loses all packets of the stream's connection.
+    void a_stream_at_a_running_server_that_is_unlisted_goes_on()
+    {
+        fleet_site site;
+        prepare(site);
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
+        site.list_server("i-1", "llm", server.address());
+        site.wait_ready();
+        auto const caller = site.begin(with_time_limit(
+            fleet_site::prompt("/chat/1", 500, 20), time_limit));
+        CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        site.store.put("servers", "i-1", std::nullopt);
+        boost::beast::http::response_parser<boost::beast::http::string_body>
+            parser;
+        parser.eager(true);
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                boost::system::error_code fault;
+                auto& input = caller->input();
+                input.consume(input.size() > 0 ? parser.put(input.data(), fault)
+                                               : 0);
+                caller->resume();
+                return parser.is_done() || caller->end() != peer_end::open;
+            }));
+        CPPUNIT_ASSERT(parser.is_done());
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan),
+                             parser.get().body());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(silence_timeout_test);
