--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/session.hpp"
 
 #include "gateway/requests/exchange.hpp"
+#include "gateway/requests/read_result.hpp"
 #include "gateway/run_after.hpp"
 #include "gateway/run_part.hpp"
 
@@ -44,23 +45,6 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
-enum class read_end
-{
-    whole,    ///< a request was read
-    rejected, ///< invalid, too large or too late
-    closed    ///< the caller disconnected, or was idle for too long
-};
-
-/// The result of reading a request from a connection.
-struct read_result
-{
-    read_end end{read_end::closed};
-    rejection why{};
-    caller_request request;
-    instant arrived{};
-    duration unread{}; ///< how long it had waited when it was read
-};
-
 rejection parse_error_rejection(boost::system::error_code fault)
 {
     if (fault == http::error::header_limit)
@@ -319,11 +303,16 @@
                  {"status", std::to_string(current.status)}});
             co_return false;
         }
+        this->output_begins = this->caller->unacknowledged() == 0
+                                  ? current.arrived
+                                  : this->output_begins;
         this->caller->set_silence_timeout(longest_silence);
         co_await serve(current);
         this->deadline = current.deadline;
-        this->caller->set_silence_timeout(std::max(
-            caller_silence_timeout, to_chrono(current.deadline - this->now())));
+        // The kernel counts from the first byte without acknowledgement.
+        this->caller->set_silence_timeout(
+            std::max(caller_silence_timeout,
+                     to_chrono(this->deadline - this->output_begins)));
         co_return current.keep_connection;
     }
 
@@ -384,7 +373,8 @@
     waker_ptr wakeup;
     connection_ptr caller;
     instant began;
-    instant deadline{}; ///< of the latest request
+    instant deadline{};      ///< of the latest request
+    instant output_begins{}; ///< earlier output is acknowledged
     /// Input that was not read may follow the rejection that was sent.
     bool rejected_early{false};
 };
--- a/tests/gateway/silence_timeout_test.cpp
+++ b/tests/gateway/silence_timeout_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_site.hpp"
 #include "gateway/standalone_client.hpp"
+#include "gateway/unreachable_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,8 +11,6 @@
 #include <boost/beast/http/read.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <linux/filter.h>
-#include <sys/socket.h>
 
 #include <chrono>
 #include <cstddef>
@@ -97,80 +96,6 @@
     tcp::acceptor acceptor;
 };
 
-/// A server whose machine drops all packets for some time within a stream.
-class unreachable_server
-{
-public:
-    unreachable_server(asio::io_context& loop, std::chrono::milliseconds pause)
-        : loop{loop}, pause{pause},
-          acceptor{loop, {asio::ip::make_address("127.0.0.1"), 0}}
-    {
-        this->accept();
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" +
-               std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept(
-            [this](boost::system::error_code fault, tcp::socket socket)
-            {
-                if (fault)
-                {
-                    return;
-                }
-                asio::co_spawn(this->loop, this->serve(std::move(socket)),
-                               asio::detached);
-                this->accept();
-            });
-    }
-
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        boost::system::error_code fault;
-        boost::beast::flat_buffer buffer;
-        fake_server::request got;
-        co_await boost::beast::http::async_read(
-            socket, buffer, got,
-            asio::redirect_error(asio::use_awaitable, fault));
-        if (fault)
-        {
-            co_return;
-        }
-        auto const begin = stream_head(got) + chunk_of("id: 1\ndata: a\n\n");
-        co_await asio::async_write(
-            socket, asio::buffer(begin),
-            asio::redirect_error(asio::use_awaitable, fault));
-        asio::steady_timer timer{this->loop, std::chrono::milliseconds{100}};
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, fault));
-        sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
-        sock_fprog const filter{1, &drop_all};
-        auto const handle = socket.native_handle();
-        CPPUNIT_ASSERT_EQUAL(0, setsockopt(handle, SOL_SOCKET, SO_ATTACH_FILTER,
-                                           &filter, sizeof filter));
-        timer.expires_after(this->pause);
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, fault));
-        int const unused{};
-        setsockopt(handle, SOL_SOCKET, SO_DETACH_FILTER, &unused,
-                   sizeof unused);
-        auto const end = chunk_of("id: 2\ndata: b\n\n") + chunk_of("");
-        co_await asio::async_write(
-            socket, asio::buffer(end),
-            asio::redirect_error(asio::use_awaitable, fault));
-    }
-
-    asio::io_context& loop;
-    std::chrono::milliseconds pause;
-    tcp::acceptor acceptor;
-};
-
 std::string with_time_limit(std::string text, duration limit)
 {
     std::string const usual{"Deadline-Ms: 1500"};
@@ -188,8 +113,10 @@
     CPPUNIT_TEST(a_server_that_reads_a_long_body_late_gets_all_of_it);
     CPPUNIT_TEST(a_caller_that_reads_a_stream_late_gets_all_of_it);
     CPPUNIT_TEST(a_caller_that_reads_a_last_response_late_gets_all_of_it);
+    CPPUNIT_TEST(a_caller_that_is_silent_around_a_streams_end_gets_all_of_it);
     CPPUNIT_TEST(a_stream_outlasts_the_silence_of_its_server);
     CPPUNIT_TEST(a_stream_at_a_silent_server_that_is_unlisted_ends);
+    CPPUNIT_TEST(a_stream_at_a_running_server_that_is_unlisted_goes_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr duration time_limit{30'000};
@@ -286,20 +213,43 @@
         CPPUNIT_ASSERT_EQUAL(body.size(), got.body.size());
     }
 
+    // Guards against a stream that is cut after its server has ended it, since
+    // its caller had acknowledged nothing for longer than was left of its time.
+    void a_caller_that_is_silent_around_a_streams_end_gets_all_of_it()
+    {
+        constexpr duration limit{14'000};
+        unreachable_plan plan;
+        plan.drops_packets = false;
+        plan.first_event = "data: " + std::string(100'000, 'x') + "\n\n";
+        fleet_site site;
+        prepare(site);
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
+        site.list_server("i-1", "llm", server.address());
+        site.wait_ready();
+        auto const got = read_late(
+            site,
+            with_time_limit(fleet_site::prompt("/chat/1", 500, 20), limit),
+            duration{9'500});
+        CPPUNIT_ASSERT(got.complete);
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan), got.body);
+    }
+
     // Guards against a stream that is cut because the path to its server loses
     // all packets for a while.
     void a_stream_outlasts_the_silence_of_its_server()
     {
         fleet_site site;
         prepare(site);
-        unreachable_server server{site.loop, std::chrono::milliseconds{5'000}};
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
         site.list_server("i-1", "llm", server.address());
         site.wait_ready();
         auto const got = site.send(with_time_limit(
             fleet_site::prompt("/chat/1", 500, 20), time_limit));
         CPPUNIT_ASSERT(got.complete);
-        CPPUNIT_ASSERT_EQUAL(
-            std::string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, got.body);
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan), got.body);
     }
 
     // Guards against a caller that waits until its deadline for a server whose
@@ -308,16 +258,51 @@
     {
         fleet_site site;
         prepare(site);
-        unreachable_server server{site.loop, std::chrono::minutes{1}};
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::minutes{1}, plan};
         site.list_server("i-1", "llm", server.address());
         site.wait_ready();
         auto const caller = site.begin(with_time_limit(
             fleet_site::prompt("/chat/1", 500, 20), time_limit));
         CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        server.drop_connects();
         site.store.put("servers", "i-1", std::nullopt);
         CPPUNIT_ASSERT(
             site.run_until([&] { return caller->end() != peer_end::open; }));
     }
+
+    // Guards against a stream that is cut because its server drains and its
+    // entry goes, while the path loses all packets of the stream's connection.
+    void a_stream_at_a_running_server_that_is_unlisted_goes_on()
+    {
+        fleet_site site;
+        prepare(site);
+        unreachable_plan plan;
+        unreachable_server server{site.loop, std::chrono::milliseconds{5'000},
+                                  plan};
+        site.list_server("i-1", "llm", server.address());
+        site.wait_ready();
+        auto const caller = site.begin(with_time_limit(
+            fleet_site::prompt("/chat/1", 500, 20), time_limit));
+        CPPUNIT_ASSERT(site.run_until([&] { return caller->has_input(); }));
+        site.store.put("servers", "i-1", std::nullopt);
+        boost::beast::http::response_parser<boost::beast::http::string_body>
+            parser;
+        parser.eager(true);
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                boost::system::error_code fault;
+                auto& input = caller->input();
+                input.consume(input.size() > 0 ? parser.put(input.data(), fault)
+                                               : 0);
+                caller->resume();
+                return parser.is_done() || caller->end() != peer_end::open;
+            }));
+        CPPUNIT_ASSERT(parser.is_done());
+        CPPUNIT_ASSERT_EQUAL(unreachable_server::body(plan),
+                             parser.get().body());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(silence_timeout_test);
