Name the servers in the records of streams

Callers saw a stream that goes on at another version than it began at (200 where 503 is due): its server had started again under its id with another version, the entry named the old one for a while, and the record of the stream was made meanwhile.

Cause: a record named only the version, as the entry had it. When the entry changed, only the router with the open request and the three routers it notified learned that the record was wrong; a row of the store, a row that a new process took over, the router's own memory of a request that was over, and the report of another router went on naming the old version.

Records now name the servers that a stream was sent to as well (a hash of the id; in rows and datagrams grouped by version and server, so 8 bytes a stream and server plus one head per group). Each router remembers for the lifetime of a stream which versions an id has named. Whoever resolves a resumption rejects a record that names a server whose entry names another version now, or has left the recorded one within that time, whoever made the record. A stream that went on at a second server is in the lists of both, and both have to hold: its caller may have events of either. A router also takes such records out of its own row, so that one that starts after the server has left does not find them, and reports them as uncertain, which no other report outweighs; before, an uncertain record was reported as none at all.

The format byte changes: rows and datagrams of an older release are errors, so their streams are unknown, not certain. The format is checked before anything else is decoded, as the lengths of another format may be any numbers; a row that cannot be decoded is reported once per version, not at each read.

Cost in resumptions: streams that were at the changed server before it started again are rejected too, once its entry has changed, as nothing tells them apart.

--- a/include/caperpath/fleet/stream_record.hpp
+++ b/include/caperpath/fleet/stream_record.hpp
@@ -22,9 +22,6 @@
 namespace caperpath::fleet
 {
 
-/// Streams by the version that began them.
-using streams_by_version = std::map<std::string, std::vector<stream_key>>;
-
 /// A caller may come back this long after its request's deadline.
 inline constexpr duration resumption_slack{2'000};
 
@@ -35,9 +32,10 @@
 class stream_records
 {
 public:
-    /// Records that a request for the stream is sent to a server of `version`.
-    /// Its caller waits until `deadline`.
-    void begin(stream_key stream, std::string const& version, instant deadline);
+    /// Records that a request for the stream is sent to a server. Its caller
+    /// waits until `deadline`.
+    void begin(stream_key stream, stream_source const& source,
+               instant deadline);
 
     /// Takes a record back, for a request that did not run. Returns false, and
     /// keeps it, if a row with the record may have been written: the stream may
@@ -51,8 +49,11 @@
     /// recorded later.
     void invalidate(stream_key stream, instant deadline);
 
+    /// The same for all streams whose versions are not certain by `history`.
+    void invalidate_uncertain(version_history const& history, instant now);
+
     /// Adds the records of the router that ran here before.
-    void inherit(streams_by_version const& streams, instant now);
+    void inherit(streams_by_source const& streams, instant now);
 
     /// The version of a stream that may be in a written row.
     std::optional<std::string> written_version(stream_key stream) const;
@@ -61,7 +62,7 @@
     bool has_changed() const;
 
     /// The row to write now. Its streams count as written from here on.
-    streams_by_version take_row(instant now);
+    streams_by_source take_row(instant now);
 
     /// Records that the row that was taken last may not have been written.
     void note_lost_row();
@@ -69,12 +70,14 @@
 private:
     struct record
     {
-        std::string version; ///< empty if it is not certain
+        stream_sources sources;
         instant until;
         bool written{false};
         bool uncertain{false};
     };
 
+    void make_uncertain(record& known);
+
     std::unordered_map<stream_key, record> records;
     bool changed{false};
 };
--- a/src/fleet/stream_record.cpp
+++ b/src/fleet/stream_record.cpp
@@ -18,19 +18,29 @@
 
 } // namespace
 
-void stream_records::begin(stream_key stream, std::string const& version,
+void stream_records::begin(stream_key stream, stream_source const& source,
                            instant deadline)
 {
     auto& found = this->records[stream];
     found.until = std::max(found.until, deadline + resumption_slack);
-    if (found.uncertain || found.version == version)
+    if (found.uncertain)
     {
         return;
     }
+    if (found.sources.version == source.version)
+    {
+        auto const added = add_server(found.sources, source.server);
+        this->changed = this->changed || added;
+        return;
+    }
     this->changed = true;
-    // A row that names another version may have been written.
-    found.uncertain = found.written;
-    found.version = found.uncertain ? "" : version;
+    if (found.written)
+    {
+        // A row that names another version may have been written.
+        this->make_uncertain(found);
+        return;
+    }
+    found.sources = {source.version, {source.server}};
 }
 
 bool stream_records::retract(stream_key stream)
@@ -62,19 +72,48 @@
 {
     auto& found = this->records[stream];
     found.until = std::max(found.until, deadline + resumption_slack);
-    found.uncertain = true;
-    this->changed = this->changed || !found.version.empty();
-    found.version.clear();
+    this->make_uncertain(found);
+}
+
+void stream_records::make_uncertain(record& known)
+{
+    known.uncertain = true;
+    this->changed = this->changed || !known.sources.version.empty();
+    known.sources = {};
 }
 
-void stream_records::inherit(streams_by_version const& streams, instant now)
+void stream_records::invalidate_uncertain(version_history const& history,
+                                          instant now)
 {
-    for (auto const& [version, keys] : streams)
+    for (auto& [stream, known] : this->records)
+    {
+        if (!known.uncertain && !is_certain(history, known.sources, now))
+        {
+            this->make_uncertain(known);
+        }
+    }
+}
+
+void stream_records::inherit(streams_by_source const& streams, instant now)
+{
+    for (auto const& [source, keys] : streams)
     {
         for (auto const key : keys)
         {
-            this->records.try_emplace(
-                key, record{version, now + stream_lifetime, true, false});
+            auto const [found, added] = this->records.try_emplace(
+                key, record{{source.version, {source.server}},
+                            now + stream_lifetime,
+                            true,
+                            false});
+            auto& known = found->second;
+            if (!added && known.sources.version == source.version)
+            {
+                add_server(known.sources, source.server);
+            }
+            else if (!added)
+            {
+                this->make_uncertain(known);
+            }
         }
     }
 }
@@ -84,7 +123,7 @@
 {
     auto const found = this->records.find(stream);
     return found != this->records.end() && found->second.written
-               ? std::optional{found->second.version}
+               ? std::optional{found->second.sources.version}
                : std::nullopt;
 }
 
@@ -93,7 +132,7 @@
     return this->changed;
 }
 
-streams_by_version stream_records::take_row(instant now)
+streams_by_source stream_records::take_row(instant now)
 {
     this->changed = false;
     std::erase_if(this->records, [now](auto const& entry)
@@ -102,7 +141,7 @@
     kept.reserve(this->records.size());
     for (auto const& [key, known] : this->records)
     {
-        if (!known.version.empty())
+        if (!known.sources.version.empty())
         {
             kept.emplace_back(known.until, key);
         }
@@ -116,12 +155,15 @@
                          { return a.first > b.first; });
         kept.erase(end, kept.end());
     }
-    streams_by_version row;
+    streams_by_source row;
     for (auto const& [until, key] : kept)
     {
         auto& known = this->records.at(key);
         known.written = true;
-        row[known.version].push_back(key);
+        for (auto const server : known.sources.servers)
+        {
+            row[{known.sources.version, server}].push_back(key);
+        }
     }
     return row;
 }
--- a/src/fleet/stream_version.cpp
+++ b/src/fleet/stream_version.cpp
@@ -17,37 +17,61 @@
     return stable_hash(customer.value + "\n" + std::string{first_attempt});
 }
 
-void stream_versions::note(stream_key stream, std::string const& version,
+server_key server_key_of(backend_server_id const& id)
+{
+    return stable_hash(id.value);
+}
+
+bool add_server(stream_sources& sources, server_key server)
+{
+    auto& all = sources.servers;
+    if (std::find(all.begin(), all.end(), server) != all.end())
+    {
+        return false;
+    }
+    all.push_back(server);
+    return true;
+}
+
+void stream_versions::note(stream_key stream, stream_source const& source,
                            instant now)
 {
     this->forget_old(now);
-    auto const [found, added] =
-        this->records.try_emplace(stream, record{version, now});
+    auto const [found, added] = this->records.try_emplace(
+        stream, record{{source.version, {source.server}}, now});
     if (!added)
     {
         auto& known = found->second;
-        known.version = known.version == version ? version : "";
         known.noted_at = now;
+        if (known.sources.version == source.version)
+        {
+            add_server(known.sources, source.server);
+        }
+        else
+        {
+            known.sources = {};
+        }
     }
     this->order.push_back({stream, now});
 }
 
-std::optional<std::string> stream_versions::find(stream_key stream,
-                                                 instant now) const
+std::optional<stream_sources> stream_versions::find(stream_key stream,
+                                                    instant now) const
 {
     auto const found = this->records.find(stream);
-    if (found == this->records.end() || found->second.version.empty() ||
+    if (found == this->records.end() || found->second.sources.version.empty() ||
         now - found->second.noted_at >= stream_lifetime)
     {
         return std::nullopt;
     }
-    return found->second.version;
+    return found->second.sources;
 }
 
 bool stream_versions::is_uncertain(stream_key stream, instant now) const
 {
     auto const found = this->records.find(stream);
-    return found != this->records.end() && found->second.version.empty() &&
+    return found != this->records.end() &&
+           found->second.sources.version.empty() &&
            now - found->second.noted_at < stream_lifetime;
 }
 
@@ -56,18 +80,21 @@
     this->records.erase(stream);
 }
 
-std::map<std::string, std::vector<stream_key>>
-stream_versions::all(instant now) const
+streams_by_source stream_versions::all(instant now) const
 {
-    std::map<std::string, std::vector<stream_key>> by_version;
+    streams_by_source by_source;
     for (auto const& [stream, known] : this->records)
     {
-        if (this->find(stream, now))
+        if (!this->find(stream, now))
+        {
+            continue;
+        }
+        for (auto const server : known.sources.servers)
         {
-            by_version[known.version].push_back(stream);
+            by_source[{known.sources.version, server}].push_back(stream);
         }
     }
-    return by_version;
+    return by_source;
 }
 
 void stream_versions::forget_old(instant now)
@@ -86,6 +113,42 @@
     }
 }
 
+namespace
+{
+
+void note_entry(version_history& history, server_entry const& entry,
+                instant now)
+{
+    history.last_seen[entry.service][entry.version] = now;
+    auto const [found, added] = history.servers.try_emplace(
+        server_key_of(entry.id), entry_versions{entry.version, now, {}});
+    auto& known = found->second;
+    if (known.latest != entry.version)
+    {
+        known.left_at[known.latest] = now;
+        known.latest = entry.version;
+    }
+    known.seen_at = now;
+}
+
+bool is_past(instant at, instant now)
+{
+    return now - at >= stream_lifetime;
+}
+
+void forget_old_entries(version_history& history, instant now)
+{
+    std::erase_if(history.servers, [now](auto const& entry)
+                  { return is_past(entry.second.seen_at, now); });
+    for (auto& [server, known] : history.servers)
+    {
+        std::erase_if(known.left_at, [now](auto const& left)
+                      { return is_past(left.second, now); });
+    }
+}
+
+} // namespace
+
 version_history note_versions(version_history history,
                               server_table const& table, instant now)
 {
@@ -97,20 +160,21 @@
     history.current_since = history.current_since.value_or(now);
     for (auto const& [id, target] : table.servers)
     {
-        history.last_seen[target.entry.service][target.entry.version] = now;
+        note_entry(history, target.entry, now);
     }
     for (auto& [service, versions] : history.last_seen)
     {
         std::erase_if(versions, [now](auto const& entry)
-                      { return now - entry.second >= stream_lifetime; });
+                      { return is_past(entry.second, now); });
     }
+    forget_old_entries(history, now);
     return history;
 }
 
 version_history note_version(version_history history, server_entry const& entry,
                              instant now)
 {
-    history.last_seen[entry.service][entry.version] = now;
+    note_entry(history, entry, now);
     return history;
 }
 
@@ -128,15 +192,44 @@
     return found->second.begin()->first;
 }
 
+bool is_certain(version_history const& history, stream_sources const& sources,
+                instant now)
+{
+    return std::none_of(
+        sources.servers.begin(), sources.servers.end(),
+        [&](server_key server)
+        {
+            auto const found = history.servers.find(server);
+            if (found == history.servers.end())
+            {
+                return false;
+            }
+            auto const& known = found->second;
+            auto const left = known.left_at.find(sources.version);
+            return known.latest != sources.version ||
+                   (left != known.left_at.end() && !is_past(left->second, now));
+        });
+}
+
 std::optional<std::string>
-version_to_resume(std::vector<stream_report> const& reports)
+version_to_resume(std::vector<stream_report> const& reports,
+                  version_history const& history, instant now)
 {
-    auto const agreed = [&reports](std::string stream_report::*of)
+    auto const proves_nothing = [&](stream_report const& report)
+    {
+        return report.uncertain || (!report.sources.version.empty() &&
+                                    !is_certain(history, report.sources, now));
+    };
+    if (std::any_of(reports.begin(), reports.end(), proves_nothing))
+    {
+        return std::nullopt;
+    }
+    auto const agreed = [&reports](auto const& version_of)
     {
         std::string version;
         for (auto const& report : reports)
         {
-            auto const& reported = report.*of;
+            std::string const& reported = version_of(report);
             if (!version.empty() && !reported.empty() && reported != version)
             {
                 return std::optional<std::string>{std::string{}};
@@ -145,10 +238,12 @@
         }
         return version.empty() ? std::nullopt : std::optional{version};
     };
-    auto version = agreed(&stream_report::version);
+    auto version = agreed([](stream_report const& report) -> std::string const&
+                          { return report.sources.version; });
     if (!version)
     {
-        version = agreed(&stream_report::only_version);
+        version = agreed([](stream_report const& report) -> std::string const&
+                         { return report.only_version; });
     }
     return version && version->empty() ? std::nullopt : version;
 }
--- a/src/gateway/packet_format.hpp
+++ b/src/gateway/packet_format.hpp
@@ -36,27 +36,30 @@
 }
 
 /// Fails with error `invalid` and `step` if the bytes are malformed or of
-/// another format. Thread safe.
+/// another format, of which nothing is read: its lengths may be any numbers.
+/// Thread safe.
 template <class Packet>
 result<Packet> decode_packet_of(std::uint8_t format, std::string const& bytes,
                                 char const* step)
 {
     Packet packet;
-    std::uint8_t found{};
     try
     {
         std::istringstream from{bytes};
         cereal::PortableBinaryInputArchive archive{from};
-        archive(found, packet);
+        std::uint8_t found{};
+        archive(found);
+        if (found != format)
+        {
+            return fail(
+                {error_kind::invalid, step, "router", "unknown format"});
+        }
+        archive(packet);
     }
     catch (std::exception const& fault)
     {
         return fail({error_kind::invalid, step, "router", fault.what()});
     }
-    if (found != format)
-    {
-        return fail({error_kind::invalid, step, "router", "unknown format"});
-    }
     return packet;
 }
 
--- a/src/gateway/requests/exchange_resume.cpp
+++ b/src/gateway/requests/exchange_resume.cpp
@@ -37,6 +37,12 @@
                                               : current.facts.id);
 }
 
+/// The server of the latest send.
+fleet::stream_source source_of(exchange const& current)
+{
+    return {current.server_version, fleet::server_key_of(current.running_at)};
+}
+
 } // namespace
 
 asio::awaitable<std::optional<rejection>> resume(exchange& current)
@@ -70,8 +76,7 @@
 {
     if (begins_resumable(current) &&
         current.shared.streams.note_send(key_of(current), current.work.service,
-                                         current.server_version,
-                                         current.deadline))
+                                         source_of(current), current.deadline))
     {
         current.work.version = current.server_version;
     }
@@ -120,7 +125,7 @@
     if (current.route->resumable && !current.server_version.empty())
     {
         current.shared.streams.note_stream(
-            key_of(current), current.work.service, current.server_version);
+            key_of(current), current.work.service, source_of(current));
     }
 }
 
--- a/src/gateway/requests/stream_packet.hpp
+++ b/src/gateway/requests/stream_packet.hpp
@@ -15,10 +15,10 @@
 namespace caperpath::gateway
 {
 
-/// Streams that one version began or continued.
+/// Streams that one server began or continued.
 struct version_note
 {
-    std::string version;
+    fleet::stream_source source;
     std::vector<fleet::stream_key> streams;
 
     friend bool operator==(version_note const&, version_note const&) = default;
@@ -55,8 +55,10 @@
                            stream_packet const&) = default;
 };
 
-/// This many streams fit in one datagram on usual links.
-inline constexpr std::size_t most_packet_streams = 100;
+/// The notes of `streams` in packets that fit in one datagram each on usual
+/// links. Thread safe.
+std::vector<stream_packet>
+note_packets(fleet::streams_by_source const& streams);
 
 /// True if `bytes` begin as an encoded packet of this kind. Thread safe.
 bool is_stream_packet(std::string const& bytes);
--- a/src/gateway/requests/stream_rows.cpp
+++ b/src/gateway/requests/stream_rows.cpp
@@ -138,6 +138,8 @@
     auto const at = this->now.now();
     this->listed = &servers;
     this->confirm(servers);
+    this->own.invalidate_uncertain(history, at);
+    this->write_soon();
     if (!this->read_once || !servers.store_reachable)
     {
         return;
--- a/src/gateway/requests/stream_rows.hpp
+++ b/src/gateway/requests/stream_rows.hpp
@@ -27,7 +27,7 @@
 struct stream_row_handlers
 {
     /// Records of streams were read.
-    std::function<void(fleet::streams_by_version const&)> on_streams;
+    std::function<void(fleet::streams_by_source const&)> on_streams;
 
     /// The service has several versions from now on.
     std::function<void(service_id const&)> on_several;
@@ -54,9 +54,10 @@
     /// Reads all rows; call once.
     void start();
 
-    /// Sets `server::version_confirmed`, and adds versions to the rows of their
-    /// services. Call it after each change of the list, and regularly. @pre
-    /// `servers` outlives this object.
+    /// Sets `server::version_confirmed`, adds versions to the rows of their
+    /// services, and removes records that are not certain any more. Call it
+    /// after each change of the list, and regularly. @pre `servers` outlives
+    /// this object.
     void note_servers(fleet::server_table& servers,
                       fleet::version_history const& history);
 
--- a/src/gateway/requests/stream_rows_calls.cpp
+++ b/src/gateway/requests/stream_rows_calls.cpp
@@ -34,12 +34,13 @@
            partition(fleet::stable_hash(vm) % stream_partitions);
 }
 
-std::string encode_row(fleet::streams_by_version const& streams)
+std::string encode_row(fleet::streams_by_source const& streams)
 {
     stream_packet packet;
-    for (auto const& [version, keys] : streams)
+    packet.notes.reserve(streams.size());
+    for (auto const& [source, keys] : streams)
     {
-        packet.notes.push_back({version, keys});
+        packet.notes.push_back({source, keys});
     }
     return encode(packet);
 }
@@ -152,13 +153,15 @@
             value_or_error([&row] { return decode_stream_packet(row.value); });
         if (auto const* fault = std::get_if<error>(&decoded))
         {
+            // Also a row of a release with another format.
+            seen = row.version;
             this->log.write_error(*fault);
             continue;
         }
-        fleet::streams_by_version streams;
+        fleet::streams_by_source streams;
         for (auto const& note : std::get<stream_packet>(decoded).notes)
         {
-            streams[note.version] = note.streams;
+            streams[note.source] = note.streams;
         }
         if (row.key == own_key && !this->read_once)
         {
--- a/src/gateway/requests/stream_version_exchange.cpp
+++ b/src/gateway/requests/stream_version_exchange.cpp
@@ -26,6 +26,11 @@
 /// this long; their deadlines are not known any more.
 constexpr duration longest_open_stream{15'000};
 
+bool has_record_of_stream(fleet::stream_report const& report)
+{
+    return report.uncertain || !report.sources.version.empty();
+}
+
 } // namespace
 
 stream_version_exchange::stream_version_exchange(
@@ -38,13 +43,13 @@
            std::move(vm),
            writes_per_s,
            log,
-           {[this](fleet::streams_by_version const& streams)
+           {[this](fleet::streams_by_source const& streams)
             {
-                for (auto const& [version, keys] : streams)
+                for (auto const& [source, keys] : streams)
                 {
                     for (auto const key : keys)
                     {
-                        this->known.note(key, version, this->now.now());
+                        this->known.note(key, source, this->now.now());
                     }
                 }
             },
@@ -90,14 +95,23 @@
     this->keep_own_elsewhere();
 }
 
+bool stream_version_exchange::is_certain(
+    fleet::stream_source const& source) const
+{
+    return fleet::is_certain(this->history, {source.version, {source.server}},
+                             this->now.now());
+}
+
 /// Streams that began before the second version may be resumed after it.
 void stream_version_exchange::keep_own_elsewhere()
 {
-    for (auto const& [version, streams] : this->own.all(this->now.now()))
+    for (auto const& [source, streams] : this->own.all(this->now.now()))
     {
+        auto const certain = this->is_certain(source);
         for (auto const stream : streams)
         {
-            this->keep_elsewhere(stream, version);
+            this->keep_elsewhere(stream,
+                                 certain ? source : fleet::stream_source{});
         }
     }
 }
@@ -105,12 +119,20 @@
 void stream_version_exchange::keep_in_store(service_id const& service)
 {
     auto const at = this->now.now();
-    for (auto const& [version, streams] : this->own.all(at))
+    for (auto const& [source, streams] : this->own.all(at))
     {
+        auto const certain = this->is_certain(source);
         for (auto const stream : streams)
         {
-            this->rows.records().begin(stream, version,
-                                       at + longest_open_stream);
+            auto const until = at + longest_open_stream;
+            if (certain)
+            {
+                this->rows.records().begin(stream, source, until);
+            }
+            else
+            {
+                this->rows.records().invalidate(stream, until);
+            }
         }
     }
     this->log.write(log_weight::notable, "stream_records",
@@ -119,14 +141,14 @@
 
 bool stream_version_exchange::note_send(fleet::stream_key stream,
                                         service_id const& service,
-                                        std::string const& version,
+                                        fleet::stream_source const& source,
                                         instant deadline)
 {
     if (!this->rows.has_several(service))
     {
         return false;
     }
-    this->rows.records().begin(stream, version, deadline);
+    this->rows.records().begin(stream, source, deadline);
     this->rows.write_soon();
     return true;
 }
@@ -146,38 +168,38 @@
                                          instant deadline)
 {
     auto const at = this->now.now();
-    this->known.note(stream, "", at);
-    this->own.note(stream, "", at);
-    this->keep_elsewhere(stream, "");
+    this->known.note(stream, {}, at);
+    this->own.note(stream, {}, at);
+    this->keep_elsewhere(stream, {});
     this->rows.records().invalidate(stream, deadline);
     this->rows.write_soon();
 }
 
 void stream_version_exchange::note_stream(fleet::stream_key stream,
                                           service_id const& service,
-                                          std::string const& version)
+                                          fleet::stream_source const& source)
 {
     auto const at = this->now.now();
-    this->known.note(stream, version, at);
-    this->own.note(stream, version, at);
+    this->known.note(stream, source, at);
+    this->own.note(stream, source, at);
     if (this->rows.has_several(service))
     {
-        this->rows.records().begin(stream, version, at + longest_open_stream);
+        this->rows.records().begin(stream, source, at + longest_open_stream);
         this->rows.write_soon();
     }
     if (!fleet::only_version(this->history, service, at))
     {
-        this->keep_elsewhere(stream, version);
+        this->keep_elsewhere(stream, source);
     }
 }
 
 void stream_version_exchange::keep_elsewhere(fleet::stream_key stream,
-                                             std::string const& version)
+                                             fleet::stream_source const& source)
 {
     auto const is_first = this->unsent.empty();
     for (auto const& keeper : fleet::keepers_of(stream, this->routers, keepers))
     {
-        this->unsent[keeper][version].push_back(stream);
+        this->unsent[keeper][source].push_back(stream);
     }
     if (is_first && !this->unsent.empty())
     {
@@ -187,22 +209,11 @@
 
 void stream_version_exchange::send_notes()
 {
-    for (auto const& [keeper, by_version] : std::exchange(this->unsent, {}))
+    for (auto const& [keeper, streams] : std::exchange(this->unsent, {}))
     {
-        for (auto const& [version, streams] : by_version)
+        for (auto const& packet : note_packets(streams))
         {
-            for (std::size_t at = 0; at < streams.size();
-                 at += most_packet_streams)
-            {
-                auto const end =
-                    std::min(streams.size(), at + most_packet_streams);
-                stream_packet packet;
-                packet.notes.push_back(
-                    {version,
-                     {streams.begin() + static_cast<std::ptrdiff_t>(at),
-                      streams.begin() + static_cast<std::ptrdiff_t>(end)}});
-                this->send(keeper, encode(packet));
-            }
+            this->send(keeper, encode(packet));
         }
     }
 }
@@ -212,8 +223,13 @@
                                    service_id const& service) const
 {
     auto const at = this->now.now();
-    return {this->known.find(stream, at).value_or(""),
-            fleet::only_version(this->history, service, at).value_or("")};
+    fleet::stream_report report{
+        this->known.find(stream, at).value_or(fleet::stream_sources{}),
+        fleet::only_version(this->history, service, at).value_or(""),
+        this->known.is_uncertain(stream, at)};
+    report.uncertain = report.uncertain ||
+                       !fleet::is_certain(this->history, report.sources, at);
+    return report;
 }
 
 /// A record of the stream comes first. Without one, the row of the service
@@ -225,20 +241,15 @@
                                   fleet::stream_key stream,
                                   service_id const& service) const
 {
-    if (this->known.is_uncertain(stream, this->now.now()))
-    {
-        return std::nullopt;
-    }
     auto reports = query.reports;
     reports.push_back(this->report_of(stream, service));
-    auto const has_record = std::any_of(reports.begin(), reports.end(),
-                                        [](fleet::stream_report const& report)
-                                        { return !report.version.empty(); });
+    auto const has_record =
+        std::any_of(reports.begin(), reports.end(), has_record_of_stream);
     if (!has_record && query.rows_read.value_or(false))
     {
         return this->rows.only_version(service);
     }
-    return fleet::version_to_resume(reports);
+    return fleet::version_to_resume(reports, this->history, this->now.now());
 }
 
 boost::asio::awaitable<std::optional<std::string>>
@@ -246,10 +257,11 @@
                               duration longest)
 {
     auto const asked_at = this->now.now();
-    auto const version = this->known.find(stream, asked_at);
-    if (version || this->known.is_uncertain(stream, asked_at))
+    auto const own_report = this->report_of(stream, service);
+    if (has_record_of_stream(own_report))
     {
-        co_return version;
+        co_return fleet::version_to_resume({own_report}, this->history,
+                                           asked_at);
     }
     auto const query = std::make_shared<open_query>();
     query->wakeup = std::make_shared<waker>(this->executor);
@@ -280,10 +292,9 @@
     };
     auto const has_record = [&]
     {
-        return this->known.find(stream, this->now.now()).has_value() ||
+        return has_record_of_stream(this->report_of(stream, service)) ||
                std::any_of(query->reports.begin(), query->reports.end(),
-                           [](fleet::stream_report const& report)
-                           { return !report.version.empty(); });
+                           has_record_of_stream);
     };
     while (!has_record() && this->now.now() < next_end())
     {
@@ -311,7 +322,7 @@
     {
         for (auto const stream : note.streams)
         {
-            this->known.note(stream, note.version, at);
+            this->known.note(stream, note.source, at);
         }
     }
     stream_packet replies;
--- a/src/gateway/requests/stream_version_exchange.hpp
+++ b/src/gateway/requests/stream_version_exchange.hpp
@@ -56,14 +56,14 @@
     /// Records a server that was listed.
     void note_server(fleet::server_entry const& entry);
 
-    /// Records that a stream of this router began or went on at `version`.
+    /// Records that a stream of this router began or went on at a server.
     void note_stream(fleet::stream_key stream, service_id const& service,
-                     std::string const& version);
+                     fleet::stream_source const& source);
 
-    /// Records that a request for the stream is sent to a server of `version`.
-    /// Returns true if it may be sent again only to this version.
+    /// Records that a request for the stream is sent to a server. Returns true
+    /// if it may be sent again only to its version.
     bool note_send(fleet::stream_key stream, service_id const& service,
-                   std::string const& version, instant deadline);
+                   fleet::stream_source const& source, instant deadline);
 
     /// Takes that back, as the request did not run. Returns false if it may
     /// still be sent only to the same version.
@@ -93,12 +93,14 @@
 
     fleet::stream_report report_of(fleet::stream_key stream,
                                    service_id const& service) const;
+    bool is_certain(fleet::stream_source const& source) const;
     void keep_own_elsewhere();
     void keep_in_store(service_id const& service);
     std::optional<std::string> conclude(open_query const& query,
                                         fleet::stream_key stream,
                                         service_id const& service) const;
-    void keep_elsewhere(fleet::stream_key stream, std::string const& version);
+    void keep_elsewhere(fleet::stream_key stream,
+                        fleet::stream_source const& source);
     void send_notes();
 
     boost::asio::any_io_executor executor;
@@ -110,9 +112,8 @@
     fleet::stream_versions known;
     fleet::stream_versions own; ///< streams that this router served
     stream_rows rows;
-    /// By router and version; sent together after a short time.
-    std::map<std::string, std::map<std::string, std::vector<fleet::stream_key>>>
-        unsent;
+    /// By router; sent together after a short time.
+    std::map<std::string, fleet::streams_by_source> unsent;
     std::map<std::uint64_t, std::shared_ptr<open_query>> queries;
     std::uint64_t last_query{};
     caperpath::clock now{caperpath::clock::monotonic()};
--- a/tests/fleet/resume_fleet.cpp
+++ b/tests/fleet/resume_fleet.cpp
@@ -1,12 +1,14 @@
 #include "fleet/resume_fleet.hpp"
 
+#include "fleet/resume_servers.hpp"
+
 #include <caperpath/fleet/stream_record.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -33,6 +35,8 @@
 {
     stream_key key{};
     std::string version;
+    std::string listed_version; ///< that the entries of its servers named
+    std::vector<int> servers;
     instant began;
     instant ends;
 };
@@ -42,7 +46,8 @@
 {
 public:
     resume_fleet(resume_scenario const& scenario, resume_way way)
-        : scenario{scenario}, way{way}, random{scenario.seed},
+        : scenario{scenario}, servers{scenario}, way{way},
+          random{scenario.seed}, losses{scenario.seed},
           records(static_cast<std::size_t>(scenario.routers))
     {
         auto const routers = static_cast<std::size_t>(scenario.routers);
@@ -54,13 +59,21 @@
         }
         this->rows.resize(routers);
         this->seen.resize(routers);
+        this->histories.resize(routers);
         this->next_end.resize(routers, scenario.killed);
     }
 
     resume_result run()
     {
+        auto const* step = &this->servers.running_at(instant{});
         for (instant now{}; now < this->scenario.killed; now = now + tick)
         {
+            auto const* const before =
+                std::exchange(step, &this->servers.running_at(now));
+            if (this->scenario.in_place && before != step)
+            {
+                this->restart_servers(*before, *step, now);
+            }
             for (std::size_t i = 0; i < this->open.size(); ++i)
             {
                 this->run_router(i, now);
@@ -76,42 +89,72 @@
                                                            most}(this->random);
     }
 
-    rollout_step const& step_at(instant now) const
+    static std::string by_hash(rollout_step const& step, stream_key key)
     {
-        auto const& all = this->scenario.rollout;
-        auto const next =
-            std::find_if(all.begin() + 1, all.end(),
-                         [now](auto const& step) { return step.at > now; });
-        return *(next - 1);
+        return version_at(step, static_cast<int>(key % resume_servers::count));
     }
 
-    static std::string by_hash(rollout_step const& step, stream_key key)
+    static std::string version_at(rollout_step const& step, int server)
     {
-        return static_cast<int>(key % whole) < step.percent ? step.newer
-                                                            : step.older;
+        return resume_servers::version_at(step, server);
     }
 
-    static std::set<std::string> versions_of(rollout_step const& step)
+    /// Streams at servers that start again go on at others of their version.
+    void restart_servers(rollout_step const& before, rollout_step const& step,
+                         instant now)
     {
-        std::set<std::string> versions;
-        if (step.percent > 0)
+        for (std::size_t i = 0; i < this->open.size(); ++i)
         {
-            versions.insert(step.newer);
+            auto const& listed = this->servers.listed_at(now - this->lags[i]);
+            auto const continues = [&](stream& each)
+            {
+                auto const at = each.servers.back();
+                if (version_at(before, at) == version_at(step, at))
+                {
+                    return true;
+                }
+                auto const next =
+                    static_cast<int>(this->draw(0, resume_servers::count - 1));
+                auto const fits = each.listed_version == each.version &&
+                                  version_at(step, next) == each.version &&
+                                  version_at(listed, next) == each.version;
+                if (fits)
+                {
+                    each.servers.push_back(next);
+                    this->record(i, each, now);
+                }
+                else
+                {
+                    this->records[i].end(each.key);
+                }
+                return fits;
+            };
+            std::erase_if(this->open[i],
+                          [&](stream& each) { return !continues(each); });
         }
-        if (step.percent < whole)
+    }
+
+    /// Records the latest server of a stream.
+    void record(std::size_t router, stream const& each, instant now)
+    {
+        if (this->set.versions.size() > 1)
         {
-            versions.insert(step.older);
+            this->records[router].begin(
+                each.key,
+                this->servers.source_of(each.servers.back(),
+                                        each.listed_version),
+                now + time_limit);
         }
-        return versions;
     }
 
     void run_router(std::size_t router, instant now)
     {
         auto const view = now - this->lags[router];
-        auto const& step = this->step_at(std::max(view, instant{}));
+        auto const& step = this->servers.listed_at(view);
         if (std::exchange(this->seen[router], &step) != &step)
         {
             this->note_versions(step, now);
+            this->note_servers(router, step, now);
         }
         if (now >= this->next_end[router])
         {
@@ -128,7 +171,7 @@
     /// The first router that sees a version adds it to the row.
     void note_versions(rollout_step const& step, instant now)
     {
-        auto const listed = versions_of(step);
+        auto const listed = resume_servers::versions_of(step);
         auto const had_several = this->set.versions.size() > 1;
         this->set.versions.insert(listed.begin(), listed.end());
         if (!had_several && this->set.versions.size() > 1)
@@ -137,6 +180,16 @@
         }
     }
 
+    void note_servers(std::size_t router, rollout_step const& step, instant now)
+    {
+        auto& history = this->histories[router];
+        history = this->servers.listed(std::move(history), step, now);
+        if (this->way != resume_way::versions)
+        {
+            this->records[router].invalidate_uncertain(history, now);
+        }
+    }
+
     void end_streams(std::size_t router, instant now)
     {
         auto& open = this->open[router];
@@ -161,8 +214,13 @@
         {
             for (auto const& each : this->open[i])
             {
-                this->records[i].begin(each.key, each.version,
-                                       now + time_limit);
+                for (auto const server : each.servers)
+                {
+                    this->records[i].begin(
+                        each.key,
+                        this->servers.source_of(server, each.listed_version),
+                        now + time_limit);
+                }
             }
         }
     }
@@ -177,15 +235,17 @@
             now +
             duration{std::min(static_cast<std::int64_t>(life(this->random)),
                               time_limit.ms)};
-        made.version = by_hash(
-            step, this->way == resume_way::hash ? made.key : this->random());
+        auto const server = static_cast<int>(
+            (this->way == resume_way::hash ? made.key : this->random()) %
+            resume_servers::count);
+        made.servers.push_back(server);
+        made.listed_version = version_at(step, server);
+        made.version = this->scenario.in_place
+                           ? version_at(this->servers.running_at(now), server)
+                           : made.listed_version;
         this->next_end[router] = std::min(this->next_end[router], made.ends);
         this->open[router].push_back(made);
-        if (this->set.versions.size() > 1)
-        {
-            this->records[router].begin(made.key, made.version,
-                                        now + time_limit);
-        }
+        this->record(router, made, now);
     }
 
     void write_row(std::size_t router, instant now)
@@ -197,9 +257,9 @@
         }
         this->next_row[router] = now + interval(this->scenario);
         auto row = records.take_row(now);
-        auto const is_lost =
-            now >= this->scenario.store_away ||
-            this->draw(1, whole) <= this->scenario.lost_percent;
+        auto const is_lost = now >= this->scenario.store_away ||
+                             std::uniform_int_distribution<int>{1, whole}(
+                                 this->losses) <= this->scenario.lost_percent;
         if (is_lost)
         {
             records.note_lost_row();
@@ -238,7 +298,11 @@
         auto const found = this->read.find(key);
         if (found != this->read.end())
         {
-            return found->second;
+            auto const& sources = found->second;
+            auto const proves_it =
+                this->way == resume_way::versions ||
+                is_certain(this->restarted, sources, this->scenario.killed);
+            return proves_it ? std::optional{sources.version} : std::nullopt;
         }
         return this->set.versions.size() == 1
                    ? std::optional{*this->set.versions.begin()}
@@ -254,6 +318,7 @@
         case resume_way::hash:
             return this->by_history(of.key, now);
         case resume_way::rows:
+        case resume_way::versions:
             break;
         }
         return this->by_rows(of.key);
@@ -263,14 +328,18 @@
     {
         for (auto const& row : this->rows)
         {
-            for (auto const& [version, keys] : row)
+            for (auto const& [source, keys] : row)
             {
                 for (auto const key : keys)
                 {
-                    this->read[key] = version;
+                    this->read[key].version = source.version;
+                    add_server(this->read[key], source.server);
                 }
             }
         }
+        auto const back = this->scenario.killed + this->scenario.down;
+        this->restarted =
+            this->servers.listed({}, this->servers.listed_at(back), back);
         resume_result result;
         for (auto const& open : this->open)
         {
@@ -278,7 +347,8 @@
             {
                 auto const now = this->scenario.killed + this->scenario.down +
                                  duration{this->draw(0, longest_return_ms)};
-                auto const there = versions_of(this->step_at(now));
+                auto const there =
+                    resume_servers::versions_of(this->servers.running_at(now));
                 if (now - each.began >= time_limit ||
                     !there.contains(each.version))
                 {
@@ -287,6 +357,11 @@
                 result.streams += 1;
                 auto const version = this->find(each, now);
                 result.resumed += version ? 1 : 0;
+                auto const undisturbed = this->servers.kept_version(
+                    each.servers, each.version,
+                    each.began - duration{longest_lag_ms}, now);
+                result.undisturbed += undisturbed ? 1 : 0;
+                result.undisturbed_resumed += undisturbed && version ? 1 : 0;
                 result.at_another_version +=
                     version && *version != each.version ? 1 : 0;
             }
@@ -295,16 +370,20 @@
     }
 
     resume_scenario const& scenario;
+    resume_servers servers;
     resume_way way;
     std::mt19937_64 random;
+    std::mt19937_64 losses; ///< so that all ways have the same streams
     std::vector<stream_records> records;
     std::vector<duration> lags;
     std::vector<rollout_step const*> seen; ///< by each router
     std::vector<instant> next_row;
     std::vector<instant> next_end; ///< of the first stream to end
     std::vector<std::vector<stream>> open;
-    std::vector<streams_by_version> rows;
-    std::unordered_map<stream_key, std::string> read;
+    std::vector<streams_by_source> rows;
+    std::vector<version_history> histories; ///< of each router
+    version_history restarted;              ///< of routers that came back
+    std::unordered_map<stream_key, stream_sources> read;
     version_set set;
 };
 
--- a/tests/fleet/resume_fleet.hpp
+++ b/tests/fleet/resume_fleet.hpp
@@ -13,9 +13,10 @@
 /// How a router that has just started finds the version of a stream.
 enum class resume_way
 {
-    memory, ///< from the routers that served it, which are gone
-    hash,   ///< from its id and the shares of the versions over time
-    rows    ///< from rows in the store
+    memory,  ///< from the routers that served it, which are gone
+    hash,    ///< from its id and the shares of the versions over time
+    rows,    ///< from rows in the store
+    versions ///< from rows that do not name servers
 };
 
 /// From `at` on, `percent` of the servers have version `newer`, and the others
@@ -35,6 +36,10 @@
     int streams_per_s{20};          ///< of each router
     std::int64_t writes_per_s{800}; ///< that the store takes
     std::vector<rollout_step> rollout;
+    /// Servers start again under their ids; their entries name the version
+    /// before for `entry_delay`.
+    bool in_place{false};
+    duration entry_delay{1'000};
     instant killed{40'000};
     duration down{2'000};
     /// Of the writes of rows, those that the store loses.
@@ -51,6 +56,8 @@
     int streams{};
     int resumed{};
     int at_another_version{};
+    int undisturbed{}; ///< whose servers kept their versions
+    int undisturbed_resumed{};
 };
 
 /// Plays the scenario.
--- a/tests/fleet/resume_fleet_test.cpp
+++ b/tests/fleet/resume_fleet_test.cpp
@@ -16,6 +16,10 @@
     CPPUNIT_TEST(most_streams_go_on_and_none_at_another_version);
     CPPUNIT_TEST(no_way_resumes_at_another_version);
     CPPUNIT_TEST(lost_rows_cost_resumptions_only);
+    CPPUNIT_TEST(
+        servers_that_start_again_under_their_ids_cost_resumptions_only);
+    CPPUNIT_TEST(a_stream_that_went_on_is_in_the_lists_of_both_servers);
+    CPPUNIT_TEST(a_server_that_changed_its_version_leaves_no_record);
     CPPUNIT_TEST(an_attempt_that_did_not_run_frees_the_version);
     CPPUNIT_TEST(a_written_record_fixes_the_version);
     CPPUNIT_TEST(conflicting_records_are_not_written);
@@ -24,6 +28,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int whole = 100;
+    static constexpr server_key server{7};
 
     static std::vector<std::vector<rollout_step>> rollouts()
     {
@@ -61,7 +66,8 @@
     /// Sums over seeds.
     static resume_result play_all(int routers,
                                   std::vector<rollout_step> const& rollout,
-                                  resume_way way, int lost_percent = 0)
+                                  resume_way way, int lost_percent = 0,
+                                  bool in_place = false)
     {
         resume_result sum;
         auto const seeds = routers > 100 ? 1 : 10;
@@ -70,10 +76,13 @@
             auto scenario =
                 scenario_of(routers, rollout, static_cast<std::uint64_t>(seed));
             scenario.lost_percent = lost_percent;
+            scenario.in_place = in_place;
             auto const one = play(scenario, way);
             sum.streams += one.streams;
             sum.resumed += one.resumed;
             sum.at_another_version += one.at_another_version;
+            sum.undisturbed += one.undisturbed;
+            sum.undisturbed_resumed += one.undisturbed_resumed;
         }
         return sum;
     }
@@ -127,17 +136,90 @@
         }
     }
 
+    // Guards against streams that go on at the version which a server's entry
+    // named before the server started again under its id, and against rejecting
+    // those of other servers for it.
+    void servers_that_start_again_under_their_ids_cost_resumptions_only()
+    {
+        for (auto const routers : {2, 8, 300})
+        {
+            auto without_servers = 0;
+            for (auto const& rollout : rollouts())
+            {
+                auto const rows =
+                    play_all(routers, rollout, resume_way::rows, 0, true);
+                auto const versions =
+                    play_all(routers, rollout, resume_way::versions, 0, true);
+                std::cout << routers << " routers, in place, " << rows.streams
+                          << " streams: rows " << rows.resumed << ", "
+                          << rows.undisturbed_resumed << " of "
+                          << rows.undisturbed << " undisturbed; versions "
+                          << versions.resumed << ", "
+                          << versions.at_another_version << " wrong, "
+                          << versions.undisturbed_resumed << " of "
+                          << versions.undisturbed << " undisturbed\n";
+                CPPUNIT_ASSERT(rows.undisturbed > 0);
+                CPPUNIT_ASSERT_EQUAL(0, rows.at_another_version);
+                CPPUNIT_ASSERT_EQUAL(versions.undisturbed, rows.undisturbed);
+                CPPUNIT_ASSERT(whole * rows.undisturbed_resumed >=
+                               99 * versions.undisturbed_resumed);
+                without_servers += versions.at_another_version;
+            }
+            CPPUNIT_ASSERT(without_servers > 0);
+        }
+    }
+
+    // Guards against a row that forgets where a stream was before it went on.
+    void a_stream_that_went_on_is_in_the_lists_of_both_servers()
+    {
+        stream_records records;
+        records.begin(1, {"v1", server}, instant{1'000});
+        static_cast<void>(records.take_row(instant{0}));
+        records.begin(1, {"v1", server + 1}, instant{1'000});
+        CPPUNIT_ASSERT(records.has_changed());
+        streams_by_source const both{{{"v1", server}, {1}},
+                                     {{"v1", server + 1}, {1}}};
+        CPPUNIT_ASSERT(records.take_row(instant{0}) == both);
+        stream_records next;
+        next.inherit(both, instant{0});
+        CPPUNIT_ASSERT(next.take_row(instant{0}) == both);
+    }
+
+    // Guards against a router that starts after the server has left, and cannot
+    // know that it changed.
+    void a_server_that_changed_its_version_leaves_no_record()
+    {
+        server_entry entry;
+        entry.id = {"i-1"};
+        entry.version = "v1";
+        auto const one = server_key_of(entry.id);
+        stream_records records;
+        records.begin(1, {"v1", one}, instant{1'000});
+        records.inherit({{{"v1", one}, {2}}, {{"v1", server}, {3}}},
+                        instant{0});
+        auto history = note_version({}, entry, instant{0});
+        records.invalidate_uncertain(history, instant{0});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             records.take_row(instant{0}).size());
+        entry.version = "v2";
+        history = note_version(std::move(history), entry, instant{0});
+        records.invalidate_uncertain(history, instant{0});
+        CPPUNIT_ASSERT(records.has_changed());
+        CPPUNIT_ASSERT(records.take_row(instant{0}) ==
+                       (streams_by_source{{{"v1", server}, {3}}}));
+    }
+
     // Guards against a request that is tied to the version of a server that
     // rejected it.
     void an_attempt_that_did_not_run_frees_the_version()
     {
         stream_records records;
-        records.begin(1, "v1", instant{1'000});
+        records.begin(1, {"v1", server}, instant{1'000});
         CPPUNIT_ASSERT(records.retract(1));
-        records.begin(1, "v2", instant{1'000});
+        records.begin(1, {"v2", server}, instant{1'000});
         auto const row = records.take_row(instant{0});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, row.size());
-        CPPUNIT_ASSERT(row.contains("v2"));
+        CPPUNIT_ASSERT(row.contains({"v2", server}));
     }
 
     // Guards against a stream that begins at one version while the store says
@@ -145,7 +227,7 @@
     void a_written_record_fixes_the_version()
     {
         stream_records records;
-        records.begin(1, "v1", instant{1'000});
+        records.begin(1, {"v1", server}, instant{1'000});
         static_cast<void>(records.take_row(instant{0}));
         CPPUNIT_ASSERT(!records.retract(1));
         CPPUNIT_ASSERT(records.written_version(1) ==
@@ -155,15 +237,15 @@
     void conflicting_records_are_not_written()
     {
         stream_records records;
-        records.begin(1, "v1", instant{1'000});
+        records.begin(1, {"v1", server}, instant{1'000});
         static_cast<void>(records.take_row(instant{0}));
-        records.begin(1, "v2", instant{1'000});
+        records.begin(1, {"v2", server}, instant{1'000});
         CPPUNIT_ASSERT(records.has_changed());
         CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
-        records.begin(2, "v1", instant{1'000});
+        records.begin(2, {"v1", server}, instant{1'000});
         records.invalidate(2, instant{1'000});
         CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
-        records.begin(2, "v1", instant{1'000});
+        records.begin(2, {"v1", server}, instant{1'000});
         CPPUNIT_ASSERT(records.take_row(instant{0}).empty());
     }
 
@@ -198,10 +280,11 @@
         stream_records records;
         for (stream_key key = 1; key <= max_row_streams + 10; ++key)
         {
-            records.begin(key, "v1", instant{static_cast<std::int64_t>(key)});
+            records.begin(key, {"v1", server},
+                          instant{static_cast<std::int64_t>(key)});
         }
         auto const row = records.take_row(instant{0});
-        CPPUNIT_ASSERT_EQUAL(max_row_streams, row.at("v1").size());
+        CPPUNIT_ASSERT_EQUAL(max_row_streams, row.at({"v1", server}).size());
     }
 };
 
--- a/tests/fleet/stream_version_test.cpp
+++ b/tests/fleet/stream_version_test.cpp
@@ -24,11 +24,16 @@
     CPPUNIT_TEST(an_outage_of_the_store_ends_the_certainty);
     CPPUNIT_TEST(reports_of_the_stream_come_first);
     CPPUNIT_TEST(contradicting_reports_prove_nothing);
+    CPPUNIT_TEST(a_server_that_changed_its_version_proves_nothing);
+    CPPUNIT_TEST(a_change_counts_for_a_stream_lifetime);
+    CPPUNIT_TEST(an_uncertain_report_proves_nothing);
+    CPPUNIT_TEST(a_stream_that_went_on_names_all_its_servers);
     CPPUNIT_TEST(the_loss_of_three_routers_leaves_a_keeper);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr instant start{1'000'000};
     static constexpr duration second{1'000};
+    static constexpr server_key server{7};
 
     static server_entry entry_of(std::string const& id,
                                  std::string const& version)
@@ -65,6 +70,12 @@
         return where ? std::optional{where->server.value} : std::nullopt;
     }
 
+    static std::optional<std::string>
+    resumed(std::vector<stream_report> const& reports)
+    {
+        return version_to_resume(reports, {}, start);
+    }
+
     /// The history after `span` with `table`, noted once a second.
     static version_history after(version_history history,
                                  server_table const& table, instant from,
@@ -92,9 +103,10 @@
     void streams_are_forgotten_after_their_lifetime()
     {
         stream_versions known;
-        known.note(1, "v1", start);
-        known.note(1, "v1", start + second);
-        CPPUNIT_ASSERT(known.find(1, start + stream_lifetime) == "v1");
+        known.note(1, {"v1", server}, start);
+        known.note(1, {"v1", server}, start + second);
+        CPPUNIT_ASSERT(known.find(1, start + stream_lifetime) ==
+                       (stream_sources{"v1", {server}}));
         CPPUNIT_ASSERT(!known.find(1, start + stream_lifetime + second));
         CPPUNIT_ASSERT(!known.find(2, start));
     }
@@ -103,9 +115,9 @@
     void conflicting_records_make_a_version_unknown()
     {
         stream_versions known;
-        known.note(1, "v1", start);
-        known.note(1, "v2", start);
-        known.note(1, "v2", start);
+        known.note(1, {"v1", server}, start);
+        known.note(1, {"v2", server}, start);
+        known.note(1, {"v2", server}, start);
         CPPUNIT_ASSERT(!known.find(1, start));
         CPPUNIT_ASSERT(known.all(start).empty());
     }
@@ -116,10 +128,11 @@
         stream_versions known;
         for (stream_key i = 0; i <= max_known_streams; ++i)
         {
-            known.note(i, "v1", start);
+            known.note(i, {"v1", server}, start);
         }
         CPPUNIT_ASSERT(!known.find(0, start));
-        CPPUNIT_ASSERT(known.all(start).at("v1").size() == max_known_streams);
+        CPPUNIT_ASSERT(known.all(start).at({"v1", server}).size() ==
+                       max_known_streams);
     }
 
     // Guards against resuming another customer's stream.
@@ -179,18 +192,74 @@
     // Guards against resuming at the version that serves now.
     void reports_of_the_stream_come_first()
     {
-        CPPUNIT_ASSERT(version_to_resume({{"", "v2"}, {"v1", ""}}) == "v1");
-        CPPUNIT_ASSERT(version_to_resume({{"", ""}, {"", "v2"}}) == "v2");
-        CPPUNIT_ASSERT(!version_to_resume({{"", ""}}));
-        CPPUNIT_ASSERT(!version_to_resume({}));
+        CPPUNIT_ASSERT(resumed({{{"", {}}, "v2"}, {{"v1", {}}, ""}}) == "v1");
+        CPPUNIT_ASSERT(resumed({{{"", {}}, ""}, {{"", {}}, "v2"}}) == "v2");
+        CPPUNIT_ASSERT(!resumed({{{"", {}}, ""}}));
+        CPPUNIT_ASSERT(!resumed({}));
     }
 
     // Guards against a lottery between routers that disagree.
     void contradicting_reports_prove_nothing()
     {
-        CPPUNIT_ASSERT(!version_to_resume({{"v1", ""}, {"v2", ""}}));
-        CPPUNIT_ASSERT(!version_to_resume({{"v1", "v1"}, {"v2", "v1"}}));
-        CPPUNIT_ASSERT(!version_to_resume({{"", "v1"}, {"", "v2"}}));
+        CPPUNIT_ASSERT(!resumed({{{"v1", {}}, ""}, {{"v2", {}}, ""}}));
+        CPPUNIT_ASSERT(!resumed({{{"v1", {}}, "v1"}, {{"v2", {}}, "v1"}}));
+        CPPUNIT_ASSERT(!resumed({{{"", {}}, "v1"}, {{"", {}}, "v2"}}));
+    }
+
+    // Guards against going on at the version that a server's entry named before
+    // the server started again under its id, whoever made the record.
+    void a_server_that_changed_its_version_proves_nothing()
+    {
+        auto const a = server_key_of({"a"});
+        auto const b = server_key_of({"b"});
+        auto history = note_version({}, entry_of("a", "v1"), start);
+        history = note_version(std::move(history), entry_of("b", "v1"), start);
+        CPPUNIT_ASSERT(is_certain(history, {"v1", {a, b}}, start));
+        history = note_version(std::move(history), entry_of("a", "v2"), start);
+        CPPUNIT_ASSERT(!is_certain(history, {"v1", {a}}, start));
+        CPPUNIT_ASSERT(!is_certain(history, {"v1", {b, a}}, start));
+        CPPUNIT_ASSERT(is_certain(history, {"v1", {b}}, start));
+        CPPUNIT_ASSERT(is_certain(history, {"v2", {a}}, start));
+        std::vector<stream_report> const reports{{{}, "v1"}, {{"v1", {a}}, ""}};
+        CPPUNIT_ASSERT(!version_to_resume(reports, history, start));
+    }
+
+    // Guards against a server that changes its version twice, and against ids
+    // that are remembered for ever.
+    void a_change_counts_for_a_stream_lifetime()
+    {
+        auto const a = server_key_of({"a"});
+        auto history = after({}, table_of({{"a", "v1"}}), start, second);
+        auto const changed = start + second;
+        history =
+            note_version(std::move(history), entry_of("a", "v2"), changed);
+        history =
+            note_version(std::move(history), entry_of("a", "v1"), changed);
+        auto const almost = changed + stream_lifetime - duration{1};
+        CPPUNIT_ASSERT(!is_certain(history, {"v1", {a}}, almost));
+        CPPUNIT_ASSERT(
+            is_certain(history, {"v1", {a}}, changed + stream_lifetime));
+        history = after(std::move(history), table_of({}),
+                        changed + stream_lifetime, second);
+        CPPUNIT_ASSERT(history.servers.empty());
+    }
+
+    // Guards against an uncertain record at one router that others overlook.
+    void an_uncertain_report_proves_nothing()
+    {
+        CPPUNIT_ASSERT(!resumed({{{}, "", true}, {{"v1", {}}, "v1"}}));
+        CPPUNIT_ASSERT(!resumed({{{}, "v1", true}}));
+    }
+
+    // Guards against forgetting where a stream was before it went on.
+    void a_stream_that_went_on_names_all_its_servers()
+    {
+        stream_versions known;
+        known.note(1, {"v1", 7}, start);
+        known.note(1, {"v1", 8}, start);
+        known.note(1, {"v1", 7}, start);
+        CPPUNIT_ASSERT(known.find(1, start) == (stream_sources{"v1", {7, 8}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, known.all(start).size());
     }
 
     // Guards against streams that nobody knows any more once the router that
