Silence paths and callers in the soak of configurations

What callers saw: streams cut around a new configuration, two at one router at a moment, "closed" or "reset", with no line of the router that names them. No run had shown it: the soak's links never went silent while the peer lived.

The soak now lets paths of a router (one server, all servers, or the store too) deliver nothing for 2 to 6 s, with a socket filter that drops all packets, so that the kernel acknowledges nothing; a fifth of the streams' callers drop all packets or read nothing for 2 to 6.5 s; routers are killed while a configuration comes into force. Callers wait 12 s. Streams that did not end with their last event are counted by what the log of their router says; a 5xx response counts as not served unless the router may reject the stream. Only streams at killed or stopping routers, relayed ones beside a kill, and those that have used up 70 % of their time are left out (before: all streams, once any router stops). A run goes on after a violation, so that runs are compared, and each guarantee's first violation is shown. Requests with too much time are passed over only if a path of their router was silent.

--- a/tests/soak/router_process.cpp
+++ b/tests/soak/router_process.cpp
@@ -135,6 +135,8 @@
     this->started = std::chrono::steady_clock::now();
     this->connections = 0;
     this->stopping = false;
+    this->killed = false;
+    this->starts += 1;
 }
 
 void router_process::signal(int number)
@@ -146,6 +148,14 @@
     }
 }
 
+void router_process::kill()
+{
+    this->killed = true;
+    this->signal(SIGKILL);
+    ::waitpid(this->pid, &this->status, 0);
+    this->pid = -1;
+}
+
 bool router_process::runs()
 {
     if (this->pid > 0 &&
--- a/tests/soak/router_process.hpp
+++ b/tests/soak/router_process.hpp
@@ -46,6 +46,9 @@
     /// Does nothing if the process has ended.
     void signal(int number);
 
+    /// Ends the process at once. @pre it runs.
+    void kill();
+
     /// Returns false once the process has ended; `exit_fault` then says how.
     bool runs();
 
@@ -58,6 +61,8 @@
     std::chrono::steady_clock::time_point started;
     std::int64_t connections{}; ///< accepted by this process from callers
     bool stopping{false};
+    bool killed{false}; ///< since the latest start
+    int starts{};
 
 private:
     void write_settings() const;
--- a/tests/soak/server_link.hpp
+++ b/tests/soak/server_link.hpp
@@ -25,6 +25,8 @@
     reset,   ///< open connections are reset, new ones are refused
     silent,  ///< nothing is delivered, new connections get no response
     one_way, ///< the same, but open connections still carry requests
+    /// As `silent`, and packets of the router get no acknowledgement.
+    unreachable,
 };
 
 /// The bandwidth that all links of one router share, in each direction. What
@@ -83,6 +85,7 @@
 
     void listen(int backlog);
     void fill_backlog();
+    void drop_all_packets();
     void accept();
     void begin(connection_ptr const& both);
     void read(connection_ptr const& both, bool responses);
@@ -106,6 +109,7 @@
     link_fault fault{link_fault::refuse};
     std::vector<std::weak_ptr<connection>> open;
     std::vector<std::unique_ptr<tcp::socket>> fillers;
+    asio::steady_timer settled; ///< acknowledgements have arrived
 };
 
 } // namespace caperpath::soak
