Leave a silent server only for one that was heard

What callers see: a resumable stream or a repeatable request is lost after some seconds if all paths of its router are silent, as behind a full link of its own.

Cause, found by a review by reading: a silent server is given up if another one may take the request, but a server that no connect has failed to yet counts as reachable. On a link that is silent as a whole each next server is as silent as the first.

Now another server must have been heard during the silence; if it was not, it is probed, and the attempt is given up once the probe reaches it. Besides, an attempt that was given up is not given up and charged again while its caller takes the rest of the output, and one whose request needs a lease of its probation stays.

--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -66,6 +66,7 @@
     bool accepts_nothing();
     bool may_be_retried();
     bool has_alternative();
+    bool reaches_alternative();
     bool give_up_in_silence();
     bool has_ended_in_silence() const;
     asio::awaitable<std::optional<fleet::attempt_outcome>> read_head();
@@ -115,6 +116,7 @@
     /// could have taken the request when it was sent.
     bool kernel_may_end{false};
     silence_watch silence;
+    std::shared_ptr<presence_result> alternative; ///< of another server
     bool crash_watched{false};
     /// Of a send to a brittle server whose outcome is not known yet.
     std::optional<send_permit> permit;
--- a/src/gateway/servers/server_call_silence.cpp
+++ b/src/gateway/servers/server_call_silence.cpp
@@ -2,8 +2,10 @@
 #include "gateway/servers/server_call.hpp"
 #include "gateway/servers/server_choice.hpp"
 #include "gateway/servers/timed_connect.hpp"
+#include "gateway/spawn.hpp"
 
 #include <algorithm>
+#include <memory>
 
 /// Attempts at servers that acknowledge nothing. The link may only be full, so
 /// silence ends an attempt only if the request can be sent to another server at
@@ -65,6 +67,40 @@
     return other && this->current.deadline - now > other->expected;
 }
 
+/// True if another server could respond to the request in time, and something
+/// was heard from it during the silence: this router's own link may be the one
+/// that is silent. One that was not heard is probed.
+bool server_call::reaches_alternative()
+{
+    auto& shared = this->current.shared;
+    auto const other = find_other_server(this->current, this->where.server);
+    auto const now = shared.now.now();
+    if (!other || this->current.deadline - now <= other->expected)
+    {
+        return false;
+    }
+    auto const& path = shared.servers.servers.at(other->server).path;
+    if (now - std::max(path.heard_at, path.connected_at) <
+        longest_usual_silence)
+    {
+        return true;
+    }
+    if (this->alternative && !this->alternative->presence)
+    {
+        return false; // its probe has no result yet
+    }
+    if (this->alternative &&
+        *this->alternative->presence == server_presence::running)
+    {
+        return true;
+    }
+    this->alternative = std::make_shared<presence_result>();
+    this->alternative->wakeup = this->current.wakeup;
+    spawn(shared.loop, find_presence(shared, other->server, this->alternative),
+          "find_presence", shared.log);
+    return false;
+}
+
 /// Call right before the send.
 void server_call::prepare_for_silence(std::size_t request_bytes)
 {
@@ -103,7 +139,8 @@
 {
     auto& shared = this->current.shared;
     // Charged now: other requests may need what is left of the limit, too.
-    this->given_up = this->may_be_retried() && this->has_alternative() &&
+    this->given_up = this->may_be_retried() && !forbids_send(this->current) &&
+                     this->reaches_alternative() &&
                      shared.retries.take(this->current.work.service,
                                          shared.membership.retry_sharers(),
                                          shared.boot_time.now());
@@ -113,6 +150,10 @@
 
 void server_call::check_silence()
 {
+    if (this->given_up)
+    {
+        return; // its caller has not taken all output yet
+    }
     if (this->kernel_may_end)
     {
         this->set_silence_timeout();
--- a/tests/gateway/silent_retry_test.cpp
+++ b/tests/gateway/silent_retry_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_last_attempt_outlasts_the_silence);
     CPPUNIT_TEST(a_request_beyond_the_limit_on_retries_outlasts_the_silence);
     CPPUNIT_TEST(requests_that_share_the_last_retry_are_all_served);
+    CPPUNIT_TEST(a_request_outlasts_the_silence_of_all_paths);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds silence{5'000};
@@ -173,6 +174,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{count}, count_served(site, count));
         CPPUNIT_ASSERT_EQUAL(count + 1, servers.requests());
     }
+
+    // The router's own link is silent. Guards against a request that is given
+    // up for another server which cannot be reached either.
+    void a_request_outlasts_the_silence_of_all_paths()
+    {
+        unreachable_plan plan;
+        patient_site site;
+        two_servers servers{site, silence, plan};
+        auto const caller = site.begin(read_request());
+        CPPUNIT_ASSERT(site.run_until([&] { return servers.requests() > 0; }));
+        auto& other =
+            servers.first.requests > 0 ? servers.second : servers.first;
+        other.drop_connects();
+        auto const text = [&]
+        {
+            auto const bytes = caller->input().data();
+            return std::string{static_cast<char const*>(bytes.data()),
+                               bytes.size()};
+        };
+        auto const is_whole = [&]
+        {
+            return text().ends_with(unreachable_server::body(plan));
+        };
+        CPPUNIT_ASSERT(site.run_until(
+            [&] { return is_whole() || caller->end() != peer_end::open; }));
+        CPPUNIT_ASSERT(is_whole());
+        CPPUNIT_ASSERT_EQUAL(1, servers.requests());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(silent_retry_test);
