Count a caller's silence from its first request, whatever came before

The timeout after a response counts from the request whose output the caller may not have acknowledged. Before the first request there is none, so output that is on its way then, such as an interim response, made it as long as the process runs. Found by reading; a dead caller was noticed later. No test shows it.

--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -303,9 +303,11 @@
                  {"status", std::to_string(current.status)}});
             co_return false;
         }
-        this->output_begins = this->caller->unacknowledged() == 0
-                                  ? current.arrived
-                                  : this->output_begins;
+        if (this->output_begins == instant{} ||
+            this->caller->unacknowledged() == 0)
+        {
+            this->output_begins = current.arrived;
+        }
         this->caller->set_silence_timeout(longest_silence);
         co_await serve(current);
         this->deadline = current.deadline;
