Read stream rows on after an exception in what waits for them

A waiter, or the log, that throws at the end of a read left the number of missing parts or the other waiters behind: stream rows were not read again until the next start, so that resumptions were rejected. Found by reading, as the rest of the class of "Go on after store calls that throw, and after callbacks that do"; no test makes them throw.

--- a/src/gateway/requests/stream_rows_calls.cpp
+++ b/src/gateway/requests/stream_rows_calls.cpp
@@ -1,10 +1,10 @@
 #include "gateway/requests/stream_packet.hpp"
 #include "gateway/requests/stream_rows.hpp"
 #include "gateway/run_after.hpp"
+#include "gateway/run_part.hpp"
 
 #include <caperpath/fleet/placement.hpp>
 
-#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -93,24 +93,19 @@
         [this, take = std::move(take)](
             std::variant<std::vector<store::row>, error> const& reply)
         {
-            if (auto const* fault = std::get_if<error>(&reply))
-            {
-                this->log.write_error(*fault);
-                this->end_part(true);
-                return;
-            }
-            auto failed = true;
-            try
-            {
-                take(std::get<std::vector<store::row>>(reply));
-                failed = false;
-            }
-            catch (std::exception const& fault)
-            {
-                this->log.write_error({error_kind::internal, "read stream rows",
-                                       "store", fault.what()});
-            }
-            this->end_part(failed);
+            auto const* const fault = std::get_if<error>(&reply);
+            auto const done =
+                run_part(this->log, "read stream rows",
+                         [&]
+                         {
+                             if (fault != nullptr)
+                             {
+                                 this->log.write_error(*fault);
+                                 return;
+                             }
+                             take(std::get<std::vector<store::row>>(reply));
+                         });
+            this->end_part(fault != nullptr || !done);
         });
 }
 
@@ -130,7 +125,8 @@
     }
     for (auto const& done : std::exchange(reading.waiting, {}))
     {
-        done(!reading.failed);
+        // The others wait for it, too.
+        run_part(this->log, "stream rows", [&] { done(!reading.failed); });
     }
     if (!this->waiting_for_next.empty())
     {
