Replace all forms of the allocation that a test lets fail

gateway.allocation_fault failed under sanitizers: memory that the sanitizer's form of `operator new` for `std::nothrow` had given (by `std::stable_sort`) was released by the test's `operator delete`. The test now has that form, too.

--- a/tests/gateway/allocation_fault_test.cpp
+++ b/tests/gateway/allocation_fault_test.cpp
@@ -30,6 +30,13 @@
     return memory;
 }
 
+// Without it, memory of the sanitizer's own would reach `operator delete`.
+[[gnu::noinline]] void* operator new(std::size_t size,
+                                     std::nothrow_t const& /*tag*/) noexcept
+{
+    return std::malloc(size);
+}
+
 [[gnu::noinline]] void operator delete(void* memory) noexcept
 {
     std::free(memory);
