--- a/src/gateway/nonthrowing_port.hpp
+++ b/src/gateway/nonthrowing_port.hpp
@@ -10,8 +10,8 @@
 
 /// Returns a port that makes the calls of `port`. A call that throws ends with
 /// an `internal` error, which the callback gets later on `executor`; a commit
-/// is then `unknown`. Code that continues at the end of a call so does after one
-/// that could not be made, too. No callback is called twice.
+/// is then `unknown`. Code that continues at the end of a call so does after
+/// one that could not be made, too. No callback is called twice.
 ///
 /// An exception of a callback is not caught.
 store::async_port
