--- a/tests/fleet/resume_fleet_test.cpp
+++ b/tests/fleet/resume_fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "fleet/resume_fleet.hpp"
+#include "fleet/resume_plays.hpp"
 
 #include <caperpath/fleet/stream_record.hpp>
 
@@ -16,8 +16,6 @@
     CPPUNIT_TEST(most_streams_go_on_and_none_at_another_version);
     CPPUNIT_TEST(no_way_resumes_at_another_version);
     CPPUNIT_TEST(lost_rows_cost_resumptions_only);
-    CPPUNIT_TEST(
-        servers_that_start_again_under_their_ids_cost_resumptions_only);
     CPPUNIT_TEST(a_stream_that_went_on_is_in_the_lists_of_both_servers);
     CPPUNIT_TEST(a_server_that_changed_its_version_leaves_no_record);
     CPPUNIT_TEST(an_attempt_that_did_not_run_frees_the_version);
@@ -30,63 +28,6 @@
     static constexpr int whole = 100;
     static constexpr server_key server{7};
 
-    static std::vector<std::vector<rollout_step>> rollouts()
-    {
-        std::vector<rollout_step> gradual{{instant{0}, "v1", "v2", 0}};
-        for (int percent = 10; percent <= whole; percent += 10)
-        {
-            gradual.push_back(
-                {instant{35'000 + percent * 100}, "v1", "v2", percent});
-        }
-        return {
-            {{instant{0}, "v1", "v2", 0}},
-            {{instant{0}, "v1", "v2", 0}, {instant{20'000}, "v1", "v2", 50}},
-            {{instant{0}, "v1", "v2", 0}, {instant{38'000}, "v1", "v2", 50}},
-            gradual,
-            {{instant{0}, "v1", "v2", 0},
-             {instant{30'000}, "v1", "v2", 60},
-             {instant{37'000}, "v1", "v2", 20}},
-        };
-    }
-
-    static resume_scenario scenario_of(int routers,
-                                       std::vector<rollout_step> const& rollout,
-                                       std::uint64_t seed)
-    {
-        constexpr int streams_in_large_fleets = 8;
-        resume_scenario made;
-        made.routers = routers;
-        made.streams_per_s = routers > 100 ? streams_in_large_fleets : 20;
-        made.writes_per_s = routers > 100 ? 4'000 : 800;
-        made.rollout = rollout;
-        made.seed = seed;
-        return made;
-    }
-
-    /// Sums over seeds.
-    static resume_result play_all(int routers,
-                                  std::vector<rollout_step> const& rollout,
-                                  resume_way way, int lost_percent = 0,
-                                  bool in_place = false)
-    {
-        resume_result sum;
-        auto const seeds = routers > 100 ? 1 : 10;
-        for (int seed = 1; seed <= seeds; ++seed)
-        {
-            auto scenario =
-                scenario_of(routers, rollout, static_cast<std::uint64_t>(seed));
-            scenario.lost_percent = lost_percent;
-            scenario.in_place = in_place;
-            auto const one = play(scenario, way);
-            sum.streams += one.streams;
-            sum.resumed += one.resumed;
-            sum.at_another_version += one.at_another_version;
-            sum.undisturbed += one.undisturbed;
-            sum.undisturbed_resumed += one.undisturbed_resumed;
-        }
-        return sum;
-    }
-
     // Guards against resumptions that are rejected for want of a record, and
     // against those that go on at another version.
     void most_streams_go_on_and_none_at_another_version()
@@ -136,39 +77,6 @@
         }
     }
 
-    // Guards against streams that go on at the version which a server's entry
-    // named before the server started again under its id, and against rejecting
-    // those of other servers for it.
-    void servers_that_start_again_under_their_ids_cost_resumptions_only()
-    {
-        for (auto const routers : {2, 8, 300})
-        {
-            auto without_servers = 0;
-            for (auto const& rollout : rollouts())
-            {
-                auto const rows =
-                    play_all(routers, rollout, resume_way::rows, 0, true);
-                auto const versions =
-                    play_all(routers, rollout, resume_way::versions, 0, true);
-                std::cout << routers << " routers, in place, " << rows.streams
-                          << " streams: rows " << rows.resumed << ", "
-                          << rows.undisturbed_resumed << " of "
-                          << rows.undisturbed << " undisturbed; versions "
-                          << versions.resumed << ", "
-                          << versions.at_another_version << " wrong, "
-                          << versions.undisturbed_resumed << " of "
-                          << versions.undisturbed << " undisturbed\n";
-                CPPUNIT_ASSERT(rows.undisturbed > 0);
-                CPPUNIT_ASSERT_EQUAL(0, rows.at_another_version);
-                CPPUNIT_ASSERT_EQUAL(versions.undisturbed, rows.undisturbed);
-                CPPUNIT_ASSERT(whole * rows.undisturbed_resumed >=
-                               99 * versions.undisturbed_resumed);
-                without_servers += versions.at_another_version;
-            }
-            CPPUNIT_ASSERT(without_servers > 0);
-        }
-    }
-
     // Guards against a row that forgets where a stream was before it went on.
     void a_stream_that_went_on_is_in_the_lists_of_both_servers()
     {
