--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -205,6 +205,23 @@
     return count;
 }
 
+void count_attempt(soak_site& site, request_kind kind, int router,
+                   std::int64_t began_ms, request_outcome const& how)
+{
+    auto const served = how.status == ok && how.whole;
+    // A used-up budget says nothing about paths.
+    if (how.status != budget_used_up && how.status != budget_low)
+    {
+        count_first_attempt(site, router,
+                            kind == request_kind::stream ? "llm" : "app",
+                            began_ms, served);
+    }
+    if (how.status != 0 && how.status != budget_used_up)
+    {
+        count_herd_attempt(site, router, began_ms, served);
+    }
+}
+
 /// Sends one request and reads its response. Returns true if the connection can
 /// be reused.
 asio::awaitable<bool> call(soak_site& site, router_connection& to, dice& draw,
@@ -277,19 +294,7 @@
     }
     check_prompt(site, request.id, request.fatal, how.status,
                  number_in(parser.get()["Retry-After"]));
-    // A used-up budget says nothing about paths.
-    if (how.status != budget_used_up && how.status != budget_low)
-    {
-        count_first_attempt(site, to.router,
-                            request.kind == request_kind::stream ? "llm"
-                                                                 : "app",
-                            began_ms, how.status == ok && how.whole);
-    }
-    if (how.status != 0 && how.status != budget_used_up)
-    {
-        count_herd_attempt(site, to.router, began_ms,
-                           how.status == ok && how.whole);
-    }
+    count_attempt(site, request.kind, to.router, began_ms, how);
     // In a silence the router may have closed a connection that was idle.
     co_return how.whole && !silent && parser.keep_alive();
 }
