Reject requests whose head leaves open where the body ends

Cause: the framing was left to Boost.Beast's parser, which ignores a transfer coding whose last member is not `chunked`: such a request has an empty body, and what follows is the next request. The head for the server is written anew without the field, so no server can notice. "gzip, chunked" and a coding beside a length change the body instead.

A fault gets 400 and the end of the connection; nothing behind it is read. It works because no byte behind a head is parsed before the head is known to be sound.

--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/session.hpp"
 
 #include "gateway/requests/exchange.hpp"
+#include "gateway/requests/parse_rejection.hpp"
 #include "gateway/requests/read_result.hpp"
 #include "gateway/run_after.hpp"
 #include "gateway/run_part.hpp"
@@ -9,7 +10,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -33,7 +33,6 @@
 constexpr std::size_t least_packet_bytes = 1'400;
 constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int request_timeout = 408;
-constexpr int header_too_large = 431;
 /// A caller that accepts no bytes of its response for this long after its
 /// deadline is treated as disconnected.
 constexpr duration output_timeout{500};
@@ -43,21 +42,6 @@
 constexpr duration max_drain_time{30'000};
 constexpr unsigned http_11 = 11;
 
-using request_parser = http::request_parser<http::string_body>;
-
-rejection parse_error_rejection(boost::system::error_code fault)
-{
-    if (fault == http::error::header_limit)
-    {
-        return {header_too_large, "header_too_large"};
-    }
-    if (fault == http::error::body_limit)
-    {
-        return {http_payload_too_large, "body_too_large"};
-    }
-    return {http_bad_request, "no_request"};
-}
-
 class caller_session
 {
 public:
@@ -207,7 +191,7 @@
         result.unread = this->unread_time();
         result.arrived = began - result.unread;
         auto const bounds = this->limits();
-        request_parser parser;
+        body_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
         parser.body_limit(bounds.body_bytes);
         parser.eager(true);
@@ -229,7 +213,7 @@
             if (fault && fault != http::error::need_more)
             {
                 result.end = read_end::rejected;
-                result.why = parse_error_rejection(fault);
+                result.why = parse_rejection(parser, fault);
                 co_return result;
             }
             if (parser.is_header_done() && !continued)
