--- a/include/caperpath/base/http_status.hpp
+++ b/include/caperpath/base/http_status.hpp
@@ -23,6 +23,14 @@
 inline constexpr int http_client_error = 400;
 inline constexpr int http_server_error = 500;
 
+/// True if a response with this status may end a request: an interim one does
+/// not, and other numbers are not defined by HTTP.
+constexpr bool is_final_status(int status)
+{
+    constexpr int first_undefined = 600;
+    return status >= http_ok && status < first_undefined;
+}
+
 constexpr bool is_success(int status)
 {
     constexpr int first_success = 200;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,8 +1,13 @@
 #include "http/server.hpp"
 
+#include "http/message_framing.hpp"
 #include "http/socket_stream.hpp"
 #include "http/worker_pool.hpp"
 
+#include <caperpath/base/http_status.hpp>
+#include <caperpath/observe/log.hpp>
+
+#include <array>
 #include <functional>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -53,6 +58,56 @@
     return known ? info.tcpi_unacked : 0;
 }
 
+/// True if the library gave up within the body of the current request of this
+/// thread: the rest of it is unread.
+thread_local bool left_within_body = false;
+
+/// After a fault within the chunks of a body the library would take the rest
+/// for the next request.
+void note_unread_body(httplib::Request const& request,
+                      httplib::Response& response)
+{
+    if (request.has_header("Transfer-Encoding") &&
+        (response.status == http_bad_request ||
+         response.status == http_payload_too_large))
+    {
+        left_within_body = true;
+        response.set_header("Connection", "close");
+    }
+}
+
+/// Makes the library reject `request` with 400 without reading its body: no
+/// handler has its method.
+void reject(httplib::Request& request, std::string_view why)
+{
+    observe::log_warning({"read_request", {}, request.remote_addr},
+                         "rejected: " + std::string{why});
+    request.method = "-";
+    request.headers.erase("Expect");
+    request.headers.erase("Connection");
+    request.set_header("Connection", "close");
+}
+
+/// Discards input until the sender disconnects or for a bounded time. Closing
+/// with unread bytes would reset the connection, and the response could be
+/// lost.
+void discard_input(socket_t socket)
+{
+    constexpr duration max_time{500};
+    auto const now = clock::monotonic();
+    auto const until = now.now() + max_time;
+    std::array<char, 4'096> discarded{};
+    ::shutdown(socket, SHUT_WR);
+    for (auto left = max_time; left > duration{0}; left = until - now.now())
+    {
+        if (!wait_readable(socket, left) ||
+            recv(socket, discarded.data(), discarded.size(), 0) <= 0)
+        {
+            return;
+        }
+    }
+}
+
 std::chrono::milliseconds to_chrono(duration span)
 {
     return std::chrono::milliseconds{span.ms};
@@ -81,6 +136,7 @@
     this->set_read_timeout(to_chrono(options.read_timeout));
     this->set_write_timeout(to_chrono(options.write_timeout));
     this->set_tcp_nodelay(true);
+    this->set_post_routing_handler(note_unread_body);
 }
 
 server::~server()
@@ -178,13 +234,30 @@
 {
     bool served = true;
     bool closed = false;
+    bool rejected = false;
+    left_within_body = false;
     socket_stream stream{socket, this->options.read_timeout,
                          this->options.write_timeout};
+    auto const check_framing = [&rejected, &stream](httplib::Request& request)
+    {
+        if (auto const why = find_request_fault(stream.message()))
+        {
+            rejected = true;
+            reject(request, *why);
+        }
+        stream.record_message(false);
+    };
     while (served && !closed &&
            (stream.has_buffered() || this->next_request(socket)))
     {
         bool const last = this->finishing;
-        served = this->process_request(stream, last, closed, nullptr);
+        stream.record_message(true);
+        served = this->process_request(stream, last, closed, check_framing) &&
+                 !rejected && !left_within_body;
+    }
+    if (rejected || left_within_body)
+    {
+        discard_input(socket);
     }
     ::shutdown(socket, SHUT_RDWR);
     ::close(socket);
--- a/src/http/socket_stream.cpp
+++ b/src/http/socket_stream.cpp
@@ -45,6 +45,17 @@
     return this->begin < this->end;
 }
 
+void socket_stream::record_message(bool on)
+{
+    this->recording = on;
+    this->recorded.clear();
+}
+
+std::string const& socket_stream::message() const
+{
+    return this->recorded;
+}
+
 bool socket_stream::is_readable() const
 {
     return this->has_buffered() ||
@@ -76,6 +87,10 @@
     auto const count = std::min(size, this->end - this->begin);
     std::memcpy(data, this->buffer.data() + this->begin, count);
     this->begin += count;
+    if (this->recording)
+    {
+        this->recorded.append(data, count);
+    }
     return static_cast<ssize_t>(count);
 }
 
--- a/src/http/socket_stream.hpp
+++ b/src/http/socket_stream.hpp
@@ -27,6 +27,13 @@
     /// start of a request that arrived together with the previous one.
     bool has_buffered() const;
 
+    /// Begins to record the bytes that are consumed, or stops it and forgets
+    /// them.
+    void record_message(bool on);
+
+    /// The bytes consumed since the recording began.
+    std::string const& message() const;
+
     bool is_readable() const override;
     bool is_writable() const override;
     ssize_t read(char* data, std::size_t size) override;
@@ -44,6 +51,8 @@
     std::array<char, buffer_size> buffer{};
     std::size_t begin{0}; ///< start of the unconsumed bytes
     std::size_t end{0};
+    bool recording{false};
+    std::string recorded;
 };
 
 /// Returns true once `socket` is readable or at its end; false after `bound`.
