Treat responses whose head leaves open where the body ends as broken off

Callers saw: a response with a transfer coding and a length as a signed success with as many bytes as the length says; other codings without a length as whole, without the coding. Also through another router, on kept connections, behind a response to another request; the store's responses were parsed as rows.

Cause: the same parser as for requests, and the same rewritten head.

Change: the parsers of servers' and the store's responses and of the listeners for readiness and metrics are message_parsers. A faulty response counts as broken off: 502 without the signature, or another server where the request may run twice; a line step=read_response names the server and the fault.

--- a/src/gateway/gateway_listeners.cpp
+++ b/src/gateway/gateway_listeners.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 #include "gateway/http_client.hpp"
+#include "gateway/message_parser.hpp"
 #include "gateway/relays/relay_session.hpp"
 #include "gateway/requests/session.hpp"
 #include "gateway/run_after.hpp"
@@ -205,15 +206,16 @@
     auto keep_open = true;
     while (keep_open)
     {
-        http::request<http::string_body> request;
+        request_parser<http::string_body> parser;
         stream.expires_after(status_timeout);
         co_await http::async_read(
-            stream, buffer, request,
+            stream, buffer, parser,
             asio::redirect_error(asio::use_awaitable, fault));
         if (fault)
         {
             co_return;
         }
+        auto const& request = parser.get();
         auto const status = is_metrics || this->ready()
                                 ? http::status::ok
                                 : http::status::service_unavailable;
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http_client.hpp"
 
+#include "gateway/message_parser.hpp"
 #include "gateway/run_after.hpp"
 
 #include <caperpath/base/stall_detector.hpp>
@@ -9,7 +10,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -181,7 +181,7 @@
     auto& cost = result.cost;
     boost::system::error_code fault;
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    response_parser<http::string_body> parser;
     parser.body_limit(max_response_bytes);
     stall_detector watch;
     while (!fault && !parser.is_done())
@@ -206,7 +206,10 @@
     }
     if (fault)
     {
-        result.detail = "read: " + fault.message() + " after " +
+        auto const framing = parser.fault();
+        auto const why =
+            framing ? std::string{to_text(*framing)} : fault.message();
+        result.detail = "read: " + why + " after " +
                         std::to_string(cost.bytes) + " bytes in " +
                         std::to_string(cost.total_time.ms) + " ms";
         co_return;
--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -27,7 +27,7 @@
 constexpr duration idle_margin{500};
 
 fleet::body_framing
-framing_of(http::response_parser<http::buffer_body> const& response)
+framing_of(response_parser<http::buffer_body> const& response)
 {
     if (response.need_eof())
     {
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -1,12 +1,12 @@
 #ifndef CAPERPATH_SRC_GATEWAY_SERVERS_SERVER_CALL_HPP
 #define CAPERPATH_SRC_GATEWAY_SERVERS_SERVER_CALL_HPP
 
+#include "gateway/message_parser.hpp"
 #include "gateway/requests/exchange.hpp"
 #include "gateway/servers/rejection_limiter.hpp"
 #include "gateway/servers/silence_watch.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -49,7 +49,7 @@
     bool exceeded_bounds() const;
 
 private:
-    using parser = http::response_parser<http::buffer_body>;
+    using parser = response_parser<http::buffer_body>;
 
     asio::awaitable<std::optional<fleet::attempt_outcome>> connect();
     std::optional<fleet::attempt_outcome> check_before_send();
@@ -85,6 +85,8 @@
     bool is_too_long() const;
     bool has_new_input() const;
     fleet::attempt_outcome end_over_bounds();
+    fleet::attempt_outcome
+    end_malformed(boost::system::error_code const& fault);
     void record_first_part();
     void release_connection();
     fleet::server* server();
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -45,6 +45,17 @@
     return attempt_outcome::in_doubt;
 }
 
+/// The connection may hold more bytes, which belong to no response.
+attempt_outcome
+server_call::end_malformed(boost::system::error_code const& fault)
+{
+    auto const framing = this->response->fault();
+    this->current.shared.log.write_error(
+        {error_kind::invalid, "read_response", this->where.server.value,
+         framing ? std::string{to_text(*framing)} : fault.message()});
+    return attempt_outcome::in_doubt;
+}
+
 /// True if the response goes on without end, as far as memory allows to wait
 /// for its end.
 bool server_call::is_too_long() const
@@ -117,7 +128,7 @@
             auto const endless = fault == http::error::header_limit ||
                                  fault == http::error::body_limit;
             return endless ? this->end_over_bounds()
-                           : attempt_outcome::in_doubt;
+                           : this->end_malformed(fault);
         }
         if (used == 0 && content.size == buffer.size())
         {
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -33,7 +33,7 @@
         http::make_chunk(asio::buffer(bytes)));
 }
 
-bool is_event_stream(http::response_parser<http::buffer_body> const& response)
+bool is_event_stream(response_parser<http::buffer_body> const& response)
 {
     auto const type = response.get()[http::field::content_type];
     return boost::beast::iequals(type.substr(0, type.find(';')),
