Fail calls of the chat router whose response is ambiguous

The class on the other body's clients (servers, store, load reports, command line): a coding beside a length, two lengths, a length that is not a number, a status outside 100 to 599. An interim response other than 100 was taken for the final one, with the final one as its body.

Change: each response head is checked before its body counts; a call with a faulty one fails as after a lost connection (it may have run).

An empty coding beside a length is not seen, since the library drops empty fields.

--- a/src/ctl/http_client.cpp
+++ b/src/ctl/http_client.cpp
@@ -1,5 +1,6 @@
 #include "ctl/http_client.hpp"
 
+#include "http/message_framing.hpp"
 #include "http/server.hpp"
 
 namespace caperpath::ctl
@@ -27,6 +28,11 @@
                               : client.Post(path, body, "application/json");
     if (response)
     {
+        if (auto const why = http::find_response_fault(*response))
+        {
+            return fail({error_kind::timeout, path, address,
+                         "malformed response: " + std::string{*why}});
+        }
         return http_response{response->status, response->body};
     }
     auto const unsent = response.error() == httplib::Error::Connection ||
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,5 +1,6 @@
 #include "http/exchange.hpp"
 
+#include "http/message_framing.hpp"
 #include "http/server.hpp"
 
 #include <httplib.h>
@@ -178,8 +179,15 @@
         this->running = client.get();
     }
     auto wire = to_httplib(request);
-    wire.response_handler = [this](httplib::Response const& response)
+    std::string malformed;
+    wire.response_handler =
+        [this, &malformed](httplib::Response const& response)
     {
+        if (auto const why = find_response_fault(response))
+        {
+            malformed = *why;
+            return false;
+        }
         return this->push({exchange_event::kind::head, response.status,
                            copy_headers(response.headers), "", true, ""});
     };
@@ -211,7 +219,7 @@
                 {},
                 "",
                 !provably_unsent(error),
-                httplib::to_string(error)});
+                malformed.empty() ? httplib::to_string(error) : malformed});
 }
 
 std::string header_value(headers const& all, std::string const& name)
--- a/src/router/load_poller.cpp
+++ b/src/router/load_poller.cpp
@@ -2,6 +2,7 @@
 
 #include <caperpath/base/http_status.hpp>
 
+#include "http/message_framing.hpp"
 #include "http/server.hpp"
 
 #include <httplib.h>
@@ -131,7 +132,8 @@
     client.set_connection_timeout(std::chrono::milliseconds{timeout_ms});
     client.set_read_timeout(std::chrono::milliseconds{timeout_ms});
     auto const response = client.Get("/load");
-    if (response && response->status == http_ok)
+    if (response && response->status == http_ok &&
+        !http::find_response_fault(*response))
     {
         controllers::send_load_report(this->controller,
                                       parse_load(id, response->body));
--- a/src/store/connection_pool.cpp
+++ b/src/store/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "store/connection_pool.hpp"
 
+#include "http/message_framing.hpp"
 #include "http/server.hpp"
 
 #include <chrono>
@@ -45,7 +46,10 @@
     };
     httplib::Response response;
     auto fault = httplib::Error::Success;
-    if (client->send(request, response, fault))
+    auto const sent = client->send(request, response, fault);
+    auto const malformed =
+        sent ? http::find_response_fault(response) : std::nullopt;
+    if (sent && !malformed)
     {
         this->give_back(std::move(client));
         return {exchange_state::complete, response.status,
@@ -54,7 +58,9 @@
     this->drop_idle();
     auto const state =
         never_sent(fault) ? exchange_state::unsent : exchange_state::lost;
-    return {state, 0, "", "http exchange: " + httplib::to_string(fault)};
+    return {state, 0, "",
+            "http exchange: " + (malformed ? std::string{*malformed}
+                                           : httplib::to_string(fault))};
 }
 
 std::unique_ptr<httplib::Client> connection_pool::take()
