Write the status of a response as a number

Cause: server_call::start_response built the head from Boost.Beast's enumerator, which is 0 for a number that the library has no name for. Retries, the check of failing servers, metrics and logs compare the number and were right.

Change: the head is built from the number. Numbers outside 100 to 599 are no statuses of HTTP, and callers read them in different ways: such a response counts as broken off (502 without the signature, or another server). Below 100 they were taken for interim responses.

--- a/include/caperpath/base/http_status.hpp
+++ b/include/caperpath/base/http_status.hpp
@@ -23,12 +23,20 @@
 inline constexpr int http_client_error = 400;
 inline constexpr int http_server_error = 500;
 
-/// True if a response with this status may end a request: an interim one does
-/// not, and other numbers are not defined by HTTP.
-constexpr bool is_final_status(int status)
+/// True if HTTP defines the class of this status. Recipients disagree about
+/// what any other number means.
+constexpr bool is_status(int status)
 {
+    constexpr int first = 100;
     constexpr int first_undefined = 600;
-    return status >= http_ok && status < first_undefined;
+    return status >= first && status < first_undefined;
+}
+
+/// True if a response with this status ends its request: an interim one does
+/// not.
+constexpr bool is_final_status(int status)
+{
+    return status >= http_ok && is_status(status);
 }
 
 constexpr bool is_success(int status)
--- a/src/gateway/message_parser.hpp
+++ b/src/gateway/message_parser.hpp
@@ -2,6 +2,7 @@
 #define CAPERPATH_SRC_GATEWAY_MESSAGE_PARSER_HPP
 
 #include <caperpath/base/http_framing.hpp>
+#include <caperpath/base/http_status.hpp>
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -38,8 +39,9 @@
 }
 
 /// A parser that fails at the end of the head if the framing of the message is
-/// ambiguous. Boost.Beast ignores transfer codings that it does not know, so it
-/// would take the body for the next message. Not thread safe.
+/// ambiguous or its status is not one of HTTP. Boost.Beast ignores transfer
+/// codings that it does not know, so it would take the body for the next
+/// message. Not thread safe.
 template <bool IsRequest, class Body>
 class message_parser : public http::parser<IsRequest, Body>
 {
@@ -54,10 +56,21 @@
 private:
     void on_header_impl(boost::system::error_code& failure) override
     {
+        failure = {};
+        if constexpr (!IsRequest)
+        {
+            if (!is_status(static_cast<int>(this->get().result_int())))
+            {
+                failure = http::error::bad_status;
+                return;
+            }
+        }
         this->found =
             find_framing_fault(framing_fields_of<IsRequest>(this->get()));
-        failure = this->found ? http::error::bad_transfer_encoding
-                              : boost::system::error_code{};
+        if (this->found)
+        {
+            failure = http::error::bad_transfer_encoding;
+        }
     }
 
     std::optional<framing_fault> found;
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -120,7 +120,9 @@
 void server_call::start_response(bool chunked)
 {
     auto const& from = this->response->get();
-    http::response<http::empty_body> head{from.result(), 11};
+    http::response<http::empty_body> head;
+    // Not as an enumerator: most numbers have none.
+    head.result(from.result_int());
     head.reason(from.reason());
     for (auto const& field : from)
     {
