Write the method of a request as text

Cause: as for statuses, the head was built from the enumerator. gateway.message_rebuild: failed before (502 where the server's 200 is due), passes now with QUERY, PROPFIND, M-SEARCH, X-TRY and post.

--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -161,8 +161,10 @@
     auto const now = shared.now.now();
     this->sent_at = now;
     this->current.sent_after = now - this->current.arrived;
-    http::request<http::empty_body> head{this->current.request.method(),
-                                         this->current.request.target(), 11};
+    http::request<http::empty_body> head;
+    // Not as an enumerator: most methods have none.
+    head.method_string(this->current.request.method_string());
+    head.target(this->current.request.target());
     for (auto const& field : this->current.request)
     {
         head.insert(field.name(), field.name_string(), field.value());
