End responses without a body at their head

Callers saw: a HEAD request got 504 at its deadline although its server had responded; 204 with a length, which HTTP forbids; 304 with the length 0.

Cause: where a response ends depends on the method and the status. The parser was not told the method, and the head for the caller got the length of the bytes that were read.

Change: the parser skips the body of a response to HEAD; a response without a body keeps the server's length (none with 204) and gets no chunks.

--- a/src/gateway/servers/server_call.cpp
+++ b/src/gateway/servers/server_call.cpp
@@ -142,7 +142,7 @@
     this->current.step = "relay";
     auto const events =
         this->current.route->kind == fleet::request_kind::streaming &&
-        this->response->get().result_int() == http_ok;
+        this->response->get().result_int() == http_ok && !this->has_no_body();
     if (this->current.response_started && !events)
     {
         // Part of a stream was already sent; another head cannot follow.
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -71,6 +71,8 @@
     bool has_ended_in_silence() const;
     asio::awaitable<std::optional<fleet::attempt_outcome>> read_head();
     std::optional<fleet::attempt_outcome> evaluate_head();
+    void expect_response();
+    bool has_no_body() const;
     asio::awaitable<fleet::attempt_outcome> relay_whole();
     asio::awaitable<fleet::attempt_outcome> relay_events();
     std::optional<fleet::attempt_outcome> parse_input();
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -177,11 +177,18 @@
     return interim || foreign;
 }
 
-asio::awaitable<std::optional<attempt_outcome>> server_call::read_head()
+void server_call::expect_response()
 {
-    auto skipping = false;
     this->response = std::make_unique<parser>();
     this->response->body_limit(max_buffered_response);
+    // Its fields describe the body that GET would get.
+    this->response->skip(this->current.request.method() == http::verb::head);
+}
+
+asio::awaitable<std::optional<attempt_outcome>> server_call::read_head()
+{
+    auto skipping = false;
+    this->expect_response();
     while (true)
     {
         if (auto const fault = this->parse_input())
@@ -206,8 +213,7 @@
                 skipping = false;
                 this->skipped += least_response;
                 this->facts = {};
-                this->response = std::make_unique<parser>();
-                this->response->body_limit(max_buffered_response);
+                this->expect_response();
                 continue;
             }
         }
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -27,6 +27,9 @@
 /// Events hold a few tokens each.
 constexpr std::size_t max_event = 1024ULL * 1024;
 
+constexpr unsigned no_content = 204;
+constexpr unsigned not_modified = 304;
+
 std::string chunk(std::string const& bytes)
 {
     return boost::beast::buffers_to_string(
@@ -117,6 +120,14 @@
     co_return attempt_outcome::responded;
 }
 
+/// True if the response ends with its head, whatever its fields say.
+bool server_call::has_no_body() const
+{
+    auto const status = this->response->get().result_int();
+    return this->current.request.method() == http::verb::head ||
+           status == no_content || status == not_modified;
+}
+
 void server_call::start_response(bool chunked)
 {
     auto const& from = this->response->get();
@@ -143,7 +154,17 @@
         this->current.caller->send(head_text(head));
         return;
     }
-    head.set(http::field::content_length, std::to_string(this->body.size()));
+    if (!this->has_no_body())
+    {
+        head.set(http::field::content_length,
+                 std::to_string(this->body.size()));
+    }
+    else if (auto const length = this->response->content_length();
+             length && from.result_int() != no_content)
+    {
+        // Of the body that is not sent.
+        head.set(http::field::content_length, std::to_string(*length));
+    }
     this->current.caller->send(head_text(head) + this->body);
 }
 
