Drop the fields behind a chunked body

Callers and servers saw fields of the trailer as fields of the head: a request ran for the customer whose key stood behind its last chunk, with a second Request-Id; an order that had run was answered 503 ("not run") because of a Not-Executed behind its response; a second signature reached the caller. It depended on how the bytes were split into packets.

Cause: Boost.Beast stores both in one container. Change: message_parser takes fields only until the head is complete.

--- a/src/gateway/message_parser.hpp
+++ b/src/gateway/message_parser.hpp
@@ -54,6 +54,18 @@
     }
 
 private:
+    /// The fields behind the last chunk may contradict the head, which was
+    /// acted on before they arrived: they are dropped.
+    void on_field_impl(http::field name, boost::beast::string_view text,
+                       boost::beast::string_view value,
+                       boost::system::error_code&) override
+    {
+        if (!this->is_header_done())
+        {
+            this->get().insert(name, text, value);
+        }
+    }
+
     void on_header_impl(boost::system::error_code& failure) override
     {
         failure = {};
