Send no chunks to callers of HTTP/1.0

Callers of HTTP/1.0 saw chunk sizes within their events, and a stream that broke off ended in order, which is how a complete one ends for them.

Cause: each response was framed for HTTP/1.1. Change: such a caller gets the events as they are; the end of the connection ends them, and a reset shows that a part is missing. 100 Continue is not sent to it.

--- a/src/gateway/requests/exchange.hpp
+++ b/src/gateway/requests/exchange.hpp
@@ -102,8 +102,12 @@
     std::int64_t possible_deliveries{}; ///< sends that may have arrived
     fleet::event_splitter events;
     bool response_started{false};
-    duration reserve_wait{}; ///< time spent on reserving tokens
-    duration unread{};       ///< how long it had waited when it was read
+    /// The caller knows no chunks: the end of its connection ends the response,
+    /// and only a reset shows that a part is missing.
+    bool ends_with_connection{false};
+    bool response_complete{false}; ///< all of it was handed to the connection
+    duration reserve_wait{};       ///< time spent on reserving tokens
+    duration unread{};             ///< how long it had waited when it was read
     std::optional<duration> sent_after; ///< of the latest send, from `arrived`
     /// Bytes of the latest send that were still here when its attempt ended.
     std::size_t left_unsent{};
--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -75,7 +75,7 @@
         this->shared.sessions.erase(this->wakeup.get());
         this->shared.callers.erase(this->caller.get());
         this->caller->set_waker(nullptr);
-        this->caller->close();
+        this->caller->close(this->cut_off);
         if (thrown)
         {
             std::rethrow_exception(thrown);
@@ -252,7 +252,8 @@
     void send_continue(caller_request const& head)
     {
         auto const expects = head[http::field::expect];
-        if (boost::beast::iequals(expects, "100-continue"))
+        if (head.version() == http_11 &&
+            boost::beast::iequals(expects, "100-continue"))
         {
             this->caller->send(continue_line);
         }
@@ -294,6 +295,8 @@
         }
         this->caller->set_silence_timeout(longest_silence);
         co_await serve(current);
+        this->cut_off =
+            current.ends_with_connection && !current.response_complete;
         this->deadline = current.deadline;
         // The kernel counts from the first byte without acknowledgement.
         this->caller->set_silence_timeout(
@@ -363,6 +366,8 @@
     instant output_begins{}; ///< earlier output is acknowledged
     /// Input that was not read may follow the rejection that was sent.
     bool rejected_early{false};
+    /// A part is missing of a response that ends with its connection.
+    bool cut_off{false};
 };
 
 } // namespace
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -27,6 +27,7 @@
 /// Events hold a few tokens each.
 constexpr std::size_t max_event = 1024ULL * 1024;
 
+constexpr unsigned http_11 = 11;
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
 
@@ -148,6 +149,12 @@
     }
     this->current.response_started = true;
     this->current.status = static_cast<int>(from.result_int());
+    if (chunked && this->current.request.version() < http_11)
+    {
+        this->current.ends_with_connection = true;
+        this->current.caller->send(head_text(head));
+        return;
+    }
     if (chunked)
     {
         head.set(http::field::transfer_encoding, "chunked");
@@ -197,7 +204,8 @@
     {
         this->start_response(true);
     }
-    this->current.caller->send(chunk(part));
+    this->current.caller->send(
+        this->current.ends_with_connection ? part : chunk(part));
 }
 
 void server_call::drop_incomplete_event()
@@ -288,7 +296,11 @@
     {
         this->start_response(true);
     }
-    this->current.caller->send(last_chunk());
+    if (!this->current.ends_with_connection)
+    {
+        this->current.caller->send(last_chunk());
+    }
+    this->current.response_complete = true;
     this->reusable =
         this->response->keep_alive() && this->connection->input().size() == 0;
     co_return attempt_outcome::responded;
