Reject requests that state a single fact twice

Servers got both values of Request-Id, Token-Count, Model-Name, Prefix-Hash and the like, while the router had read and charged the first; fields named by a second Connection field were passed on, in both directions.

Cause: a lookup gives the first field of a name, and all are copied.

--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -274,6 +274,11 @@
             result.end = read_end::rejected;
             result.why = {http_unavailable, "internal_error"};
         }
+        if (result.end == read_end::whole && current.facts.is_ambiguous)
+        {
+            result.end = read_end::rejected;
+            result.why = {http_bad_request, "repeated_field"};
+        }
         current.keep_connection = current.request.keep_alive() &&
                                   current.request.version() == http_11 &&
                                   result.end == read_end::whole;
