Resume no stream at a version that only an isolated router knows

Reported by other operators: during a release one router was cut off or stood still while servers of a new version joined; streams that began there through other routers were resumed at it, at another version.

Cause: if the rows of the store could not be read, the only version that the router had listed decided, also if no other router had replied. It learns within seconds that the store is away, not at once.

Change: without the rows, what routers have seen counts only if with the one that asks a majority of those asked replied. A stream that goes on without it could have begun at a version that none of them has listed.

--- a/include/caperpath/fleet/stream_version.hpp
+++ b/include/caperpath/fleet/stream_version.hpp
@@ -173,6 +173,12 @@
 version_to_resume(std::vector<stream_report> const& reports,
                   version_history const& history, instant now);
 
+/// True if enough of the `asked` routers replied that their reports count
+/// without a row of the store: with the one that asks they are a majority.
+/// Fewer may all be cut off from a version that the others have seen. Thread
+/// safe.
+bool is_majority(std::size_t replied, std::size_t asked);
+
 /// At most `most` of `routers` that keep the versions of `stream`, the same at
 /// each router that knows the same others. Thread safe.
 std::vector<std::string> keepers_of(stream_key stream,
--- a/src/fleet/stream_version.cpp
+++ b/src/fleet/stream_version.cpp
@@ -248,6 +248,11 @@
     return version && version->empty() ? std::nullopt : version;
 }
 
+bool is_majority(std::size_t replied, std::size_t asked)
+{
+    return 2 * (replied + 1) > asked + 1;
+}
+
 std::vector<std::string> keepers_of(stream_key stream,
                                     std::vector<std::string> const& routers,
                                     std::size_t most)
--- a/src/gateway/requests/stream_version_exchange.cpp
+++ b/src/gateway/requests/stream_version_exchange.cpp
@@ -36,7 +36,7 @@
 stream_version_exchange::stream_version_exchange(
     boost::asio::any_io_executor const& executor, sender send,
     store::async_port port, std::string vm, std::int64_t writes_per_s,
-    decision_log& log)
+    decision_log& log, caperpath::clock now)
     : executor{executor}, timer{executor}, send{std::move(send)}, log{log},
       rows{executor,
            std::move(port),
@@ -56,7 +56,8 @@
             [this](service_id const& service)
             {
                 this->keep_in_store(service);
-            }}}
+            }}},
+      now{std::move(now)}
 {
 }
 
@@ -235,7 +236,8 @@
 /// A record of the stream comes first. Without one, the row of the service
 /// decides, as it was read after the stream began; what routers have seen
 /// counts only if it could not be read, since they may not have seen each
-/// version yet.
+/// version yet, and only if most of them replied: one that is cut off from the
+/// others and the store sees no new version.
 std::optional<std::string>
 stream_version_exchange::conclude(open_query const& query,
                                   fleet::stream_key stream,
@@ -249,6 +251,10 @@
     {
         return this->rows.only_version(service);
     }
+    if (!has_record && !fleet::is_majority(query.reports.size(), query.asked))
+    {
+        return std::nullopt;
+    }
     return fleet::version_to_resume(reports, this->history, this->now.now());
 }
 
@@ -269,6 +275,7 @@
     this->queries[number] = query;
     auto const asked = fleet::keepers_of(stream, this->routers, most_asked);
     stream_packet packet;
+    query->asked = asked.size();
     packet.queries.push_back({number, stream, service});
     auto const bytes = encode(packet);
     for (auto const& router : asked)
--- a/src/gateway/requests/stream_version_exchange.hpp
+++ b/src/gateway/requests/stream_version_exchange.hpp
@@ -38,7 +38,8 @@
 
     stream_version_exchange(boost::asio::any_io_executor const& executor,
                             sender send, store::async_port port, std::string vm,
-                            std::int64_t writes_per_s, decision_log& log);
+                            std::int64_t writes_per_s, decision_log& log,
+                            caperpath::clock now = clock::monotonic());
 
     /// Reads what the store knows; call once.
     void start();
@@ -88,6 +89,7 @@
     {
         waker_ptr wakeup;
         std::vector<fleet::stream_report> reports;
+        std::size_t asked{};           ///< other routers
         std::optional<bool> rows_read; ///< empty while they are being read
     };
 
@@ -116,7 +118,7 @@
     std::map<std::string, fleet::streams_by_source> unsent;
     std::map<std::uint64_t, std::shared_ptr<open_query>> queries;
     std::uint64_t last_query{};
-    caperpath::clock now{caperpath::clock::monotonic()};
+    caperpath::clock now;
 };
 
 } // namespace caperpath::gateway
