--- a/src/gateway/protocol_adapter.hpp
+++ b/src/gateway/protocol_adapter.hpp
@@ -40,6 +40,8 @@
     /// The caller's attempt that brought the first event of the stream that
     /// this request resumes; empty if not stated.
     std::string resumes;
+    /// The counts of tokens were sent, and are not numbers.
+    bool has_unreadable_size{false};
     /// A field that states one fact was sent more than once.
     bool is_ambiguous{false};
 
--- a/src/gateway/requests/exchange.cpp
+++ b/src/gateway/requests/exchange.cpp
@@ -175,6 +175,10 @@
     current.traits = fleet::traits_of(
         current.facts.shared_parts,
         current.customer != nullptr ? current.customer->id : customer_id{});
+    if (route.has_prompt && current.facts.has_unreadable_size)
+    {
+        co_return rejection{http_bad_request, "unreadable_size"};
+    }
     if (route.has_prompt)
     {
         current.work.shared_part = current.facts.shared_part;
