--- a/include/caperpath/fleet/warm_up.hpp
+++ b/include/caperpath/fleet/warm_up.hpp
@@ -27,7 +27,7 @@
 };
 
 /// How far the rate may exceed `warm_up_limit::per_second` in any second: by
-/// this factor and so many requests more. Immutable value.
+/// this factor and a fixed number of requests. Immutable value.
 struct warm_up_tolerance
 {
     double factor{1.0};
--- a/src/fleet/send_limit.cpp
+++ b/src/fleet/send_limit.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr double ms_per_second = 1'000.0;
-/// A server that takes fewer is treated like one that takes so many.
+/// Lower bound of a limit; smaller ones are raised to it.
 constexpr double least_per_second = 0.01;
 
 double interval_ms(double per_second)
