--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-python3 - standins-2/*.py [6-9]/*.py <<'PY'
+python3 - standins-2/*.py [6-9]/*.py 10/*.py <<'PY'
 import ast
 import sys
 
--- a/review/standins-2/plain_server.py
+++ b/review/standins-2/plain_server.py
@@ -4,8 +4,9 @@
 It runs as many requests at once as it has slots and sheds the others as the
 pages show it: 503 with `Not-Executed`. With `second_answers` it is faulty: some
 of its rejections it sends once more on their channel, late, at the point where
-the next response is expected. With `queue` that many requests wait for a slot
-before their bodies are read.
+the next response is expected. With `spoils` it is faulty, too: in place of some
+of its answers it sends other bytes. With `queue` that many requests wait for a
+slot before their bodies are read.
 """
 
 import asyncio
@@ -19,6 +20,8 @@
 BEAT_S = 1.2
 SHED = http_text.message("HTTP/1.1 503 Service Unavailable",
                          {"Not-Executed": 1, "Content-Length": 0})
+SPOILED = http_text.message("HTTP/1.1 200 OK", {"Content-Length": 7},
+                            b"spoiled")
 
 
 class Server:
@@ -28,7 +31,7 @@
         self.waiting = 0
         self.running = 0
         self.answers = 0
-        self.second_answers = 0
+        self.spoiled = 0
         self.born_ms = int(time.time() * 1000)
         self.record = open(settings["record"], "a", buffering=1)
 
@@ -52,10 +55,10 @@
                 [["servers", self.settings["id"], json.dumps(entry)]])
             await asyncio.sleep(BEAT_S)
 
-    def may_send_again(self):
+    def may_spoil(self, how):
         """Whether it may spoil another answer: no more than the given share."""
-        share = self.settings.get("second_answers", 0)
-        return self.second_answers + 1 <= share * self.answers
+        share = self.settings.get(how, 0)
+        return self.spoiled + 1 <= share * self.answers
 
     async def serve(self, reader, writer):
         late = b""
@@ -117,8 +120,8 @@
             self.note("sheds", request=request)
             writer.write(SHED)
             await writer.drain()
-            if not late and self.may_send_again():
-                self.second_answers += 1
+            if not late and self.may_spoil("second_answers"):
+                self.spoiled += 1
                 return SHED
             return late
         self.running += 1
@@ -131,7 +134,12 @@
             await asyncio.sleep(self.settings["work_ms"] / 1000)
         finally:
             self.running -= 1
-        self.write_done(request, writer)
+        if self.may_spoil("spoils"):
+            self.spoiled += 1
+            self.note("spoils", request=request)
+            writer.write(SPOILED)
+        else:
+            self.write_done(request, writer)
         await writer.drain()
         return b""
 
