--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Checks the stand-ins of the cases 6 to 10. They are Python scripts, so there
+# Checks the stand-ins of the cases 6 to 8. They are Python scripts, so there
 # is nothing to compile: this fails if Python is too old or one is malformed.
 set -euo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-python3 - standins-2/*.py [6-9]/*.py 10/*.py <<'PY'
+python3 - standins-2/*.py [6-8]/*.py <<'PY'
 import ast
 import sys
 
