Pass on no success without the server's signature

Cause: the adapter read whether a response is signed and nothing used it.

No other head came, so what servers really say still counts.

Change: fleet::judge_origin decides from the head whether a response is that of the server to this request. One that is not ends the attempt in doubt: 502, or another server where the request may be repeated or resumed. The connection is closed, the server gets a failure, its hints are not used.

--- a/include/caperpath/base/http_status.hpp
+++ b/include/caperpath/base/http_status.hpp
@@ -9,8 +9,10 @@
 inline constexpr int http_unauthorized = 401;
 inline constexpr int http_payment_required = 402;
 inline constexpr int http_not_found = 404;
+inline constexpr int http_request_timeout = 408;
 inline constexpr int http_conflict = 409;
 inline constexpr int http_payload_too_large = 413;
+inline constexpr int http_misdirected = 421;
 inline constexpr int http_unprocessable = 422;
 inline constexpr int http_too_many = 429;
 inline constexpr int http_internal_error = 500;
@@ -46,6 +48,14 @@
     return status >= first_success && status < first_redirect;
 }
 
+/// True if callers take this status for proof that the request has not run and
+/// never will.
+constexpr bool promises_not_run(int status)
+{
+    return status == http_request_timeout || status == http_misdirected ||
+           status == http_too_many || status == http_unavailable;
+}
+
 } // namespace caperpath
 
 #endif
--- a/src/gateway/protocol_adapter.hpp
+++ b/src/gateway/protocol_adapter.hpp
@@ -66,8 +66,9 @@
 /// The content of the head of a response. Immutable value.
 struct response_facts
 {
-    std::string request_id; ///< the request it answers; empty if not stated
-    bool is_signed{false};
+    /// The request it answers; empty if not stated. Several ids name none.
+    std::string request_id;
+    bool is_signed{false};    ///< by a single signature
     bool not_run{false};      ///< the server states that it did not run it
     bool wrong_server{false}; ///< another server has the address now
     std::optional<fleet::load_report> load;
--- a/src/gateway/requests/dispatch.cpp
+++ b/src/gateway/requests/dispatch.cpp
@@ -165,10 +165,24 @@
 {
     attempt_outcome outcome{};
     bool lost_connection{false}; ///< and it is not known why
-    bool exceeded_bounds{false};
+    response_fault fault{response_fault::none};
     bool may_have_room_soon{false}; ///< nothing was sent
 };
 
+std::string_view name_of(attempt_end const& ended)
+{
+    switch (ended.fault)
+    {
+    case response_fault::too_long:
+        return "response_too_long";
+    case response_fault::unproven:
+        return "response_unproven";
+    case response_fault::none:
+        break;
+    }
+    return name_of(ended.outcome);
+}
+
 void record_attempt(exchange& current, fleet::placement const& where,
                     attempt_end const& ended)
 {
@@ -188,18 +202,17 @@
     if (found != shared.servers.servers.end() && counts_as_run(end) &&
         end != attempt_outcome::expired && !ended.lost_connection)
     {
-        fleet::note_failure(found->second, ended.exceeded_bounds,
+        fleet::note_failure(found->second,
+                            ended.fault == response_fault::too_long,
                             shared.now.now());
     }
-    shared.log.write(
-        log_weight::notable, "attempt",
-        {{"request", current.facts.id},
-         {"server", where.server.value},
-         {"version", current.server_version},
-         {"outcome", std::string{ended.exceeded_bounds ? "response_too_long"
-                                                       : name_of(end)}},
-         {"expected_ms", std::to_string(where.expected.ms)},
-         {"sends", std::to_string(current.attempts.sends)}});
+    shared.log.write(log_weight::notable, "attempt",
+                     {{"request", current.facts.id},
+                      {"server", where.server.value},
+                      {"version", current.server_version},
+                      {"outcome", std::string{name_of(ended)}},
+                      {"expected_ms", std::to_string(where.expected.ms)},
+                      {"sends", std::to_string(current.attempts.sends)}});
 }
 
 asio::awaitable<attempt_end> run_attempt(exchange& current,
@@ -216,9 +229,9 @@
         current.permits_denied += call.was_denied() ? 1 : 0;
         ended.may_have_room_soon =
             call.was_denied() && current.permits_denied < most_permits_denied;
-        ended.exceeded_bounds = call.exceeded_bounds();
+        ended.fault = call.fault();
         ended.lost_connection = ended.outcome == attempt_outcome::in_doubt &&
-                                !ended.exceeded_bounds &&
+                                ended.fault == response_fault::none &&
                                 call.lost_connection();
     }
     if (!ended.may_have_room_soon)
--- a/src/gateway/requests/session.cpp
+++ b/src/gateway/requests/session.cpp
@@ -32,7 +32,6 @@
 /// Input of more than this size may have come in several packets.
 constexpr std::size_t least_packet_bytes = 1'400;
 constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int request_timeout = 408;
 /// A caller that accepts no bytes of its response for this long after its
 /// deadline is treated as disconnected.
 constexpr duration output_timeout{500};
@@ -238,7 +237,7 @@
             if (this->now() >= until)
             {
                 result.end = read_end::rejected;
-                result.why = {request_timeout, "slow_request"};
+                result.why = {http_request_timeout, "slow_request"};
                 co_return result;
             }
             static_cast<void>(co_await this->wait(
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -6,6 +6,8 @@
 #include "gateway/servers/rejection_limiter.hpp"
 #include "gateway/servers/silence_watch.hpp"
 
+#include <caperpath/fleet/response_origin.hpp>
+
 #include <boost/beast/http/buffer_body.hpp>
 
 #include <memory>
@@ -22,6 +24,14 @@
     instant since{};
 };
 
+/// Why what a server sent cannot be the response to the request.
+enum class response_fault
+{
+    none,
+    too_long, ///< it exceeded the bounds on its size
+    unproven  ///< its head does not show that it comes from the request's run
+};
+
 /// One attempt of a request at one server: sends it, reads the response and
 /// relays it to the caller. Loop thread only; used for a single attempt.
 class server_call
@@ -45,8 +55,8 @@
     /// True if the server may have no room for the request at the moment.
     bool was_denied() const;
 
-    /// True if the response exceeded the bounds on its size.
-    bool exceeded_bounds() const;
+    /// What was wrong with the response that ended the attempt.
+    response_fault fault() const;
 
 private:
     using parser = response_parser<http::buffer_body>;
@@ -77,7 +87,7 @@
     asio::awaitable<fleet::attempt_outcome> relay_events();
     std::optional<fleet::attempt_outcome> parse_input();
     std::optional<fleet::attempt_outcome> early_end();
-    bool must_skip_response();
+    fleet::response_origin judge_response();
     void start_response(bool chunked);
     void relay_part(std::string const& part);
     void record_gap();
@@ -87,6 +97,7 @@
     bool is_too_long() const;
     bool has_new_input() const;
     fleet::attempt_outcome end_over_bounds();
+    fleet::attempt_outcome end_unproven();
     fleet::attempt_outcome
     end_malformed(boost::system::error_code const& fault);
     void record_first_part();
@@ -104,7 +115,7 @@
     std::size_t unparsed{};      ///< of the input when the parser needed more
     std::size_t received{};      ///< and parsed
     std::size_t counted_bytes{}; ///< of `body`, in `core::buffered_bytes`
-    bool over_bounds{false};
+    response_fault found{response_fault::none};
     instant sent_at{};
     std::optional<instant> first_part_at;
     instant latest_part_at{}; ///< @pre `first_part_at`
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -16,6 +16,7 @@
 {
 
 using fleet::attempt_outcome;
+using fleet::response_origin;
 
 constexpr std::uint64_t max_buffered_response = 16ULL * 1024 * 1024;
 /// With the headers of chunks.
@@ -31,17 +32,30 @@
 /// What a skipped response counts for beside its body.
 constexpr std::size_t least_response = 1'024;
 constexpr std::size_t parse_buffer_size = 16'384;
-constexpr int first_final_status = 200;
+
 } // namespace
 
-bool server_call::exceeded_bounds() const
+response_fault server_call::fault() const
 {
-    return this->over_bounds;
+    return this->found;
 }
 
 attempt_outcome server_call::end_over_bounds()
 {
-    this->over_bounds = true;
+    this->found = response_fault::too_long;
+    return attempt_outcome::in_doubt;
+}
+
+/// The response to the request could still follow, but nothing shows that it
+/// will, and the caller would wait for it until its deadline.
+attempt_outcome server_call::end_unproven()
+{
+    this->found = response_fault::unproven;
+    this->current.shared.log.write_error(
+        {error_kind::invalid, "read_response", this->where.server.value,
+         "status " + std::to_string(this->response->get().result_int()) +
+             (this->facts.is_signed ? "" : " without a signature") +
+             (this->facts.request_id.empty() ? " and without an id" : "")});
     return attempt_outcome::in_doubt;
 }
 
@@ -157,24 +171,28 @@
     return std::nullopt;
 }
 
-/// True if the response is interim or belongs to another request: a server may
-/// respond twice to an earlier request of this connection, and that response
-/// must not be taken for this one.
-bool server_call::must_skip_response()
+/// Whose response it is, by its head: a server may respond twice to an earlier
+/// request of this connection, and that response must not be taken for this
+/// one.
+response_origin server_call::judge_response()
 {
     auto const& head = this->response->get();
     this->facts =
         this->current.shared.adapter.read_response(head, head.result_int());
-    auto const interim = head.result_int() < first_final_status;
-    auto const foreign = !this->facts.request_id.empty() &&
-                         this->facts.request_id != this->current.facts.id;
-    if ((interim || foreign) && this->facts.leaves)
+    auto const& id = this->facts.request_id;
+    auto const names_this = !id.empty() && id == this->current.facts.id;
+    auto const origin = fleet::judge_origin(
+        {static_cast<int>(head.result_int()), this->facts.is_signed, names_this,
+         !id.empty() && !names_this, this->facts.not_run});
+    auto const is_skipped = origin == response_origin::interim ||
+                            origin == response_origin::other_request;
+    if (is_skipped && this->facts.leaves)
     {
         note_response(this->current.shared,
                       {this->where.server, this->facts, this->sent_at,
                        this->current.relay});
     }
-    return interim || foreign;
+    return origin;
 }
 
 void server_call::expect_response()
@@ -197,11 +215,17 @@
         }
         if (this->response->is_header_done())
         {
-            skipping = skipping || this->must_skip_response();
-            if (!skipping)
+            auto const origin = skipping ? response_origin::other_request
+                                         : this->judge_response();
+            if (origin == response_origin::unproven)
+            {
+                co_return this->end_unproven();
+            }
+            if (origin == response_origin::this_request)
             {
                 co_return this->evaluate_head();
             }
+            skipping = true;
             this->skipped += this->body.size();
             this->body.clear();
             if (this->skipped > max_skipped)
