Tell a reset from the end of a response without a length

Callers got the first part of a response as the whole one: the server answered a long upload early, without a length, and aborted with the upload unread.

Causes: (1) the kernel reports a reset once; if a write got the report, the next read found an end that looked orderly, and the write's failure no longer counted. (2) A server that shuts down its sending side before it closes sends the reset after the end, which was taken at once.

Change: the end of input asks the kernel for the state of the connection; a failed write after the end breaks it; a response without a length counts once its server has taken the whole request and no reset followed. Relays forward a reset that follows the end.

--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -116,6 +116,7 @@
 {
     boost::system::error_code ignored; // fails if the peer has disconnected
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->output_is_shut = true;
 }
 
 void connection::reset_unless_shut_down()
@@ -179,11 +180,14 @@
                                           std::size_t size)
         {
             self->reading = false;
+            if (fault == asio::error::eof)
+            {
+                self->handle_end_of_input();
+                return;
+            }
             if (fault)
             {
-                self->set_end(fault == asio::error::eof ? peer_end::finished
-                                                        : peer_end::broken,
-                              fault);
+                self->set_end(peer_end::broken, fault);
                 return;
             }
             self->append_input(size);
@@ -216,7 +220,7 @@
         }
         else if (size == 0)
         {
-            this->set_end(peer_end::finished, asio::error::eof);
+            this->handle_end_of_input();
         }
         else if (!is_transient(errno))
         {
@@ -226,6 +230,18 @@
     }
 }
 
+/// The kernel reports a reset to one call only. If that was a write whose
+/// handler has not run yet, a read finds an end that looks orderly.
+void connection::handle_end_of_input()
+{
+    if (this->was_reset())
+    {
+        this->set_end(peer_end::broken, asio::error::connection_reset);
+        return;
+    }
+    this->set_end(peer_end::finished, asio::error::eof);
+}
+
 /// Copies the received bytes from `read_target`. A pending read needs a fixed
 /// target, and `input_buffer` may move its content when bytes are consumed.
 void connection::append_input(std::size_t size)
@@ -337,6 +353,20 @@
     return size == 0 || (size < 0 && !is_transient(errno));
 }
 
+bool connection::was_reset()
+{
+    if (!this->socket.is_open() || this->output_is_shut)
+    {
+        return false;
+    }
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    // An end in order leaves our side open.
+    return getsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                      &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE;
+}
+
 std::string connection::end_detail() const
 {
     switch (this->state)
@@ -353,7 +383,9 @@
 
 void connection::set_end(peer_end how, boost::system::error_code why)
 {
-    if (this->state == peer_end::open)
+    auto const was_reset_since =
+        this->state == peer_end::finished && how == peer_end::broken;
+    if (this->state == peer_end::open || was_reset_since)
     {
         this->state = how;
         this->end_cause = why;
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -103,7 +103,8 @@
     /// Number of bytes that were not handed to the kernel yet.
     std::size_t unsent() const;
 
-    /// As of the last completed read or write.
+    /// As of the last completed read or write. A `finished` connection becomes
+    /// `broken` if a write fails.
     peer_end end() const;
 
     /// How the connection ended, for logs: `eof`, `closed` by this process, or
@@ -114,6 +115,10 @@
     /// handled yet. Does not tell a reset from an orderly end.
     peer_end current_end();
 
+    /// True if the peer has reset the connection, also if it had shut down its
+    /// sending side before, or if another call got the kernel's report.
+    bool was_reset();
+
     /// Closes the connection now and ends pending operations. With `reset` the
     /// peer sees an abort instead of an orderly end. Idempotent.
     void close(bool reset = false);
@@ -132,6 +137,7 @@
     void write_rest();
     void handle_written(boost::system::error_code fault, std::size_t size);
     void append_input(std::size_t size);
+    void handle_end_of_input();
     void set_end(peer_end how, boost::system::error_code why);
 
     tcp::socket socket;
@@ -145,6 +151,7 @@
     boost::system::error_code end_cause; ///< if `state` is `broken`
     bool reading{false};
     bool writing{false};
+    bool output_is_shut{false};
     time_point last_used;
     time_point input_read_at; ///< of the oldest unconsumed input
 };
--- a/src/gateway/relays/relay_session.cpp
+++ b/src/gateway/relays/relay_session.cpp
@@ -251,19 +251,22 @@
                 this->router->close();
                 co_return;
             }
-            if (this->server->end() == peer_end::broken || silence.shows_end())
+            if (this->server->end() == peer_end::broken ||
+                this->server->was_reset() || silence.shows_end())
             {
                 break;
             }
+            auto const has_finished = this->server->end() == peer_end::finished;
             auto const all_sent = this->server->input().size() == 0 &&
                                   this->router->unsent() == 0;
-            if (this->server->end() == peer_end::finished && all_sent)
+            if (has_finished && all_sent && this->server->unacknowledged() == 0)
             {
                 co_await this->finish_forwarding();
                 co_return;
             }
-            co_await this->wait(outlasts_silence ? silence_check_interval
-                                                 : longest_wait);
+            co_await this->wait(outlasts_silence || has_finished
+                                    ? silence_check_interval
+                                    : longest_wait);
             if (outlasts_silence)
             {
                 silence.note(silence.is_silent(*this->server));
@@ -286,19 +289,22 @@
                 fleet::is_cold(found->second, now));
     }
 
-    /// Passes on the orderly end of the server. The other router closes its
-    /// connection once it has read the whole response.
+    /// Passes on the orderly end of the server, and a reset that follows it.
+    /// The other router closes its connection once it has read the whole
+    /// response.
     asio::awaitable<void> finish_forwarding()
     {
         this->router->shutdown_output();
-        this->server->close();
         auto const until = this->shared.now.now() + longest_wait;
-        for (auto left = longest_wait;
-             left > duration{0} && this->router->end() == peer_end::open;
-             left = until - this->shared.now.now())
+        while (this->shared.now.now() < until &&
+               this->router->end() == peer_end::open &&
+               this->server->end() != peer_end::broken &&
+               !this->server->was_reset())
         {
-            co_await this->wait(left);
+            move_bytes(*this->router, *this->server);
+            co_await this->wait(silence_check_interval);
         }
+        this->server->close();
         this->router->close();
     }
 
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -93,6 +93,7 @@
     void record_gap();
     void drop_incomplete_event();
     asio::awaitable<bool> broken_off();
+    asio::awaitable<bool> takes_whole_request();
     bool may_fail_over();
     bool is_too_long() const;
     bool has_new_input() const;
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -52,6 +52,8 @@
 /// A running server accepts a connection within milliseconds. Without a result
 /// a response is taken for complete, since its server closed it in order.
 constexpr duration max_presence_wait{250};
+/// How often to look whether a server has taken more of a request.
+constexpr duration request_check_interval{50};
 
 } // namespace
 
@@ -214,9 +216,31 @@
     static_cast<void>(this->current.events.take_rest());
 }
 
+/// Waits until the server has taken the whole request. One that responds before
+/// that and ends its connection may go on reading; otherwise it breaks off, and
+/// a reset follows the end of its response. False if it does not take it all.
+asio::awaitable<bool> server_call::takes_whole_request()
+{
+    while (this->connection->unacknowledged() > 0)
+    {
+        auto const now = this->current.shared.now.now();
+        if (this->connection->end() == peer_end::broken ||
+            this->connection->was_reset() || this->accepts_nothing() ||
+            now >= this->current.deadline || caller_disconnected(this->current))
+        {
+            co_return false;
+        }
+        static_cast<void>(co_await wait_until(
+            this->current,
+            std::min(this->current.deadline, now + request_check_interval)));
+    }
+    co_return this->connection->end() != peer_end::broken;
+}
+
 /// True if the server broke off the response, which has ended by its framing.
 /// The kernel of a crashed server closes connections in order, so without a
-/// length or chunks only the server's presence tells.
+/// length or chunks only the server's presence tells, and whether a reset
+/// follows.
 asio::awaitable<bool> server_call::broken_off()
 {
     auto const end = fleet::judge_end(
@@ -226,6 +250,10 @@
     {
         co_return end == fleet::body_end::truncated;
     }
+    if (!co_await this->takes_whole_request())
+    {
+        co_return true;
+    }
     auto& shared = this->current.shared;
     auto const result = std::make_shared<presence_result>();
     result->wakeup = this->current.wakeup;
@@ -242,9 +270,10 @@
         result->presence.value_or(server_presence::unknown);
     auto const* const target = this->server();
     // A draining server may exit after its last response.
-    co_return this->current.server_after_end ==
-            server_presence::gone&& target != nullptr &&
-        !fleet::is_draining(*target, shared.now.now());
+    auto const is_gone =
+        this->current.server_after_end == server_presence::gone &&
+        target != nullptr && !fleet::is_draining(*target, shared.now.now());
+    co_return is_gone || this->connection->was_reset();
 }
 
 asio::awaitable<attempt_outcome> server_call::relay_events()
