Bound what all responses hold together, events and unread ones too

While chunks of one byte came, other requests waited.

Cause: incomplete events and what callers had not taken were not counted; buffers kept their largest size while idle; framing bytes were bounded only with bodies, by 17 MB, and a turn parsed up to 256 KiB of them.

Change: one bound for bodies, incomplete events and unsent output; a bound on framing; at most 256 parts a turn; empty buffers are freed.

The bound on a turn has no test of its own.

--- a/src/fleet/event_splitter.cpp
+++ b/src/fleet/event_splitter.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::string_view id_field = "id";
 constexpr std::string_view data_field = "data";
+/// Usual events are shorter; space of a longer one is freed behind it.
+constexpr std::size_t max_kept_capacity = 16'384;
 constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
 
 } // namespace
@@ -48,6 +50,11 @@
     }
     auto events = this->pending.substr(0, complete);
     this->pending.erase(0, complete);
+    if (this->pending.capacity() > max_kept_capacity &&
+        this->pending.size() < max_kept_capacity)
+    {
+        this->pending.shrink_to_fit();
+    }
     this->line_start -= complete;
     this->searched -= complete;
     return events;
--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -21,6 +21,8 @@
 
 /// Above this, reading pauses and TCP flow control slows down the sender.
 constexpr std::size_t max_unread = 262'144;
+/// An empty buffer above this is freed: idle connections are many.
+constexpr std::size_t max_kept_capacity = 16'384;
 constexpr int probe_count = 2;
 
 /// Connections can go silent without a reset, for example when a firewall drops
@@ -161,6 +163,11 @@
 
 void connection::resume()
 {
+    if (this->input_buffer.size() == 0 &&
+        this->input_buffer.capacity() > max_kept_capacity)
+    {
+        this->input_buffer.shrink_to_fit();
+    }
     if (!this->reading && this->state == peer_end::open)
     {
         this->start_read();
@@ -303,7 +310,7 @@
         return;
     }
     this->writing = false;
-    this->outgoing.clear();
+    std::string{}.swap(this->outgoing); // frees it, unlike `clear`
     this->written = 0;
     if (fault)
     {
--- a/src/gateway/core.hpp
+++ b/src/gateway/core.hpp
@@ -110,7 +110,7 @@
     std::set<connection const*> idle_callers; ///< connections without a request
     std::set<exchange*> open_requests;
     fleet::service_times service_times;
-    std::size_t buffered_bytes{}; ///< of response bodies, until they are whole
+    std::size_t buffered_bytes{}; ///< of responses, read and not passed on yet
     std::uint64_t reservations{}; ///< reservations so far; numbers their ids
 };
 
--- a/src/gateway/requests/dispatch.cpp
+++ b/src/gateway/requests/dispatch.cpp
@@ -175,6 +175,8 @@
     {
     case response_fault::too_long:
         return "response_too_long";
+    case response_fault::no_memory:
+        return "responses_too_many";
     case response_fault::unproven:
         return "response_unproven";
     case response_fault::none:
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -28,8 +28,9 @@
 enum class response_fault
 {
     none,
-    too_long, ///< it exceeded the bounds on its size
-    unproven  ///< its head does not show that it comes from the request's run
+    too_long,  ///< it exceeded the bounds on its size
+    no_memory, ///< all responses together did, and it holds much of them
+    unproven   ///< its head does not show that it comes from the request's run
 };
 
 /// One attempt of a request at one server: sends it, reads the response and
@@ -95,9 +96,11 @@
     asio::awaitable<bool> broken_off();
     asio::awaitable<bool> takes_whole_request();
     bool may_fail_over();
-    bool is_too_long() const;
+    response_fault find_excess() const;
+    std::size_t held_by_all() const;
+    void count_held_bytes();
     bool has_new_input() const;
-    fleet::attempt_outcome end_over_bounds();
+    fleet::attempt_outcome end_with(response_fault fault);
     fleet::attempt_outcome end_unproven();
     fleet::attempt_outcome
     end_malformed(boost::system::error_code const& fault);
@@ -113,9 +116,12 @@
     std::string body; ///< parsed and not relayed yet
     /// Bytes of interim responses and of those to other requests.
     std::size_t skipped{};
-    std::size_t unparsed{};      ///< of the input when the parser needed more
-    std::size_t received{};      ///< and parsed
-    std::size_t counted_bytes{}; ///< of `body`, in `core::buffered_bytes`
+    std::size_t unparsed{}; ///< of the input when the parser needed more
+    /// Of the body's framing, parsed so far.
+    std::size_t framing_bytes{};
+    /// Of `body` and the incomplete event, in `core::buffered_bytes`.
+    std::size_t counted_bytes{};
+    bool parsing_paused{false}; ///< there is input to parse in the next turn
     response_fault found{response_fault::none};
     instant sent_at{};
     std::optional<instant> first_part_at;
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/servers/server_notice.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <array>
@@ -19,12 +20,16 @@
 using fleet::response_origin;
 
 constexpr std::uint64_t max_buffered_response = 16ULL * 1024 * 1024;
-/// With the headers of chunks.
-constexpr std::size_t max_response_bytes = max_buffered_response + 1024 * 1024;
-/// Bodies of all responses together; one below `min_bounded_body` is never cut
-/// for it.
-constexpr std::size_t max_buffered_bodies = 32ULL * 1024 * 1024;
-constexpr std::size_t min_bounded_body = 256ULL * 1024;
+/// Headers of chunks and the like. Each costs as much processor time as a
+/// large chunk.
+constexpr std::size_t max_framing_bytes = 1024ULL * 1024;
+/// Parts of a body that one turn of the event loop parses; other requests wait
+/// meanwhile.
+constexpr int max_parts_per_turn = 256;
+/// What all responses hold together; one that holds less than
+/// `min_bounded_response` is never cut for it.
+constexpr std::size_t max_held_by_all = 32ULL * 1024 * 1024;
+constexpr std::size_t min_bounded_response = 256ULL * 1024;
 /// Longer than any head, chunk header or trailer.
 constexpr std::size_t max_unparsed = 65'536;
 /// A server may respond once more to earlier requests of a connection.
@@ -40,9 +45,9 @@
     return this->found;
 }
 
-attempt_outcome server_call::end_over_bounds()
+attempt_outcome server_call::end_with(response_fault fault)
 {
-    this->found = response_fault::too_long;
+    this->found = fault;
     return attempt_outcome::in_doubt;
 }
 
@@ -50,13 +55,12 @@
 /// will, and the caller would wait for it until its deadline.
 attempt_outcome server_call::end_unproven()
 {
-    this->found = response_fault::unproven;
     this->current.shared.log.write_error(
         {error_kind::invalid, "read_response", this->where.server.value,
          "status " + std::to_string(this->response->get().result_int()) +
              (this->facts.is_signed ? "" : " without a signature") +
              (this->facts.request_id.empty() ? " and without an id" : "")});
-    return attempt_outcome::in_doubt;
+    return this->end_with(response_fault::unproven);
 }
 
 /// The connection may hold more bytes, which belong to no response.
@@ -70,16 +74,43 @@
     return attempt_outcome::in_doubt;
 }
 
-/// True if the response goes on without end, as far as memory allows to wait
-/// for its end.
-bool server_call::is_too_long() const
+/// What callers have not taken of their responses, beside what is read of
+/// others.
+std::size_t server_call::held_by_all() const
+{
+    auto const& shared = this->current.shared;
+    auto total = shared.buffered_bytes;
+    for (auto const* const caller : shared.callers)
+    {
+        total += caller->unsent();
+    }
+    return total;
+}
+
+/// Counts what is read of the response and not passed on yet.
+void server_call::count_held_bytes()
+{
+    auto const held = this->body.size() + this->current.events.pending_bytes();
+    auto& all = this->current.shared.buffered_bytes;
+    all = all - this->counted_bytes + held;
+    this->counted_bytes = held;
+}
+
+/// Whether the response goes on without end, as far as memory and processor
+/// time allow to wait for its end.
+response_fault server_call::find_excess() const
 {
     auto const unparsed = this->connection->input().size();
-    auto const shares_memory =
-        this->body.size() >= min_bounded_body &&
-        this->current.shared.buffered_bytes > max_buffered_bodies;
-    return shares_memory || this->received > max_response_bytes ||
-           (unparsed > max_unparsed && !this->response->is_done());
+    auto const is_endless = unparsed > max_unparsed && !this->parsing_paused &&
+                            !this->response->is_done();
+    if (is_endless || this->framing_bytes > max_framing_bytes)
+    {
+        return response_fault::too_long;
+    }
+    auto const held = this->counted_bytes + this->current.caller->unsent();
+    return held >= min_bounded_response && this->held_by_all() > max_held_by_all
+               ? response_fault::no_memory
+               : response_fault::none;
 }
 
 /// How the attempt ends if the response cannot continue; nothing if it can.
@@ -93,10 +124,11 @@
     {
         return attempt_outcome::expired;
     }
-    return this->connection->end() == peer_end::open &&
-                   !this->has_ended_in_silence()
-               ? std::nullopt
-               : std::optional{attempt_outcome::in_doubt};
+    // Input that is left may complete the response.
+    auto const may_go_on =
+        this->parsing_paused || (this->connection->end() == peer_end::open &&
+                                 !this->has_ended_in_silence());
+    return may_go_on ? std::nullopt : std::optional{attempt_outcome::in_doubt};
 }
 
 /// True if there are bytes that the parser has not seen. It takes a part of a
@@ -110,7 +142,8 @@
            (this->unparsed == 0 || size >= last_chunk_size);
 }
 
-/// Parses the received bytes and appends those of the body to `body`.
+/// Parses the received bytes and appends those of the body to `body`. If they
+/// are many, it leaves some and lets the request wake up in another turn.
 std::optional<attempt_outcome> server_call::parse_input()
 {
     auto& input = this->connection->input();
@@ -121,8 +154,19 @@
             fleet::note_heard(target->path, this->current.shared.now.now());
     }
     std::array<char, parse_buffer_size> buffer{};
+    auto parts = 0;
+    this->parsing_paused = false;
     while (this->has_new_input() && !this->response->is_done())
     {
+        if (++parts > max_parts_per_turn)
+        {
+            this->parsing_paused = true;
+            // Not at once: others come first.
+            asio::post(this->current.shared.loop,
+                       [wakeup = this->current.wakeup] { wakeup->raise(); });
+            break;
+        }
+        auto const was_in_body = this->response->is_header_done();
         auto& content = this->response->get().body();
         content.data = buffer.data();
         content.size = buffer.size();
@@ -130,8 +174,9 @@
         boost::system::error_code fault;
         auto const used = this->response->put(input.data(), fault);
         input.consume(used);
-        this->received += used;
-        this->body.append(buffer.data(), buffer.size() - content.size);
+        auto const size = buffer.size() - content.size;
+        this->framing_bytes += was_in_body ? used - size : 0;
+        this->body.append(buffer.data(), size);
         this->unparsed = fault == http::error::need_more ? input.size() : 0;
         if (fault == http::error::need_more)
         {
@@ -141,7 +186,7 @@
         {
             auto const endless = fault == http::error::header_limit ||
                                  fault == http::error::body_limit;
-            return endless ? this->end_over_bounds()
+            return endless ? this->end_with(response_fault::too_long)
                            : this->end_malformed(fault);
         }
         if (used == 0 && content.size == buffer.size())
@@ -149,12 +194,10 @@
             break;
         }
     }
-    auto& buffered = this->current.shared.buffered_bytes;
-    buffered = buffered - this->counted_bytes + this->body.size();
-    this->counted_bytes = this->body.size();
-    if (this->is_too_long())
+    this->count_held_bytes();
+    if (auto const excess = this->find_excess(); excess != response_fault::none)
     {
-        return this->end_over_bounds();
+        return this->end_with(excess);
     }
     this->connection->resume();
     auto const finished = this->connection->end() == peer_end::finished;
@@ -230,7 +273,7 @@
             this->body.clear();
             if (this->skipped > max_skipped)
             {
-                co_return this->end_over_bounds();
+                co_return this->end_with(response_fault::too_long);
             }
             if (this->response->is_done())
             {
--- a/src/gateway/servers/server_call_relay.cpp
+++ b/src/gateway/servers/server_call_relay.cpp
@@ -214,6 +214,7 @@
 {
     this->current.ended_in_event = this->current.events.in_event();
     static_cast<void>(this->current.events.take_rest());
+    this->count_held_bytes();
 }
 
 /// Waits until the server has taken the whole request. One that responds before
@@ -286,6 +287,7 @@
         auto const fault = may_read ? this->parse_input() : std::nullopt;
         this->relay_part(
             this->current.events.feed(std::exchange(this->body, {})));
+        this->count_held_bytes();
         if (this->response->is_done())
         {
             break;
@@ -293,7 +295,7 @@
         if (this->current.events.pending_bytes() > max_event)
         {
             this->drop_incomplete_event();
-            co_return this->end_over_bounds();
+            co_return this->end_with(response_fault::too_long);
         }
         // While reading pauses, unread input may still complete the response,
         // so a closed connection does not end it.
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -1,10 +1,14 @@
 #include "gateway/fleet_site.hpp"
+#include "gateway/standalone_client.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace caperpath;
 using namespace caperpath::gateway;
@@ -26,6 +30,9 @@
     CPPUNIT_TEST(an_event_without_end);
     CPPUNIT_TEST(a_server_that_does_so_is_set_aside);
     CPPUNIT_TEST(bodies_without_end_share_the_memory);
+    CPPUNIT_TEST(chunks_of_one_byte_are_bounded);
+    CPPUNIT_TEST(incomplete_events_share_the_memory);
+    CPPUNIT_TEST(responses_that_are_not_taken_share_the_memory);
     CPPUNIT_TEST_SUITE_END();
 
     /// More than the largest response and what the kernel buffers.
@@ -208,6 +215,121 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(server.bytes_written),
                                server.bytes_written <= most_of_all);
     }
+
+    // Guards against processor time that a small body uses up: each chunk costs
+    // about as much as a large one.
+    void chunks_of_one_byte_are_bounded()
+    {
+        // The bound on framing, and what the kernel buffers.
+        constexpr std::size_t most = 10U * 1024 * 1024;
+        fleet_site site;
+        site.route_timeout = duration{20'000};
+        site.put_configuration(2);
+        auto& server = site.add_server(
+            "i-1", "app",
+            [](fake_server::request const&)
+            {
+                return endless(std::string{ok} +
+                                   "Transfer-Encoding: chunked\r\n\r\n",
+                               "1\r\nx\r\n");
+            });
+        site.wait_ready();
+        CPPUNIT_ASSERT_EQUAL(
+            502,
+            site.send(with_long_deadline(fleet_site::request("GET", "/read/1")))
+                .status);
+        CPPUNIT_ASSERT(
+            site.run_until([&] { return server.closed_by_router > 0; }));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(server.bytes_written),
+                               server.bytes_written <= most);
+    }
+
+    static std::string with_long_deadline(std::string bytes)
+    {
+        std::string const usual{"Deadline-Ms: 1500"};
+        return bytes.replace(bytes.find(usual), usual.size(),
+                             "Deadline-Ms: 20000");
+    }
+
+    // Guards against events that are each below the bound of one, and together
+    // fill the memory.
+    void incomplete_events_share_the_memory()
+    {
+        constexpr int requests = 60;
+        constexpr int most_open = 40;
+        constexpr std::size_t event_size = 1'000'000;
+        fleet_site site;
+        site.route_timeout = duration{20'000};
+        site.put_configuration(2, 100'000'000);
+        auto& server = site.add_server(
+            "i-1", "llm",
+            [](fake_server::request const&)
+            {
+                return script{{std::string{ok} +
+                                   "Content-Type: text/event-stream\r\n\r\n",
+                               "data: " + std::string(event_size, 'x')},
+                              script::ending::silent};
+            });
+        site.wait_ready();
+        std::vector<connection_ptr> callers;
+        callers.reserve(requests);
+        for (int i = 0; i < requests; ++i)
+        {
+            callers.push_back(site.begin(
+                with_long_deadline(fleet_site::prompt("/chat/1", 10, 10))));
+        }
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                auto const ended =
+                    std::count_if(callers.begin(), callers.end(),
+                                  [](connection_ptr const& each) {
+                                      return each->has_input() ||
+                                             each->end() != peer_end::open;
+                                  });
+                return ended >= requests - most_open;
+            }));
+        CPPUNIT_ASSERT(server.requests.size() > most_open);
+    }
+
+    // Guards against responses that stay here because their callers do not read
+    // them.
+    void responses_that_are_not_taken_share_the_memory()
+    {
+        constexpr int requests = 10;
+        constexpr int small_buffer = 4'096;
+        constexpr std::size_t body_size = 12'000'000;
+        fleet_site site;
+        site.route_timeout = duration{20'000};
+        site.put_configuration(2);
+        auto& server = site.add_server(
+            "i-1", "app",
+            [](fake_server::request const& got) {
+                return script{
+                    {complete_response(got, 200, std::string(body_size, 'x'))}};
+            });
+        site.wait_ready();
+        std::vector<std::unique_ptr<standalone_client>> callers;
+        auto served = 0;
+        for (int i = 0; i < requests; ++i)
+        {
+            callers.push_back(std::make_unique<standalone_client>(
+                site.callers_port(), small_buffer));
+            callers.back()->send(with_long_deadline(
+                fleet_site::request("POST", "/order/1", "", "x")));
+            auto status = 0;
+            CPPUNIT_ASSERT(site.run_until(
+                [&]
+                {
+                    status = callers.back()->received(1).status;
+                    return status != 0;
+                }));
+            served += status == 200 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(!server.requests.empty());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served),
+                               served >= 2 && served < requests);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endless_response_test);
