Begin no late request in a stop on an estimate of its time

A request that came late in a planned stop was passed on because those before it had been fast; when responses were due it was cut with the router's own 504, its server at work. One that may not be repeated was lost to its caller.

Cause: may_begin trusted the 99th percentile of the route's service times until the end of the stop.

Change: once the load balancer sends nothing more, a request is begun only if its own deadline lies before responses are due. Any other one gets 503 at once, and Retry-After 50 ms: another router takes it. Until then nothing changes, but for a quarter of a second by which the signal may have been sent earlier.

--- a/include/caperpath/fleet/shutdown.hpp
+++ b/include/caperpath/fleet/shutdown.hpp
@@ -49,10 +49,13 @@
 /// signal. Thread safe.
 instant signal_time(instant before_last, instant now, duration interval);
 
-/// True if a request that arrives `now` should be started: it is expected to
-/// end, after `expected` or at its own deadline, before responses are due. A
-/// request of unknown duration is started while the load balancer still sends
-/// requests here, since a retry could arrive here again. Thread safe.
+/// True if a request that arrives `now` should be started. One whose deadline
+/// lies before responses are due is. A later one could be cut: it is started
+/// only while the load balancer still sends requests here, since a retry could
+/// arrive here again, and unless it is expected to end, after `expected`, when
+/// responses are due already. An estimate alone does not count after that: a
+/// request that takes longer than those before would be lost, where a rejection
+/// costs its caller a retry at another router. Thread safe.
 bool may_begin(shutdown_schedule const& stop, instant now,
                std::optional<duration> expected, instant deadline);
 
--- a/src/fleet/shutdown.cpp
+++ b/src/fleet/shutdown.cpp
@@ -11,6 +11,9 @@
 /// The load balancer probes once a second and removes a router after two failed
 /// probes, so within two seconds; this leaves a margin of one second.
 constexpr duration balancer_removal_time{3'000};
+/// The stop counts from the time at which the signal was handled; it was sent
+/// up to this much earlier.
+constexpr duration max_signal_notice{250};
 /// Time for the process to end by itself before it is killed.
 constexpr duration max_exit_time{300};
 /// Time after the last response: to transmit it to the caller, return the
@@ -24,6 +27,7 @@
 constexpr std::int64_t exit_divisor = 8;
 constexpr std::int64_t flush_divisor = 4;
 constexpr std::int64_t rotation_divisor = 4;
+constexpr std::int64_t notice_divisor = 8;
 /// Shares of the flush time: what a late event loop leaves of it at least, and
 /// how much of it the return of shares may use.
 constexpr std::int64_t min_flush_divisor = 5;
@@ -61,12 +65,16 @@
 bool may_begin(shutdown_schedule const& stop, instant now,
                std::optional<duration> expected, instant deadline)
 {
-    if (!expected && now < stop.out_of_rotation)
+    if (deadline <= stop.responses_due)
     {
-        return true;
+        return now < stop.responses_due;
     }
-    auto const end = expected ? std::min(now + *expected, deadline) : deadline;
-    return now < stop.responses_due && end <= stop.responses_due;
+    // From here on the request may outlive the process.
+    auto const rotation = stop.out_of_rotation - stop.began;
+    auto const notice =
+        std::min(max_signal_notice, fraction_of(rotation, notice_divisor));
+    return now < stop.out_of_rotation - notice &&
+           (!expected || now + *expected <= stop.responses_due);
 }
 
 bool may_exit(shutdown_schedule const& stop, instant now,
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_stream_open_at_the_end_is_seen_as_truncated);
     CPPUNIT_TEST(a_request_that_cannot_end_in_time_is_rejected);
     CPPUNIT_TEST(a_request_that_ends_in_time_is_served);
+    CPPUNIT_TEST(a_late_request_is_not_begun_on_an_estimate);
     CPPUNIT_TEST(a_partly_read_request_gets_a_response);
     CPPUNIT_TEST(a_second_signal_or_configuration_keeps_the_deadline);
     CPPUNIT_TEST(a_router_stopped_at_its_start_responds_and_ends);
@@ -182,6 +183,42 @@
         CPPUNIT_ASSERT(got.head.find("Connection: close") != std::string::npos);
     }
 
+    // A server takes far longer than it did before. Guards against a request
+    // that comes late in a stop, is cut at its end, and may have run.
+    void a_late_request_is_not_begun_on_an_estimate()
+    {
+        scenario here{duration{4'000}};
+        auto is_slow = false;
+        auto& server = here.site.add_server(
+            "i-1", "app",
+            [&is_slow](request const& got)
+            {
+                return is_slow ? silent(got)
+                               : script{{complete_response(got, 200, "done")}};
+            });
+        here.wait_ready();
+        auto const usual = fleet_site::request("POST", "/order/1", "", "order");
+        CPPUNIT_ASSERT_EQUAL(
+            200, here.site.send(scenario::with_long_deadline(usual)).status);
+        here.site.router->stop();
+        auto const schedule =
+            fleet::schedule_shutdown(instant{}, duration{4'000});
+        here.site.run_for(schedule.out_of_rotation - instant{});
+        is_slow = true;
+        auto const got = here.site.send(scenario::with_long_deadline(
+            fleet_site::request("POST", "/order/1", "", "order")));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(got.head.find("Retry-After") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.requests.size());
+        // One whose caller waits no longer than the process lives is begun.
+        is_slow = false;
+        auto short_one = fleet_site::request("POST", "/order/1", "", "order");
+        std::string const usual_deadline{"Deadline-Ms: 1500"};
+        short_one.replace(short_one.find(usual_deadline), usual_deadline.size(),
+                          "Deadline-Ms: 400");
+        CPPUNIT_ASSERT_EQUAL(200, here.site.send(short_one).status);
+    }
+
     // Guards against a caller that still sends its body when the process ends
     // and gets no response.
     void a_partly_read_request_gets_a_response()
