Take no response without its id on a used connection

Cause: only a response that named another request was skipped. One that named none counted as the response to the current request, and its Not-Executed as the word about that request.

On a connection that has carried a response, fleet::judge_origin now takes no response without the id. It counts as unproven: 502, or another server if the request is idempotent. On a new connection no earlier request exists, and a rejection without an id counts as before.

--- a/include/caperpath/fleet/response_origin.hpp
+++ b/include/caperpath/fleet/response_origin.hpp
@@ -15,6 +15,9 @@
     bool names_this{false};  ///< with the id of the request that was sent
     bool names_other{false}; ///< with another id
     bool says_not_run{false};
+    /// The connection has carried a response before, and a server may respond
+    /// once more to an earlier request.
+    bool on_used_connection{false};
 
     friend bool operator==(response_marks const&,
                            response_marks const&) = default;
@@ -30,7 +33,8 @@
 
 /// A success or a redirection counts only with a signature. A failure counts
 /// with a signature or the id of the request; a status that tells the caller
-/// that nothing has run also needs the server's word for it. Thread safe.
+/// that nothing has run also needs the server's word for it. On a connection
+/// that was used before, each needs the id. Thread safe.
 response_origin judge_origin(response_marks const& marks);
 
 } // namespace caperpath::fleet
--- a/src/fleet/response_origin.cpp
+++ b/src/fleet/response_origin.cpp
@@ -18,7 +18,9 @@
         marks.status >= http_client_error && !promises_not_run(marks.status);
     auto const proven = marks.says_not_run || marks.is_signed ||
                         (marks.names_this && is_plain_failure);
-    return proven ? response_origin::this_request : response_origin::unproven;
+    auto const may_be_earlier = marks.on_used_connection && !marks.names_this;
+    return proven && !may_be_earlier ? response_origin::this_request
+                                     : response_origin::unproven;
 }
 
 } // namespace caperpath::fleet
--- a/src/gateway/connection.cpp
+++ b/src/gateway/connection.cpp
@@ -135,6 +135,11 @@
     return this->input_buffer.size() > 0;
 }
 
+bool connection::has_received() const
+{
+    return this->received;
+}
+
 bool connection::has_unread_input()
 {
     char next{};
@@ -260,6 +265,7 @@
     auto const space = this->input_buffer.prepare(size);
     asio::buffer_copy(space, asio::buffer(this->read_target), size);
     this->input_buffer.commit(size);
+    this->received = true;
 }
 
 void connection::send(std::string bytes)
--- a/src/gateway/connection.hpp
+++ b/src/gateway/connection.hpp
@@ -82,6 +82,9 @@
     /// True if unconsumed input is left.
     bool has_input() const;
 
+    /// True if any input was ever received.
+    bool has_received() const;
+
     /// True if the kernel holds bytes that were not read yet: closing would
     /// reset the connection.
     bool has_unread_input();
@@ -152,6 +155,7 @@
     bool reading{false};
     bool writing{false};
     bool output_is_shut{false};
+    bool received{false};
     time_point last_used;
     time_point input_read_at; ///< of the oldest unconsumed input
 };
--- a/src/gateway/servers/server_call.hpp
+++ b/src/gateway/servers/server_call.hpp
@@ -131,6 +131,7 @@
     bool counted_open{false};
     bool reusable{false}; ///< the connection can carry another request
     bool relayed{false};  ///< another router relays the connection
+    bool reused{false};   ///< it has carried a response before
     instant silence_check_due{};
     output_progress progress;
     bool given_up{false}; ///< for its silence, to be sent elsewhere
--- a/src/gateway/servers/server_call_connect.cpp
+++ b/src/gateway/servers/server_call_connect.cpp
@@ -77,6 +77,9 @@
     this->current.relay = link.relay;
     this->relayed = !link.relay.empty();
     this->relay_use = std::move(link.relay_use);
+    // The reply of a relay is not a server's; such a connection is not reused.
+    this->reused =
+        this->connection && !this->relayed && this->connection->has_received();
     if (!this->connection)
     {
         auto const connect_time = shared.now.now() - began;
--- a/src/gateway/servers/server_call_read.cpp
+++ b/src/gateway/servers/server_call_read.cpp
@@ -226,7 +226,7 @@
     auto const names_this = !id.empty() && id == this->current.facts.id;
     auto const origin = fleet::judge_origin(
         {static_cast<int>(head.result_int()), this->facts.is_signed, names_this,
-         !id.empty() && !names_this, this->facts.not_run});
+         !id.empty() && !names_this, this->facts.not_run, this->reused});
     auto const is_skipped = origin == response_origin::interim ||
                             origin == response_origin::other_request;
     if (is_skipped && this->facts.leaves)
--- a/tests/fleet/response_origin_test.cpp
+++ b/tests/fleet/response_origin_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_failure_needs_a_signature_or_an_id);
     CPPUNIT_TEST(a_promise_needs_more_than_an_id);
     CPPUNIT_TEST(another_id_outweighs_all_else);
+    CPPUNIT_TEST(a_used_connection_needs_the_id);
     CPPUNIT_TEST(no_success_without_a_signature_passes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -82,6 +83,26 @@
                        response_origin::interim);
     }
 
+    // Guards against a late response to an earlier request that names none.
+    void a_used_connection_needs_the_id()
+    {
+        for (auto const status : {200, 404, 500, 503})
+        {
+            for (auto const not_run : {true, false})
+            {
+                response_marks const late{status, true,    false,
+                                          false,  not_run, true};
+                CPPUNIT_ASSERT(judge_origin(late) == response_origin::unproven);
+                auto const own =
+                    response_marks{status, true, true, false, not_run, true};
+                CPPUNIT_ASSERT(judge_origin(own) ==
+                               response_origin::this_request);
+            }
+        }
+        CPPUNIT_ASSERT(judge_origin({503, false, false, false, true}) ==
+                       response_origin::this_request);
+    }
+
     // Guards against a combination that the cases above leave out.
     void no_success_without_a_signature_passes()
     {
--- a/tests/gateway/unproven_response_test.cpp
+++ b/tests/gateway/unproven_response_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(a_relayed_response_needs_the_signature);
     CPPUNIT_TEST(a_failure_without_an_id_is_not_passed_on);
     CPPUNIT_TEST(a_promise_without_the_servers_word_is_not_passed_on);
+    CPPUNIT_TEST(a_late_rejection_without_an_id_does_not_count);
+    CPPUNIT_TEST(a_rejection_without_an_id_counts_on_a_new_connection);
     CPPUNIT_TEST(a_failure_with_the_id_is_passed_on);
     CPPUNIT_TEST(a_server_that_does_so_again_is_set_aside);
     CPPUNIT_TEST(what_such_a_response_tells_of_its_server_is_not_used);
@@ -411,6 +413,47 @@
         }
     }
 
+    static constexpr char rejection[] =
+        "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+
+    // A server rejects an earlier request of the connection once more, without
+    // its id, and runs this one. Guards against "not run" for what has run, and
+    // against a second run.
+    void a_late_rejection_without_an_id_does_not_count()
+    {
+        fleet_site site;
+        std::size_t runs = 0;
+        auto const respond = [&runs](request const& got) -> script
+        {
+            runs += 1;
+            auto const done = complete_response(got, 200, "done");
+            return {{runs == 1 ? done : rejection + done}};
+        };
+        site.add_server("i-1", "app", respond);
+        site.wait_ready();
+        auto const order = [&site]
+        {
+            return site.send(fleet_site::request("POST", "/order/1", "", "x"))
+                .status;
+        };
+        CPPUNIT_ASSERT_EQUAL(200, order());
+        site.add_server("i-2", "app", respond);
+        CPPUNIT_ASSERT_EQUAL(502, order());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs);
+    }
+
+    // Guards against an error for what a server says that it did not run.
+    void a_rejection_without_an_id_counts_on_a_new_connection()
+    {
+        scenario here;
+        here.reply = [](request const&)
+        {
+            return script{{rejection}, ending::close};
+        };
+        CPPUNIT_ASSERT_EQUAL(503, here.order().status);
+    }
+
     // Guards against hiding what a server says of the request.
     void a_failure_with_the_id_is_passed_on()
     {
