Assert the results of three properties

rc::check returns whether a property holds and throws nothing. Three tests ignored its result, so they passed whatever the code did. They hold: fleet.shutdown and gateway.relay_message pass with the assertions.

--- a/tests/fleet/shutdown_test.cpp
+++ b/tests/fleet/shutdown_test.cpp
@@ -39,7 +39,7 @@
     // Guards against a stage of the stop with no time left.
     void deadlines_follow_each_other_within_the_grace_time()
     {
-        rc::check(
+        auto const holds = rc::check(
             [](std::uint16_t span)
             {
                 auto const stop = schedule_shutdown(start, {span});
@@ -53,6 +53,7 @@
                     RC_ASSERT(stop.exit_due < start + duration{span});
                 }
             });
+        CPPUNIT_ASSERT(holds);
     }
 
     // Guards against accepting a request that the end of the process cuts off.
@@ -203,7 +204,7 @@
     // Guards against an estimate below the duration of most requests.
     void the_high_percentile_covers_most_requests()
     {
-        rc::check(
+        auto const holds = rc::check(
             []
             {
                 auto const times =
@@ -223,6 +224,7 @@
                 auto const most = *std::max_element(times.begin(), times.end());
                 RC_ASSERT(longest->ms * 4 <= most * 5 + 8);
             });
+        CPPUNIT_ASSERT(holds);
     }
 
     // Guards against rejecting requests because a route was slow long ago.
--- a/tests/gateway/relay_message_test.cpp
+++ b/tests/gateway/relay_message_test.cpp
@@ -27,7 +27,7 @@
     // of the message, and against waiting for more than the message.
     void a_message_is_read_once_it_is_complete()
     {
-        rc::check(
+        auto const holds = rc::check(
             [](std::string const& more)
             {
                 relay_reply const sent{relay_outcome::silent, true};
@@ -46,6 +46,7 @@
                 RC_ASSERT(std::get<std::optional<relay_reply>>(whole) == sent);
                 RC_ASSERT(input.size() == more.size());
             });
+        CPPUNIT_ASSERT(holds);
     }
 
     // Guards against a relay that rejects the requests of older routers.
