Limit what a server may send to the chat router

The same faults as at the gateway, on the chat router's client and on its status checks: cpp-httplib reads heads, lines and checked bodies of any length, so a faulty server could fill the memory; a check that got a byte every 400 ms kept its thread; a response without a length counted as whole when its server ended its output before it had the request; a connection with unread bytes was used again, and the next request got them.

http::server_client gives the library a stream that breaks off at its limits, asks for the state of the connection at the end of input, and tells whether the connection may carry another request. What the responses of all exchanges hold is bounded; one with an empty queue always goes on, so none waits for another.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message_framing.hpp"
 #include "http/server.hpp"
+#include "http/server_client.hpp"
 
 #include <httplib.h>
 
@@ -34,7 +35,11 @@
     headers copied;
     for (auto const& [name, value] : given)
     {
-        copied[lower(name)] = value;
+        auto const [at, is_new] = copied.emplace(lower(name), value);
+        if (!is_new && at->second != value)
+        {
+            at->second += ", " + value;
+        }
     }
     return copied;
 }
@@ -72,36 +77,42 @@
 
 connection_pool::~connection_pool() = default;
 
-std::unique_ptr<httplib::Client>
-connection_pool::take(std::string const& address, bool fresh)
+std::unique_ptr<server_client> connection_pool::take(std::string const& address,
+                                                     bool fresh)
 {
     if (!fresh)
     {
         std::lock_guard const lock{this->mutex};
         auto& kept = this->idle[address];
-        if (!kept.empty())
+        while (!kept.empty())
         {
             auto client = std::move(kept.back());
             kept.pop_back();
-            return client;
+            if (client->is_reusable())
+            {
+                return client;
+            }
         }
     }
-    auto const where = parse_endpoint(address);
-    auto client = std::make_unique<httplib::Client>(where.host, where.port);
+    auto client = std::make_unique<server_client>(parse_endpoint(address),
+                                                  response_limits{});
     client->set_connection_timeout(
         std::chrono::milliseconds{this->connect_timeout.ms});
     client->set_read_timeout(read_timeout_seconds);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
-    client->set_decompress(false);
     // Forwards the path as the caller encoded it.
     client->set_url_encode(false);
     return client;
 }
 
 void connection_pool::give_back(std::string const& address,
-                                std::unique_ptr<httplib::Client> client)
+                                std::unique_ptr<server_client> client)
 {
+    if (!client->is_reusable())
+    {
+        return;
+    }
     std::lock_guard const lock{this->mutex};
     auto& kept = this->idle[address];
     if (kept.size() < max_idle_per_address)
@@ -110,12 +121,21 @@
     }
 }
 
+held_total& connection_pool::held()
+{
+    return this->total;
+}
+
+exchange::exchange(held_total& total) : queued{total}
+{
+}
+
 std::shared_ptr<exchange> exchange::start(worker_pool& workers,
                                           connection_pool& connections,
                                           std::string address,
                                           exchange_request request)
 {
-    std::shared_ptr<exchange> started{new exchange};
+    std::shared_ptr<exchange> started{new exchange{connections.held()}};
     workers.enqueue([started, &connections, address = std::move(address),
                      request = std::move(request)]
                     { started->run(connections, address, request); });
@@ -134,7 +154,7 @@
     }
     auto event = std::move(this->events.front());
     this->events.pop_front();
-    this->queued_bytes -= event.data.size();
+    this->queued.remove(event.data.size());
     this->changed.notify_all();
     return event;
 }
@@ -153,14 +173,19 @@
 bool exchange::push(exchange_event event)
 {
     std::unique_lock lock{this->mutex};
-    this->changed.wait(
-        lock, [this]
-        { return this->cancelled || this->queued_bytes < max_queued_bytes; });
+    // An exchange with an empty queue always goes on, so none waits for others.
+    this->changed.wait(lock,
+                       [this]
+                       {
+                           return this->cancelled ||
+                                  (this->queued.size() < max_queued_bytes &&
+                                   !this->queued.exceeds(1));
+                       });
     if (this->cancelled)
     {
         return false;
     }
-    this->queued_bytes += event.data.size();
+    this->queued.add(event.data.size());
     this->events.push_back(std::move(event));
     this->changed.notify_all();
     return true;
@@ -181,15 +206,17 @@
     auto wire = to_httplib(request);
     std::string malformed;
     wire.response_handler =
-        [this, &malformed](httplib::Response const& response)
+        [this, &malformed, &client](httplib::Response const& response)
     {
+        client->end_head();
         if (auto const why = find_response_fault(response))
         {
             malformed = *why;
             return false;
         }
         return this->push({exchange_event::kind::head, response.status,
-                           copy_headers(response.headers), "", true, ""});
+                           copy_headers(response.headers), "", true, "",
+                           client->on_used_connection()});
     };
     wire.content_receiver =
         [this](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
@@ -228,4 +255,11 @@
     return found == all.end() ? std::string{} : found->second;
 }
 
+bool may_belong_to(exchange_event const& head, std::string const& id)
+{
+    auto const named = head.headers.find("x-request-id");
+    return named == head.headers.end() ? !head.on_used_connection
+                                       : named->second == id;
+}
+
 } // namespace caperpath::http
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERPATH_SRC_HTTP_EXCHANGE_HPP
 #define CAPERPATH_SRC_HTTP_EXCHANGE_HPP
 
+#include "http/held_bytes.hpp"
 #include "http/worker_pool.hpp"
 
 #include <caperpath/base/clock.hpp>
@@ -16,15 +17,13 @@
 #include <utility>
 #include <vector>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace caperpath::http
 {
 
-/// Headers with lower-case names; a repeated name keeps its last value.
+class server_client;
+
+/// Headers with lower-case names. The values of a repeated name are joined by
+/// commas unless they are equal.
 using headers = std::map<std::string, std::string>;
 
 /// One request to a backend server. Immutable value.
@@ -60,6 +59,9 @@
     std::string data;
     bool maybe_sent{true}; ///< false: provably no byte reached the peer
     std::string detail;
+    /// Of a head: the connection has carried another request before. A server
+    /// may respond to that one once more.
+    bool on_used_connection{false};
 
     friend bool operator==(exchange_event const&,
                            exchange_event const&) = default;
@@ -77,15 +79,18 @@
     connection_pool(connection_pool const&) = delete;
     connection_pool& operator=(connection_pool const&) = delete;
 
-    std::unique_ptr<httplib::Client> take(std::string const& address,
-                                          bool fresh);
+    std::unique_ptr<server_client> take(std::string const& address, bool fresh);
     void give_back(std::string const& address,
-                   std::unique_ptr<httplib::Client> client);
+                   std::unique_ptr<server_client> client);
+
+    /// What the responses of all exchanges of this pool hold.
+    held_total& held();
 
 private:
     duration connect_timeout;
+    held_total total{0};
     std::mutex mutex;
-    std::map<std::string, std::vector<std::unique_ptr<httplib::Client>>> idle;
+    std::map<std::string, std::vector<std::unique_ptr<server_client>>> idle;
 };
 
 /// One request and the events of its response. The request runs on a thread of
@@ -108,7 +113,7 @@
     void cancel();
 
 private:
-    exchange() = default;
+    explicit exchange(held_total& total);
     void run(connection_pool& connections, std::string const& address,
              exchange_request const& request);
     bool push(exchange_event event);
@@ -116,14 +121,19 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::deque<exchange_event> events;
-    std::size_t queued_bytes{0};
+    held_bytes queued; ///< in `events`
     bool cancelled{false};
-    httplib::Client* running{nullptr}; ///< under `mutex`, for `cancel`
+    server_client* running{nullptr}; ///< under `mutex`, for `cancel`
 };
 
 /// Returns the value of the header, or an empty string. Thread safe.
 std::string header_value(headers const& all, std::string const& name);
 
+/// True if the response may belong to the request with this id: it names the
+/// request, or names none and its connection carried no other request. Thread
+/// safe. @pre `head` is of the kind `head`.
+bool may_belong_to(exchange_event const& head, std::string const& id);
+
 } // namespace caperpath::http
 
 #endif
--- a/src/router/load_poller.cpp
+++ b/src/router/load_poller.cpp
@@ -4,6 +4,7 @@
 
 #include "http/message_framing.hpp"
 #include "http/server.hpp"
+#include "http/server_client.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -19,6 +20,7 @@
 
 constexpr std::size_t max_threads = 8;
 constexpr int timeout_ms = 500;
+constexpr std::size_t max_response_bytes = 64 * 1024;
 // Interval of the check for a new configuration, and so the longest delay until
 // the backend controller gets it.
 constexpr duration configuration_check{50};
@@ -128,7 +130,9 @@
                            std::string const& address)
 {
     auto const where = http::parse_endpoint(address);
-    httplib::Client client{where.host, where.port};
+    http::server_client client{
+        where,
+        {.total_bytes = max_response_bytes, .time = duration{timeout_ms}}};
     client.set_connection_timeout(std::chrono::milliseconds{timeout_ms});
     client.set_read_timeout(std::chrono::milliseconds{timeout_ms});
     auto const response = client.Get("/load");
--- a/tests/http/cut_response_test.cpp
+++ b/tests/http/cut_response_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(cut_response_test);
     CPPUNIT_TEST(a_cut_head_is_no_response);
     CPPUNIT_TEST(a_cut_body_is_no_complete_response);
+    CPPUNIT_TEST(an_end_before_the_request_was_received_is_a_cut);
     CPPUNIT_TEST_SUITE_END();
 
     using kind = http::exchange_event::kind;
@@ -25,14 +26,14 @@
     };
 
     static outcome run(std::vector<std::string> const& pieces,
-                       raw_server::ending end)
+                       raw_server::ending end, std::string const& body = "x")
     {
         raw_server const server{pieces, end};
         http::worker_pool workers{1};
         http::connection_pool connections{duration{1'000}};
         auto const open = http::exchange::start(
             workers, connections, server.address(),
-            {"POST", "/run", {}, "x", "text/plain", true});
+            {"POST", "/run", {}, body, "text/plain", true});
         outcome got;
         while (auto const event = open->wait(duration{2'000}))
         {
@@ -98,6 +99,19 @@
             run({"HTTP/1.1 200 OK\r\n\r\ndone"}, raw_server::ending::close)
                 .last == kind::end);
     }
+
+    // Guards against a part that is taken for the whole: the server ends its
+    // output while most of the request waits in the kernel.
+    void an_end_before_the_request_was_received_is_a_cut()
+    {
+        std::string const upload(200'000, 'u');
+        CPPUNIT_ASSERT(run({"HTTP/1.1 200 OK\r\n\r\npart"},
+                           raw_server::ending::early, upload)
+                           .last == kind::failed);
+        CPPUNIT_ASSERT(run({"HTTP/1.1 200 OK\r\n\r\nwhole"},
+                           raw_server::ending::close, upload)
+                           .last == kind::end);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cut_response_test);
--- a/tests/http/raw_server.hpp
+++ b/tests/http/raw_server.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <utility>
@@ -25,7 +26,9 @@
     enum class ending
     {
         close,
-        reset
+        reset,
+        early, ///< ends its output before it has read the body of the request
+        keep   ///< waits for the next request
     };
 
     explicit raw_server(std::string bytes)
@@ -33,12 +36,22 @@
     {
     }
 
-    raw_server(std::vector<std::string> pieces, ending end)
+    /// @pre nothing listens on `port`; 0: any free one.
+    raw_server(std::vector<std::string> pieces, ending end, int port = 0)
         : pieces{std::move(pieces)}, end{end}, listener{::socket(
                                                    AF_INET, SOCK_STREAM, 0)}
     {
+        int const on = 1;
+        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        if (end == ending::early)
+        {
+            int const small = 4'096;
+            setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &small,
+                       sizeof(small));
+        }
         sockaddr_in local{};
         local.sin_family = AF_INET;
+        local.sin_port = htons(static_cast<std::uint16_t>(port));
         local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(local);
         CPPUNIT_ASSERT_EQUAL(
@@ -73,7 +86,9 @@
         for (int caller = accept(this->listener, nullptr, nullptr); caller >= 0;
              caller = accept(this->listener, nullptr, nullptr))
         {
-            this->respond(caller);
+            while (this->respond(caller) && this->end == ending::keep)
+            {
+            }
             linger const how{this->end == ending::reset ? 1 : 0, 0};
             setsockopt(caller, SOL_SOCKET, SO_LINGER, &how, sizeof(how));
             close(caller);
@@ -94,18 +109,23 @@
         return request.size() >= head_end + 4 + length;
     }
 
-    void respond(int caller) const
+    /// Returns false if the connection ended before a request.
+    bool respond(int caller) const
     {
         constexpr std::chrono::milliseconds pause{20};
         std::string request;
         std::array<char, 4'096> read{};
+        auto const is_enough = [this](std::string const& got)
+        {
+            return this->end == ending::early ? !got.empty() : is_complete(got);
+        };
         // Unread bytes would make the close a reset.
-        while (!is_complete(request))
+        while (!is_enough(request))
         {
             auto const got = recv(caller, read.data(), read.size(), 0);
             if (got <= 0)
             {
-                return;
+                return false;
             }
             request.append(read.data(), static_cast<std::size_t>(got));
         }
@@ -114,6 +134,12 @@
             ::send(caller, piece.data(), piece.size(), MSG_NOSIGNAL);
             std::this_thread::sleep_for(pause);
         }
+        if (this->end == ending::early)
+        {
+            shutdown(caller, SHUT_WR);
+            std::this_thread::sleep_for(pause * 10);
+        }
+        return true;
     }
 
     std::vector<std::string> pieces;
