Check to which request a response at the chat router belongs

Callers of plain services got bytes that name another request as a success, and "not run" from a rejection that names another request; a model engine's rejection counted likewise, whatever id it had.

Cause: only a success of a model engine was checked for the id. A head with another id now counts for nothing, and one without an id only on a new connection. Services need not return the id, so calls to them always use a new one. A service's response also counts among what all responses hold.

router.unrelated_response: 2 of 3 failed with the check taken out (200 and 503 in place of 502); the third, on statuses such as 000, passed before and stays as a guard.

--- a/src/router/chat_relay.cpp
+++ b/src/router/chat_relay.cpp
@@ -217,6 +217,11 @@
                    ? std::nullopt
                    : this->retry_after_failure("response to another request");
     }
+    if (!http::may_belong_to(head, this->request.id.value))
+    {
+        this->may_have_run = true;
+        return this->retry_after_failure("response to another request");
+    }
     bool const not_run = is_set(head.headers, not_run_header);
     this->may_have_run = this->may_have_run || !not_run;
     if (is_set(head.headers, draining_header))
--- a/src/router/service_call.cpp
+++ b/src/router/service_call.cpp
@@ -15,6 +15,7 @@
 
 constexpr int max_attempts = 3;
 constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
+constexpr std::size_t min_response_bytes = 256 * 1024; // whatever others hold
 constexpr duration default_retry_after{5'000};
 
 enum class attempt_status
@@ -44,9 +45,11 @@
     // The service gets the id, which is unique across customers. Two customers
     // may have chosen the same key.
     headers.emplace_back("Idempotency-Key", request.id.value);
+    // Services need not return the id, so only a new connection shows which
+    // request a response belongs to.
     return {request.in.method,       work.path,
             std::move(headers),      request.in.body,
-            request.in.content_type, !work.call.idempotent};
+            request.in.content_type, true};
 }
 
 // The result of an attempt whose response header states that it did not run.
@@ -64,6 +67,7 @@
 attempt read_response(filters::context const& request, http::exchange& open)
 {
     request::stored_response response;
+    http::held_bytes held{request.shared.connections->held()};
     while (true)
     {
         auto const remaining = request.deadline - request.shared.time.now();
@@ -80,6 +84,13 @@
         switch (event->type)
         {
         case http::exchange_event::kind::head:
+            if (!http::may_belong_to(*event, request.id.value))
+            {
+                return {attempt_status::unknown,
+                        routing::attempt_result::failed,
+                        {},
+                        "response to another request"};
+            }
             if (http::header_value(event->headers, "caperpath-not-run") ==
                 "true")
             {
@@ -91,12 +102,14 @@
             break;
         case http::exchange_event::kind::data:
             response.body += event->data;
-            if (response.body.size() > max_response_bytes)
+            held.add(event->data.size());
+            if (response.body.size() > max_response_bytes ||
+                held.exceeds(min_response_bytes))
             {
                 return {attempt_status::unknown,
                         routing::attempt_result::failed,
                         {},
-                        "the response exceeds 8 MiB"};
+                        "the response exceeds 8 MiB or its share of memory"};
             }
             break;
         case http::exchange_event::kind::end:
