--- a/tests/http/endless_response_test.cpp
+++ b/tests/http/endless_response_test.cpp
@@ -6,7 +6,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <initializer_list>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <thread>
 #include <vector>
@@ -60,6 +62,11 @@
         return all;
     }
 
+    static std::string joined(std::initializer_list<std::string> parts)
+    {
+        return std::accumulate(parts.begin(), parts.end(), std::string{});
+    }
+
     static constexpr std::size_t too_many = 256 * 1024;
 
     // Guards against a process that runs out of memory by one response.
@@ -68,10 +75,13 @@
         std::string const end = "Content-Length: 4\r\n\r\ndone";
         std::string const line = "HTTP/1.1 200 OK\r\n";
         for (auto const& bytes :
-             {line + repeated("X-Field: some value\r\n", too_many) + end,
-              line + "X-Field: " + repeated("value", too_many) + "\r\n" + end,
-              "HTTP/1.1 200 " + repeated("OK", too_many) + "\r\n" + end,
-              repeated("HTTP/1.1 100 Continue\r\n\r\n", too_many) + line + end})
+             {joined(
+                  {line, repeated("X-Field: some value\r\n", too_many), end}),
+              joined({line, "X-Field: ", repeated("value", too_many), "\r\n",
+                      end}),
+              joined({"HTTP/1.1 200 ", repeated("OK", too_many), "\r\n", end}),
+              joined({repeated("HTTP/1.1 100 Continue\r\n\r\n", too_many), line,
+                      end})})
         {
             CPPUNIT_ASSERT_MESSAGE(bytes.substr(0, 40),
                                    last_event(bytes) == kind::failed);
