End the open requests of a test before its site

Under the sanitizers gateway.endless_response failed: incomplete_events_share_the_memory left streams open, and the frames of their coroutines, which refer to the router, were destroyed with the loop after it. The program itself exits without destroying either.

--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -210,7 +210,7 @@
                 site.begin(fleet_site::request("GET", "/read/1")));
         }
         CPPUNIT_ASSERT(site.run_until(
-            [&] { return server.closed_by_router >= requests; }));
+            [&] { return server.closed_by_router_now() >= requests; }));
         constexpr std::size_t most_of_all = 96U * 1024 * 1024;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(server.bytes_written),
                                server.bytes_written <= most_of_all);
@@ -290,6 +290,24 @@
                 return ended >= requests - most_open;
             }));
         CPPUNIT_ASSERT(server.requests.size() > most_open);
+        for (auto const& each : callers)
+        {
+            each->close(true);
+        }
+        end_requests(site, server);
+    }
+
+    /// Open requests hold references to the router, which the site destroys
+    /// first.
+    static void end_requests(fleet_site& site, fake_server const& server)
+    {
+        CPPUNIT_ASSERT(site.run_until(
+            [&]
+            {
+                return server.closed_by_router_now() >=
+                       static_cast<int>(server.requests.size());
+            }));
+        site.run_for(duration{100});
     }
 
     // Guards against responses that stay here because their callers do not read
